Let token limits in evenly over the window; tell a reset from an orderly close

Cause: after all entries lost power each assumed that a full window had just been spent, and refused everything for 8 s. Change: a window's tokens are let in with 0.3 at once and the rest evenly, so that what may have been spent before a start falls from a full window to 0.3 of one while it passes. Sockets are read without eventlet's recv.

--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -9,6 +9,7 @@
 import eventlet
 import h11
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from ..errors import CallerGoneError, DockreachError
 from .fleet import CallerLimits
@@ -121,6 +122,27 @@
     return sock
 
 
+def receive(sock: Any) -> bytes:  # noqa: ANN401
+    """Read what has come; empty if the peer closed in order.
+
+    eventlet's own `recv` also returns nothing after a reset, so that an answer without a
+    length would look complete when it was cut off.
+
+    Raises:
+        OSError: The connection was reset.
+        TimeoutError: Nothing came within the socket's timeout.
+    """
+    plain = sock.fd
+    while True:
+        try:
+            data: bytes = plain.recv(RECV_BYTES)
+            return data
+        except BlockingIOError:
+            trampoline(
+                plain, read=True, timeout=sock.gettimeout(), timeout_exc=TimeoutError
+            )
+
+
 def _tune(sock: Any) -> None:  # noqa: ANN401
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
@@ -175,7 +197,7 @@
             return True
         self._sock.settimeout(self._limits.idle_s)
         try:
-            data = self._sock.recv(RECV_BYTES)
+            data = receive(self._sock)
         except OSError:
             return False
         finally:
@@ -211,7 +233,7 @@
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._sock.sendall(self._http.send(go_on))
-        data = self._sock.recv(RECV_BYTES)
+        data = receive(self._sock)
         self._http.receive_data(data)
         return bool(data)
 
@@ -230,7 +252,7 @@
         """
         while self._ahead < MOST_PIPELINED:
             try:
-                data = self._sock.recv(RECV_BYTES)
+                data = receive(self._sock)
             except OSError:
                 return
             if not data:
@@ -436,7 +458,7 @@
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(self._sock.recv(RECV_BYTES))
+                self._http.receive_data(receive(self._sock))
         except (h11.RemoteProtocolError, OSError) as exc:
             raise AnswerError(f"{self.address}: {exc}") from exc
 
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -16,14 +16,22 @@
 from .fleet import Organisation
 from .peers import PeerRow, PeerTable
 
-AIM = 1.2
+AIM = 1.03
 """Part of what is owed in a window up to which requests are let in while all peers are
-heard. Less refuses what is owed: tokens are counted for the most that may be made."""
+heard. What is spent beyond the window's edge, in the current step, is counted as well."""
 
-SAFE = 0.9
+SAFE = 0.95
 """Part of what the platform tolerates that is ever used; the rest covers what peers
 spend between two digests."""
 
+AT_ONCE = 0.3
+"""Part of a window's tokens that may be spent at once; the rest is let in evenly over the
+window. It bounds what entries that all lost their memory may have spent just before, and
+refuses nothing to an organisation below four times its rate."""
+
+SOONEST_S = 0.25
+"""Least time after which a caller over its limit is told to come back, in seconds."""
+
 STEP_S = 0.5
 """Amounts are kept for steps of this length, in seconds. The current step comes on top of
 a whole window, so that up to one step more than the window is counted."""
@@ -118,12 +126,26 @@
 
     def spent(self, name: str, now: float) -> float:
         """Return the tokens that all entries spent in the window."""
+        return max(float(sum(self._steps(name, now))), self._remembered(name, now))
+
+    def _steps(self, name: str, now: float, *, fresh_only: bool = False) -> list[int]:
+        """Return what all entries spent, in steps back from now.
+
+        Args:
+            name: The organisation.
+            now: Steady time, in seconds.
+            fresh_only: Whether to count only this entry and peers that are heard.
+        """
         self._ended = [row for row in self._ended if now - row.heard <= self._span]
         own = self._own.get(name)
-        total = float(sum(own.back(now, self._span))) if own else 0.0
-        for row in [*self._peers.rows, *self._ended]:
-            total += _told(row, name, now, self._span)
-        return max(total, self._remembered(name, now))
+        empty = [0] * (math.ceil(self._span / STEP_S) + 1)
+        total = own.back(now, self._span) if own else empty
+        rows = self._peers.rows if fresh_only else [*self._peers.rows, *self._ended]
+        for row in rows:
+            if fresh_only and not row.is_fresh(now):
+                continue
+            _add_told(total, row, name, now)
+        return total
 
     def _remembered(self, name: str, now: float) -> float:
         """Return what older peers remember, while this process is younger than a window."""
@@ -143,12 +165,13 @@
         """
         if organisation.rate <= 0:
             return None
-        spent = self.spent(organisation.name, now)
-        if self._allows(organisation, tokens, spent, now):
+        steps = self._steps(organisation.name, now)
+        spent = max(float(sum(steps)), self._remembered(organisation.name, now))
+        if self._allows(organisation, tokens, spent, steps, now):
             self._own.setdefault(organisation.name, _Steps()).add(tokens, now)
             return None
         over = spent + tokens - self.tolerance.owed(organisation) * AIM
-        return min(max(over / organisation.rate, 0.25), float(self.tolerance.window_s))
+        return min(max(over / organisation.rate, SOONEST_S), self.tolerance.window_s)
 
     def refund(self, organisation: Organisation, tokens: int, now: float) -> None:
         """Give back what a request did not use, because it was not run."""
@@ -156,49 +179,64 @@
             self._own[organisation.name].add(-tokens, now)
 
     def _allows(
-        self, organisation: Organisation, tokens: int, spent: float, now: float
+        self,
+        organisation: Organisation,
+        tokens: int,
+        spent: float,
+        steps: list[int],
+        now: float,
     ) -> bool:
         most = self.tolerance.most(organisation) * SAFE
+        most -= self._unseen_past(organisation, now)
+        if not self._is_even(organisation, tokens, steps):
+            return False
         silent = self._peers.silent(now)
-        unseen = self._unseen_past(organisation, now)
         if not silent:
-            aim = self.tolerance.owed(organisation) * AIM
-            return spent + tokens <= min(max(aim, tokens), most - unseen)
+            aim = self._aim(organisation, self._span)
+            return spent + tokens <= min(max(aim, tokens), most)
         known = len(self._peers) + 1
         factor = known / (known - len(silent))
         since = min(row.heard for row in silent)
         lately = self._spent_since(organisation.name, since, now) + tokens
-        return spent - lately + tokens + lately * factor <= most - unseen
+        return spent - lately + tokens + lately * factor <= most
+
+    def _aim(self, organisation: Organisation, seconds: float) -> float:
+        """Return the tokens that are let in within a part of the window."""
+        part = AT_ONCE + (1 - AT_ONCE) * min(seconds / self._span, 1.0)
+        return self.tolerance.owed(organisation) * AIM * part
+
+    def _is_even(self, organisation: Organisation, tokens: int, steps: list[int]) -> bool:
+        """Return whether each end of the window holds no more than its part."""
+        total = float(tokens)
+        for index, amount in enumerate(steps[:-1]):
+            total += amount
+            if total > max(self._aim(organisation, (index + 1) * STEP_S), tokens):
+                return False
+        return True
 
     def _spent_since(self, name: str, since: float, now: float) -> float:
         """Return what the entries in reach spent since a time."""
-        span = min(now - since, self._span)
-        own = self._own.get(name)
-        steps = math.ceil(span / STEP_S) + 1
-        total = float(sum(own.back(now, self._span)[:steps])) if own else 0.0
-        for row in self._peers.rows:
-            if row.is_fresh(now):
-                total += _told(row, name, now, span)
-        return total
+        steps = math.ceil(min(now - since, self._span) / STEP_S) + 1
+        return float(sum(self._steps(name, now, fresh_only=True)[:steps]))
 
     def _unseen_past(self, organisation: Organisation, now: float) -> float:
         """Return what may have been spent before this process started.
 
-        After a loss of all entries nobody remembers; a full window is then assumed.
+        After a loss of all entries nobody remembers. The most that can have been spent in
+        what is left of the window is then assumed.
         """
-        young = now - self._started <= self._span
-        if not self._has_past or not young:
+        age_s = now - self._started
+        if not self._has_past or age_s > self._span:
             return 0.0
         if any(row.digest.age_s > self._span for row in self._peers.rows):
             return 0.0
-        return self.tolerance.owed(organisation) * AIM
+        return self._aim(organisation, self._span - age_s)
 
 
-def _told(row: PeerRow, name: str, now: float, span: float) -> int:
-    """Return what a peer spent in the window, as far as it was told."""
-    amounts = row.digest.spent.get(name)
-    if not amounts:
-        return 0
+def _add_told(total: list[int], row: PeerRow, name: str, now: float) -> None:
+    """Add what a peer told, moved back by the time that has passed since."""
     passed = int((now - row.heard) / STEP_S)
-    steps = math.ceil(span / STEP_S) + 1
-    return sum(amounts[: max(steps - passed, 0)])
+    for index, amount in enumerate(row.digest.spent.get(name, ())):
+        if index + passed >= len(total):
+            return
+        total[index + passed] += amount
