Read changed settings with and without a signal

Cause: SIGHUP was ignored and a replaced settings file was not noticed. Not valid: logged, nothing changes.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -6,6 +6,7 @@
 import time
 import traceback
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import eventlet
@@ -118,6 +119,20 @@
         eventlet.spawn(self._rounds)
         log(Event.STARTED, daemon_hall=self.settings.hall, has_past=self.settings.has_past)
 
+    def apply(self, settings: EntrySettings) -> None:
+        """Put changed settings in force; addresses and names stay until a restart."""
+        self.settings = replace(
+            self.settings,
+            seeds=settings.seeds,
+            grace_s=settings.grace_s,
+            tolerance=settings.tolerance,
+            retries=settings.retries,
+        )
+        self.peers.seeds = settings.seeds
+        self.ctx.spending.tolerance = settings.tolerance
+        self.ctx.retries.policy = settings.retries
+        log(Event.SETTINGS_IN_FORCE, seeds=len(settings.seeds))
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -58,7 +58,7 @@
 
     def __init__(self, own: Address, seeds: Iterable[Address]) -> None:
         self.own = own
-        self._seeds = [seed for seed in seeds if seed != own]
+        self.seeds = tuple(seeds)
         self._rows: dict[Address, PeerRow] = {}
         self._hinted: dict[Address, float] = {}
         self._turn = 0
@@ -73,7 +73,7 @@
 
     def targets(self) -> list[Address]:
         """Return whom to send the next digest to."""
-        found = dict.fromkeys(self._seeds)
+        found = dict.fromkeys(seed for seed in self.seeds if seed != self.own)
         found.update(dict.fromkeys(self._rows))
         found.update(dict.fromkeys(self._hinted))
         return list(found)
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -31,6 +31,8 @@
     CONFIG_CONFLICT = 302
     PLATFORM_DOWN = 303
     PLATFORM_BACK = 304
+    SETTINGS_IN_FORCE = 305
+    SETTINGS_REFUSED = 306
     ENGINE_SUSPECT = 500
     ENGINE_RECOVERED = 501
     ENGINE_UNREACHABLE = 502
@@ -62,6 +64,7 @@
     Event.CONFIG_REFUSED: logging.WARNING,
     Event.CONFIG_CONFLICT: logging.ERROR,
     Event.PLATFORM_DOWN: logging.WARNING,
+    Event.SETTINGS_REFUSED: logging.ERROR,
     Event.ENGINE_SUSPECT: logging.WARNING,
     Event.ENGINE_UNREACHABLE: logging.WARNING,
     Event.ORDER_REFUSED: logging.ERROR,
