Split the entry: serving of callers and pages are modules of their own

Cause: one module of 430 lines knew the fleet, served callers, answered pages and stopped; the view with its keys was also served at the balancer's address; a request that ended by its deadline was logged without its endpoint. Change: serving (callers, stop) and status_pages; each address has its own pages. Each request's last line tells endpoint, wait, and what was known to be under way there. How long a peer may be silent grows with the time between digests.

--- a/dockreach/direct/attempt.py
+++ b/dockreach/direct/attempt.py
@@ -39,3 +39,25 @@
     endpoint: str
     detail: str = ""
     answer: tuple[RawHead, bytes] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a request was placed, and what was known when that was decided.
+
+    Attributes:
+        waited_s: Time that it waited for the place, in seconds.
+        own: Requests of this entry under way there, this one included.
+        others: Requests of other entries under way there, as last told.
+        slots: Requests that the endpoint works on at a time.
+    """
+
+    endpoint: str
+    waited_s: float
+    own: int
+    others: int
+    slots: int
+
+
+NOWHERE = Placement(endpoint="", waited_s=0.0, own=0, others=0, slots=0)
+"""Stands for a request that had no place."""
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -1,37 +1,37 @@
-"""An entry of the direct path: listens to callers, follows the fleet, stops in order."""
+"""An entry of the direct path: what it knows, from whom, and what it tells others."""
 
 from __future__ import annotations
 
 import secrets
 import time
-import traceback
 from collections.abc import Callable, Iterator
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import eventlet
 
-from ..errors import CallerGoneError, RevisionError
+from ..errors import RevisionError
 from ..events import Event, log
 from ..metrics import Metrics, Sample, counter_samples, process_samples
-from ..verdict import Reason, Refusal, Verdict
 from . import view as views
 from .context import Context
 from .dialect import Dialect
-from .digest import Digest
+from .digest import Address, Digest
 from .dispatching import Choice, Dispatcher
 from .endpoints import EndpointTable, Published
 from .entry_settings import EntrySettings
-from .exchange import Exchange
-from .fleet import CallerLimits, Revision
+from .fleet import Revision
 from .gossip import Gossip
 from .helping import Helping, Knowledge
-from .http1 import BadRequestError, CallerConnection, RawHead, RawRequest, listen
+from .http1 import RawHead, listen
 from .peers import PeerTable
 from .pool import ConnectionPool
 from .retrying import RetryBudget
 from .scheduling import Scheduler
+from .serving import CallerServer, accept_all
 from .spending import SpendTable
+from .status_pages import NOT_FOUND, Page, serve_page
 from .view import View
 
 CONNECT_S = 0.4
@@ -44,13 +44,6 @@
 ROUND_S = 0.1
 """Time between rounds that expire what is old, in seconds."""
 
-NOTICE_S = 2.5
-"""Time after the signal to stop in which callers may still arrive, in seconds: the
-balancer asks each second and takes an entry out after two misses."""
-
-END_EARLY_S = 0.7
-"""How long before the end by force the entry ends by itself, in seconds."""
-
 
 class Entry:
     """One entry. The adapter calls it with what the platform publishes.
@@ -76,7 +69,6 @@
         self._dialect = dialect
         self._incarnation = secrets.randbits(63)
         self._number = 0
-        self._connections: dict[CallerConnection, Any] = {}
         self.endpoints = EndpointTable()
         self.peers = PeerTable(settings.gossip, settings.seeds)
         self.gossip = Gossip(
@@ -99,25 +91,24 @@
             pool=ConnectionPool(CONNECT_S),
             metrics=Metrics(settings.name),
         )
+        self.callers = CallerServer(self)
 
     def start(self) -> None:
         """Listen, and follow the other entries."""
         self.gossip.start()
-        callers = listen(self.settings.callers.ip, self.settings.callers.port)
-        health = listen(self.settings.health.ip, self.settings.health.port)
-        self._callers = callers
-        eventlet.spawn(self._accept, callers, self._serve_callers)
-        eventlet.spawn(self._accept, health, self._serve_pages)
-        if self.settings.metrics is not None:
-            metrics = self.settings.metrics
-            eventlet.spawn(
-                self._accept, listen(metrics.ip, metrics.port), self._serve_pages
-            )
-        gossip = self.settings.gossip
-        eventlet.spawn(self._accept, listen(gossip.ip, gossip.port), self._serve_pages)
+        settings = self.settings
+        self._listen(settings.callers, self.callers.serve)
+        self._listen(settings.health, partial(serve_page, page=self._health_page))
+        self._listen(settings.gossip, partial(serve_page, page=self._view_page))
+        if settings.metrics is not None:
+            self._listen(settings.metrics, partial(serve_page, page=self._metrics_page))
         eventlet.spawn(self._helping.run)
         eventlet.spawn(self._rounds)
-        log(Event.STARTED, daemon_hall=self.settings.hall, has_past=self.settings.has_past)
+        log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_past)
+
+    @staticmethod
+    def _listen(address: Address, serve: Callable[[Any], None]) -> None:
+        eventlet.spawn(accept_all, listen(address.ip, address.port), serve)
 
     def apply(self, settings: EntrySettings) -> None:
         """Put changed settings in force; addresses and names stay until a restart."""
@@ -264,7 +255,7 @@
         elif before.digest.incarnation != digest.incarnation:
             self.ctx.spending.keep_ended([before])
         # What a silent peer told does not count, and so is not taken off.
-        counted = before is not None and before.is_fresh(now)
+        counted = before is not None and self.peers.is_fresh(before, now)
         old = before.digest.under_way if before is not None and counted else {}
         if self.endpoints.change_others(old, digest.under_way):
             self.ctx.scheduler.pump()
@@ -292,122 +283,22 @@
             if row.lapsed_until is not None and now >= row.lapsed_until:
                 self.lose_endpoint(row.id)
 
-    # Callers.
-
-    def _accept(self, listener: Any, serve: Callable[[Any], None]) -> None:  # noqa: ANN401
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError as exc:
-                if self.stopping_since is not None:
-                    return
-                log(Event.ACCEPT_FAILED, str(exc))
-                eventlet.sleep(ROUND_S)
-                continue
-            eventlet.spawn_n(serve, sock)
-
-    def _limits(self) -> CallerLimits:
-        return self.revision.limits if self.revision else CallerLimits()
-
-    def _serve_callers(self, sock: Any) -> None:  # noqa: ANN401
-        try:
-            conn = CallerConnection(sock, self._limits())
-        except OSError:
-            # The caller reset the connection before it was served.
-            sock.close()
-            return
-        self._connections[conn] = eventlet.getcurrent()
-        try:
-            self._serve_connection(conn)
-        except CallerGoneError:
-            self.ctx.counters.callers_gone += 1
-        except Exception as exc:  # noqa: BLE001
-            # A fault of the program ends one connection and not the entry.
-            log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc())
-            conn.abort()
-        finally:
-            del self._connections[conn]
-            conn.close()
-
-    def _serve_connection(self, conn: CallerConnection) -> None:
-        while True:
-            try:
-                raw = conn.read_request()
-            except BadRequestError as exc:
-                self._refuse_bad(conn, exc)
-                return
-            if raw is None:
-                return
-            conn.is_closing = self.stopping_since is not None
-            try:
-                self._serve_watched(conn, raw)
-            except BadRequestError as exc:
-                self._refuse_bad(conn, exc)
-                return
-            if not conn.next_request():
-                return
-
-    def _serve_watched(self, conn: CallerConnection, raw: RawRequest) -> None:
-        """Serve a request; stop at once when the caller leaves.
-
-        Raises:
-            CallerGoneError: It left.
-        """
-        server = eventlet.spawn(self._serve_request, conn, raw)
-        watcher = eventlet.spawn(self._watch, conn, server)
-        try:
-            server.wait()
-        finally:
-            watcher.kill()
+    # Pages.
 
-    @staticmethod
-    def _watch(conn: CallerConnection, server: Any) -> None:  # noqa: ANN401
-        conn.watch()
-        server.kill(CallerGoneError("caller closed its connection"))
-
-    def _serve_request(self, conn: CallerConnection, raw: RawRequest) -> None:
-        req = self._dialect.read_request(raw, time.monotonic())
-        if self.revision is None or self._is_too_late():
-            reason = Reason.STOPPING if self.revision else Reason.NOT_READY
-            refusal = Refusal(Verdict.NOT_RUN, reason, retry_after_s=ROUND_S)
-            log(Event.REQUEST_REFUSED, rid=req.rid, reason=reason.value)
-            conn.send_whole(*self._dialect.refusal(refusal, req.rid))
-            return
-        Exchange(self.ctx, self.revision, req, conn).run()
+    def _health_page(self, target: bytes) -> Page:
+        del target
+        return RawHead(200 if self.is_ready else 503, b"", []), b""
 
-    def _is_too_late(self) -> bool:
-        """Return whether what is taken now might not be finished before the end."""
-        if self.stopping_since is None:
-            return False
-        return time.monotonic() > self.stopping_since + NOTICE_S
+    def _view_page(self, target: bytes) -> Page:
+        if target != views.PATH:
+            return NOT_FOUND
+        return RawHead(200, b"OK", []), views.encode(self._view())
 
-    def _refuse_bad(self, conn: CallerConnection, exc: BadRequestError) -> None:
-        log(Event.BAD_REQUEST, str(exc), status=exc.status)
-        if conn.head_sent:
-            return
-        conn.is_closing = True
-        conn.send_whole(RawHead(exc.status, b"Bad Request", []), b"")
-
-    def _serve_pages(self, sock: Any) -> None:  # noqa: ANN401
-        """Answer the balancer, other entries and whoever reads the metrics."""
-        try:
-            conn = CallerConnection(sock, CallerLimits())
-            while (raw := conn.read_request()) is not None:
-                conn.send_whole(*self._page(raw.target))
-                if not conn.next_request():
-                    break
-        except (BadRequestError, CallerGoneError, OSError) as exc:
-            log(Event.PAGE_FAILED, str(exc))
-        finally:
-            sock.close()
-
-    def _page(self, target: bytes) -> tuple[RawHead, bytes]:
-        if target == views.PATH:
-            return RawHead(200, b"OK", []), views.encode(self._view())
-        if target == self.settings.metrics_path.encode():
-            body, kind = self.ctx.metrics.page(self._samples())
-            return RawHead(200, b"OK", [(b"Content-Type", kind.encode())]), body
-        return RawHead(200 if self.is_ready else 503, b"", []), b""
+    def _metrics_page(self, target: bytes) -> Page:
+        if target != self.settings.metrics_path.encode():
+            return NOT_FOUND
+        body, kind = self.ctx.metrics.page(self._samples())
+        return RawHead(200, b"OK", [(b"Content-Type", kind.encode())]), body
 
     def _samples(self) -> Iterator[Sample]:
         yield from process_samples(self.started)
@@ -426,34 +317,12 @@
             text = name.replace("_", " ").capitalize()
             yield Sample(f"dockreach_direct_{name}", text, value, {}, counter=False)
 
-    # The end.
-
     def stop(self) -> None:
         """Take no new callers, finish what was taken, then return."""
         if self.stopping_since is not None:
             return
         self.stopping_since = time.monotonic()
-        log(Event.STOPPING, connections=len(self._connections))
+        log(Event.STOPPING, connections=len(self.callers))
         self.gossip.send_now()
-        for conn in self._connections:
-            conn.is_closing = True
-        end = self.stopping_since + self.settings.grace_s - END_EARLY_S
-        notice_end = self.stopping_since + NOTICE_S
-        while time.monotonic() < end:
-            now = time.monotonic()
-            if now >= notice_end:
-                self._close_idle()
-                if not self._connections:
-                    break
-            eventlet.sleep(ROUND_S / 2)
-        log(Event.STOPPED, cut=len(self._connections))
-
-    def _close_idle(self) -> None:
-        """Close connections on which no request is under way.
-
-        What crosses the close is not read, so that its caller sees a reset and may send
-        it again.
-        """
-        for conn, server in list(self._connections.items()):
-            if conn.is_idle:
-                eventlet.kill(server, CallerGoneError("the entry stops"))
+        self.callers.drain(self.stopping_since, self.settings.grace_s)
+        log(Event.STOPPED, cut=len(self.callers))
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -4,7 +4,7 @@
 
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
-from .attempt import Attempt
+from .attempt import NOWHERE
 from .caller_side import CallerSide
 from .context import Context
 from .dispatching import Job, patience_s
@@ -30,7 +30,7 @@
         self._revision = revision
         self._req = req
         self._caller = caller
-        self._attempts: list[Attempt] = []
+        self._forwarded: Forward | None = None
         self._route_name = "none"
 
     def run(self) -> None:
@@ -91,7 +91,7 @@
             organisation=organisation.name if organisation else "",
             ends=self._ends(route),
         )
-        self._attempts = forward.attempts
+        self._forwarded = forward
         try:
             return forward.run(self._job(route, organisation))
         finally:
@@ -150,14 +150,22 @@
         self._caller.send_whole(*self._ctx.dialect.refusal(refusal, self._req.rid))
 
     def _log(self, event: Event, refusal: Refusal | None = None) -> None:
-        last = self._attempts[-1] if self._attempts else None
+        """Log how the request ended, and what was known when it was placed."""
+        forwarded = self._forwarded
+        placement = (forwarded and forwarded.placement) or NOWHERE
         log(
             event,
             rid=self._req.rid,
+            route=self._route_name,
             revision=self._revision.number,
             reason=refusal.reason.value if refusal is not None else "",
             detail=refusal.detail if refusal is not None else "",
-            endpoint=last.endpoint if last else "",
-            attempts=len(self._attempts),
             held_ms=round((self._ctx.now() - self._req.arrived) * 1000),
+            attempts=len(forwarded.attempts) if forwarded else 0,
+            endpoint=placement.endpoint,
+            waited_ms=round(placement.waited_s * 1000),
+            own=placement.own,
+            others=placement.others,
+            slots=placement.slots,
+            peers=self._ctx.entries - 1,
         )
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -10,7 +10,7 @@
 from ..errors import DockreachError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
-from .attempt import Attempt, Fate
+from .attempt import Attempt, Fate, Placement
 from .caller_side import CallerSide
 from .context import Context
 from .dispatching import Job, patience_s
@@ -90,6 +90,7 @@
         self._last_event = req.last_event_id
         self._last_answer: tuple[RawHead, bytes] | None = None
         self.attempts: list[Attempt] = []
+        self.placement: Placement | None = None
         self.may_have_run = False
 
     def run(self, job: Job) -> Refusal | None:
@@ -116,6 +117,7 @@
             found = self._ctx.scheduler.place(job)
             if isinstance(found, Refusal):
                 return self._final(found)
+            self.placement = self._note_place(found)
             had_run = self.may_have_run
             try:
                 attempt = self._attempt(found)
@@ -137,6 +139,15 @@
             if not self._may_go_on(attempt, job):
                 return self._final(self._verdict_on(attempt))
 
+    def _note_place(self, row: EndpointRow) -> Placement:
+        return Placement(
+            endpoint=row.id,
+            waited_s=self._ctx.now() - self._req.arrived,
+            own=row.own,
+            others=row.others,
+            slots=row.published.slots,
+        )
+
     def _may_go_on(self, attempt: Attempt, job: Job) -> bool:
         """Return whether the request may be sent to another endpoint."""
         self._sent += 1
--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -16,14 +16,6 @@
 IDLE_S = 0.25
 """Time between digests while nothing changes, in seconds."""
 
-GAP_S = 0.05
-"""Least time between digests, in seconds. A view as old as this was as good as a fresh
-one in trials."""
-
-GAP_PER_PEER_S = 0.01
-"""Least time between digests for each peer that they go to, in seconds: bounds an entry
-to 100 datagrams a second however many entries there are."""
-
 RECV_BYTES = 65536
 
 
@@ -84,7 +76,7 @@
         while True:
             self._changed = eventlet.event.Event()
             self.send_now()
-            eventlet.sleep(max(GAP_S, GAP_PER_PEER_S * len(self._peers)))
+            eventlet.sleep(self._peers.gap_s)
             with eventlet.Timeout(IDLE_S, False):
                 self._changed.wait()
 
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -10,6 +10,18 @@
 FRESH_S = 0.8
 """A peer that was silent for longer may be cut off, in seconds: three idle digests."""
 
+FRESH_GAPS = 4
+"""Digests of a peer that may be missing before it counts as silent, where there are so many
+peers that digests come seldom."""
+
+GAP_S = 0.05
+"""Least time between digests, in seconds. A view as old as this was as good as a fresh
+one in trials."""
+
+GAP_PER_PEER_S = 0.01
+"""Least time between digests for each peer that they go to, in seconds: bounds an entry
+to 100 datagrams a second however many entries there are."""
+
 SILENT_S = 30.0
 """A silent peer is taken as gone after this time, in seconds. Until then a part of each
 limit stays set aside for it, since it may go on serving where it is not heard."""
@@ -35,10 +47,6 @@
     digest: Digest
     heard: float
 
-    def is_fresh(self, now: float) -> bool:
-        """Return whether it was heard lately."""
-        return now - self.heard <= FRESH_S
-
 
 @dataclass(frozen=True, slots=True)
 class Heard:
@@ -66,6 +74,15 @@
     def __len__(self) -> int:
         return len(self._rows)
 
+    @property
+    def gap_s(self) -> float:
+        """The least time between two digests, in seconds."""
+        return max(GAP_S, GAP_PER_PEER_S * len(self._rows))
+
+    def is_fresh(self, row: PeerRow, now: float) -> bool:
+        """Return whether a peer was heard lately."""
+        return now - row.heard <= max(FRESH_S, FRESH_GAPS * self.gap_s)
+
     @property
     def rows(self) -> list[PeerRow]:
         """All peers that are not known to be gone."""
@@ -127,7 +144,7 @@
         """Return the requests of all fresh peers, by endpoint."""
         counts: dict[str, int] = {}
         for row in self._rows.values():
-            if not row.is_fresh(now):
+            if not self.is_fresh(row, now):
                 continue
             for endpoint, count in row.digest.under_way.items():
                 counts[endpoint] = counts.get(endpoint, 0) + count
@@ -135,13 +152,15 @@
 
     def waiting(self, service: str, now: float) -> int:
         """Return the requests of all fresh peers that wait for a service."""
-        fresh = (row.digest for row in self._rows.values() if row.is_fresh(now))
+        fresh = (row.digest for row in self._rows.values() if self.is_fresh(row, now))
         return sum(digest.waiting.get(service, 0) for digest in fresh)
 
     def silent(self, now: float) -> list[PeerRow]:
         """Return peers that may go on serving where they are not heard."""
         rows = self._rows.values()
-        return [row for row in rows if not row.digest.leaving and not row.is_fresh(now)]
+        return [
+            row for row in rows if not row.digest.leaving and not self.is_fresh(row, now)
+        ]
 
 
 def _is_newer(digest: Digest, row: PeerRow, now: float) -> bool:
--- /dev/null
+++ b/dockreach/direct/serving.py
@@ -0,0 +1,180 @@
+"""Listens to callers, serves their requests one by one, and stops in order."""
+
+from __future__ import annotations
+
+import time
+import traceback
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import eventlet
+
+from ..errors import CallerGoneError
+from ..events import Event, log
+from ..verdict import Reason, Refusal, Verdict
+from .context import Context
+from .exchange import Exchange
+from .fleet import CallerLimits, Revision
+from .http1 import BadRequestError, CallerConnection, RawHead, RawRequest
+
+ACCEPT_AGAIN_S = 0.1
+"""Pause after a connection could not be accepted, in seconds."""
+
+CHECK_S = 0.05
+"""Time between looks at whether callers are left while an entry stops, in seconds."""
+
+SOON_S = 0.1
+"""When a caller is told to come back that was refused for want of a configuration or by an
+entry that stops, in seconds: another entry answers, or this one in a moment."""
+
+NOTICE_S = 2.5
+"""Time after the signal to stop in which callers may still arrive, in seconds: the
+balancer asks each second and takes an entry out after two misses."""
+
+END_EARLY_S = 0.7
+"""How long before the end by force the entry ends by itself, in seconds."""
+
+
+class Owner(Protocol):
+    """The entry, as far as serving callers is concerned."""
+
+    revision: Revision | None
+    stopping_since: float | None
+    ctx: Context
+
+
+def accept_all(listener: Any, serve: Callable[[Any], None]) -> None:  # noqa: ANN401
+    """Accept connections for ever; serve each in a greenlet of its own."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError as exc:
+            log(Event.ACCEPT_FAILED, str(exc))
+            eventlet.sleep(ACCEPT_AGAIN_S)
+            continue
+        eventlet.spawn_n(serve, sock)
+
+
+class CallerServer:
+    """Serves callers' connections.
+
+    Args:
+        owner: The entry.
+    """
+
+    def __init__(self, owner: Owner) -> None:
+        self._owner = owner
+        self._connections: dict[CallerConnection, Any] = {}
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def serve(self, sock: Any) -> None:  # noqa: ANN401
+        """Serve one connection until it ends."""
+        try:
+            conn = CallerConnection(sock, _limits(self._owner.revision))
+        except OSError:
+            # The caller reset the connection before it was served.
+            sock.close()
+            return
+        self._connections[conn] = eventlet.getcurrent()
+        try:
+            self._serve_connection(conn)
+        except CallerGoneError:
+            self._owner.ctx.counters.callers_gone += 1
+        except Exception as exc:  # noqa: BLE001
+            # A fault of the program ends one connection and not the entry.
+            log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc())
+            conn.abort()
+        finally:
+            del self._connections[conn]
+            conn.close()
+
+    def _serve_connection(self, conn: CallerConnection) -> None:
+        while True:
+            try:
+                raw = conn.read_request()
+            except BadRequestError as exc:
+                self._refuse_bad(conn, exc)
+                return
+            if raw is None:
+                return
+            conn.is_closing = self._owner.stopping_since is not None
+            try:
+                self._serve_watched(conn, raw)
+            except BadRequestError as exc:
+                self._refuse_bad(conn, exc)
+                return
+            if not conn.next_request():
+                return
+
+    def _serve_watched(self, conn: CallerConnection, raw: RawRequest) -> None:
+        """Serve a request; stop at once when the caller leaves.
+
+        Raises:
+            CallerGoneError: It left.
+        """
+        server = eventlet.spawn(self._serve_request, conn, raw)
+        watcher = eventlet.spawn(self._watch, conn, server)
+        try:
+            server.wait()
+        finally:
+            watcher.kill()
+
+    @staticmethod
+    def _watch(conn: CallerConnection, server: Any) -> None:  # noqa: ANN401
+        conn.watch()
+        server.kill(CallerGoneError("caller closed its connection"))
+
+    def _serve_request(self, conn: CallerConnection, raw: RawRequest) -> None:
+        req = self._owner.ctx.dialect.read_request(raw, time.monotonic())
+        revision = self._owner.revision
+        if revision is None or self._is_too_late():
+            reason = Reason.STOPPING if revision else Reason.NOT_READY
+            refusal = Refusal(Verdict.NOT_RUN, reason, retry_after_s=SOON_S)
+            log(Event.REQUEST_REFUSED, rid=req.rid, reason=reason.value)
+            conn.send_whole(*self._owner.ctx.dialect.refusal(refusal, req.rid))
+            return
+        Exchange(self._owner.ctx, revision, req, conn).run()
+
+    def _is_too_late(self) -> bool:
+        """Return whether what is taken now might not be finished before the end."""
+        since = self._owner.stopping_since
+        return since is not None and time.monotonic() > since + NOTICE_S
+
+    def _refuse_bad(self, conn: CallerConnection, exc: BadRequestError) -> None:
+        log(Event.BAD_REQUEST, str(exc), status=exc.status)
+        if conn.head_sent:
+            return
+        conn.is_closing = True
+        conn.send_whole(RawHead(exc.status, b"Bad Request", []), b"")
+
+    def drain(self, since: float, grace_s: float) -> None:
+        """Finish what was taken, then return.
+
+        Args:
+            since: Steady time at which the stop began, in seconds.
+            grace_s: Time from then to the end by force, in seconds.
+        """
+        for conn in self._connections:
+            conn.is_closing = True
+        while time.monotonic() < since + grace_s - END_EARLY_S:
+            if time.monotonic() >= since + NOTICE_S:
+                self._close_idle()
+                if not self._connections:
+                    return
+            eventlet.sleep(CHECK_S)
+
+    def _close_idle(self) -> None:
+        """Close connections on which no request is under way.
+
+        What crosses the close is not read, so that its caller sees a reset and may send
+        it again.
+        """
+        for conn, server in list(self._connections.items()):
+            if conn.is_idle:
+                eventlet.kill(server, CallerGoneError("the entry stops"))
+
+
+def _limits(revision: Revision | None) -> CallerLimits:
+    return revision.limits if revision else CallerLimits()
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -156,7 +156,7 @@
         total = own.back(now, self._span) if own else empty
         rows = self._peers.rows if fresh_only else [*self._peers.rows, *self._ended]
         for row in rows:
-            if fresh_only and not row.is_fresh(now):
+            if fresh_only and not self._peers.is_fresh(row, now):
                 continue
             _add_told(total, row, name, now)
         return total
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -68,6 +68,13 @@
     assert b"dockreach_direct_answer_seconds_bucket" in page
 
 
+def test_a_view_is_not_served_where_the_balancer_asks() -> None:
+    entry = start_entry(EndpointStandIn(ok))
+    assert b"assessors" not in ask(entry.settings.health, "/v1/view")
+    assert status_of(ask(entry.settings.gossip, "/v1/view")) == 200
+    assert status_of(ask(entry.settings.gossip, "/other")) == 404
+
+
 def test_a_stop_finishes_what_was_taken_and_closes_idle_connections() -> None:
     entry = start_entry(EndpointStandIn(slow))
     idle, busy = Caller(entry), Caller(entry)
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -40,6 +40,14 @@
     assert table.under_way(1.1 + FRESH_S) == {"e": 1}
 
 
+def test_among_many_peers_one_is_silent_only_after_several_digests() -> None:
+    table = peers()
+    for number in range(100):
+        table.receive(digest(address(number)), 1.0)
+    assert table.silent(1.0 + 3 * table.gap_s) == []
+    assert len(table.silent(1.0 + 5 * table.gap_s)) == 100
+
+
 def test_a_silent_peer_is_kept_and_then_gone() -> None:
     table = peers()
     table.receive(digest(address(1)), 1.0)
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -175,7 +175,7 @@
         )
         for other, table_ in enumerate(self.peers):
             row = next((r for r in table_.rows if r.digest.address == told.address), None)
-            if other != index and row is not None and row.is_fresh(now):
+            if other != index and row is not None and table_.is_fresh(row, now):
                 table_.receive(told, now)
 
 
