--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -264,16 +264,16 @@
         self, conn: EndpointConnection, row: EndpointRow, head: AnswerHead, sent: float
     ) -> Attempt:
         if head.standing is Standing.OTHER_ENDPOINT:
-            self._read_body(conn)
+            conn.read_body(BUFFER_BYTES)
             row.failed(self._ctx.now())
             return Attempt(Fate.NOT_RUN, row.id, "another endpoint has the address")
         if head.standing is Standing.NOT_RUN:
-            self._read_body(conn)
+            conn.read_body(BUFFER_BYTES)
             return Attempt(Fate.NOT_RUN, row.id, f"endpoint refused: {head.status}")
         raw = RawHead(head.status, head.reason, end_to_end(head.headers))
         if self._is_event_stream(head):
             return self._pass_stream(conn, row, raw, sent)
-        body = self._read_body(conn)
+        body = conn.read_body(BUFFER_BYTES)
         row.succeeded()
         if head.status in SERVER_ERRORS:
             return Attempt(Fate.FAILED, row.id, f"status {head.status}", (raw, body))
@@ -288,21 +288,6 @@
         types = [value for name, value in head.headers if name.lower() == b"content-type"]
         return head.status == 200 and any(CONTENT_TYPE in value for value in types)
 
-    def _read_body(self, conn: EndpointConnection) -> bytes:
-        """Read a whole body.
-
-        Raises:
-            AnswerError: It was cut off, or is too large to be kept.
-        """
-        parts: list[bytes] = []
-        size = 0
-        while (data := conn.read_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > BUFFER_BYTES:
-                raise AnswerError(f"{conn.address}: answer over {BUFFER_BYTES} bytes")
-        return b"".join(parts)
-
     def _pass_stream(
         self, conn: EndpointConnection, row: EndpointRow, head: RawHead, sent: float
     ) -> Attempt:
--- a/dockreach/direct/helping.py
+++ b/dockreach/direct/helping.py
@@ -111,11 +111,6 @@
         head = conn.read_head()
         if head.status != 200:
             raise AnswerError(f"{address}: status {head.status}")
-        data = b""
-        while (part := conn.read_data()) is not None:
-            data += part
-            if len(data) > MOST_VIEW_BYTES:
-                raise AnswerError(f"{address}: view too large")
-        return data
+        return conn.read_body(MOST_VIEW_BYTES)
     finally:
         conn.close()
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -435,6 +435,24 @@
             return bytes(event.data)
         return None
 
+    def read_body(self, most_bytes: int) -> bytes:
+        """Read a whole body.
+
+        Args:
+            most_bytes: Largest body that is kept.
+
+        Raises:
+            AnswerError: It was cut off, or is too large.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (data := self.read_data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > most_bytes:
+                raise AnswerError(f"{self.address}: answer over {most_bytes} bytes")
+        return b"".join(parts)
+
     def skip_answer(self) -> None:
         """Read past an answer that belongs to an earlier request.
 
