Log the figures that decided on a refusal by a limit

Change: admit returns OverLimit (spent, asked, owed, when to ask again); the request's log line has the organisation.

--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -33,6 +33,7 @@
         self._caller = caller
         self._forwarded: Forward | None = None
         self._route_name = "none"
+        self._organisation_name = ""
 
     def run(self) -> None:
         """Answer the request.
@@ -74,11 +75,14 @@
         self._ctx.retries.count_request(route.service_for(req.rid), self._ctx.now())
         tokens = self._tokens(organisation)
         if organisation is not None:
-            wait_s = self._ctx.spending.admit(
+            self._organisation_name = organisation.name
+            over = self._ctx.spending.admit(
                 organisation, tokens, self._ctx.now(), tier=route.tier
             )
-            if wait_s is not None:
-                return Refusal(Verdict.NOT_RUN, Reason.LIMIT, retry_after_s=wait_s)
+            if over is not None:
+                return Refusal(
+                    Verdict.NOT_RUN, Reason.LIMIT, str(over), retry_after_s=over.wait_s
+                )
         return self._forward(route, organisation, tokens)
 
     def _forward(
@@ -165,6 +169,7 @@
             event,
             rid=self._req.rid,
             route=self._route_name,
+            organisation=self._organisation_name,
             revision=self._revision.number,
             reason=refusal.reason.value if refusal is not None else "",
             detail=refusal.detail if refusal is not None else "",
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -69,6 +69,27 @@
         return self.owed(organisation) * (1 + self.over) + self.slack
 
 
+@dataclass(frozen=True, slots=True)
+class OverLimit:
+    """A request that its organisation's limit does not allow now.
+
+    Attributes:
+        wait_s: Seconds after which to ask again.
+        spent: Tokens that all entries spent in the window, as far as known here.
+        asked: Tokens that the request would spend.
+        owed: Tokens that the organisation has a right to in a window.
+    """
+
+    wait_s: float
+    spent: int
+    asked: int
+    owed: int
+
+    def __str__(self) -> str:
+        """Return the figures that decided."""
+        return f"spent {self.spent} of {self.owed} tokens, asks for {self.asked}"
+
+
 class _Steps:
     """Amounts in each of the last steps of time."""
 
@@ -173,7 +194,7 @@
 
     def admit(
         self, organisation: Organisation, tokens: int, now: float, *, tier: int = 0
-    ) -> float | None:
+    ) -> OverLimit | None:
         """Spend tokens if the limit allows it.
 
         Args:
@@ -183,7 +204,7 @@
             tier: The request's tier; 0 is the highest.
 
         Returns:
-            ``None`` if they are spent, else seconds after which to ask again.
+            ``None`` if they are spent, else why not.
         """
         if organisation.rate <= 0:
             return None
@@ -193,8 +214,14 @@
         if self._allows(organisation, tokens, spent, steps, now, part=part):
             self._own.setdefault(organisation.name, _Steps()).add(tokens, now)
             return None
-        over = spent + tokens - self.tolerance.owed(organisation) * AIM
-        return min(max(over / organisation.rate, SOONEST_S), self.tolerance.window_s)
+        owed = self.tolerance.owed(organisation)
+        wait_s = (spent + tokens - owed * AIM) / organisation.rate
+        return OverLimit(
+            wait_s=min(max(wait_s, SOONEST_S), self.tolerance.window_s),
+            spent=round(spent),
+            asked=tokens,
+            owed=round(owed),
+        )
 
     def refund(self, organisation: Organisation, tokens: int, now: float) -> None:
         """Give back what a request did not use, because it was not run."""
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -46,9 +46,16 @@
 def test_a_refusal_names_a_time_within_the_window() -> None:
     spending = table()
     spend_all(spending, 1.0)
-    wait_s = spending.admit(organisation(), 100, 1.0)
-    assert wait_s is not None
-    assert 0 < wait_s <= WINDOW_S
+    over = spending.admit(organisation(), 100, 1.0)
+    assert over is not None
+    assert 0 < over.wait_s <= WINDOW_S
+
+
+def test_a_refusal_names_the_figures_that_decided() -> None:
+    spending = table()
+    total = spend_all(spending, 1.0)
+    over = spending.admit(organisation(), 100, 1.0)
+    assert str(over) == f"spent {total} of 10000 tokens, asks for 100"
 
 
 def test_what_others_spent_counts() -> None:
