Listen to callers before the program is loaded

Cause: after a loss of all entries callers found no connection for 0.88 s, 0.38 s of which were Python's imports, and most callers ask only twice. Then 25 and more were refused as not ready in the 20 ms before the configuration came. Change: platform/main.py reads the settings and opens the callers' socket before it loads eventlet and the rest (early.py, program.py); an entry serves who waits there once it knows a configuration and endpoints, or after 0.4 s without one, and then says not run.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import socket
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import replace
@@ -24,7 +25,8 @@
 from .fleet import Revision
 from .gossip import Gossip
 from .helping import Helping, Knowledge
-from .http1 import RawHead, listen
+from .http1 import RawHead
+from .listening import listen
 from .peers import PeerTable
 from .pool import ConnectionPool
 from .retrying import RetryBudget
@@ -41,6 +43,13 @@
 """How long endpoints that vanished while the platform was away are kept, in seconds. The
 platform says that those which live are back about two seconds after its return."""
 
+KNOW_S = 0.4
+"""How long callers that come at the start wait for a configuration, in seconds. The store
+or a peer gives it within some 20 ms; without one they are refused and told to come back."""
+
+KNOW_CHECK_S = 0.005
+"""Time between looks at whether a configuration has come, in seconds."""
+
 ROUND_S = 0.1
 """Time between rounds that expire what is old, in seconds."""
 
@@ -52,6 +61,7 @@
         settings: What it was told.
         dialect: The platform's wording of requests.
         choice: How endpoints are chosen.
+        listener: Where callers connect already; opened at the start if it is left out.
     """
 
     def __init__(
@@ -59,8 +69,11 @@
         settings: EntrySettings,
         dialect: Dialect,
         choice: Choice = Choice.MEASURED,
+        *,
+        listener: socket.socket | None = None,
     ) -> None:
         self.settings = settings
+        self._listener = listener
         self.started = time.monotonic()
         self.revision: Revision | None = None
         self.stopping_since: float | None = None
@@ -97,7 +110,8 @@
         """Listen, and follow the other entries."""
         self.gossip.start()
         settings = self.settings
-        self._listen(settings.callers, self.callers.serve)
+        listener = self._listener or listen(settings.callers)
+        eventlet.spawn(self._accept_callers, listener)
         self._listen(settings.health, partial(serve_page, page=self._health_page))
         self._listen(settings.gossip, partial(serve_page, page=self._view_page))
         if settings.metrics is not None:
@@ -108,7 +122,14 @@
 
     @staticmethod
     def _listen(address: Address, serve: Callable[[Any], None]) -> None:
-        eventlet.spawn(accept_all, listen(address.ip, address.port), serve)
+        eventlet.spawn(accept_all, listen(address), serve)
+
+    def _accept_callers(self, listener: socket.socket) -> None:
+        """Serve callers as soon as it is known how, or else refuse them after a while."""
+        until = self.started + KNOW_S
+        while not self.is_ready and time.monotonic() < until:
+            eventlet.sleep(KNOW_CHECK_S)
+        accept_all(listener, self.callers.serve)
 
     def apply(self, settings: EntrySettings) -> None:
         """Put changed settings in force; addresses and names stay until a restart."""
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -109,19 +109,6 @@
     return False
 
 
-def listen(ip: str, port: int) -> Any:  # noqa: ANN401
-    """Return a listening socket.
-
-    Raises:
-        OSError: The address cannot be had.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((ip, port))
-    sock.listen(1024)
-    return sock
-
-
 def receive(sock: Any) -> bytes:  # noqa: ANN401
     """Read what has come; empty if the peer closed in order.
 
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 import time
 import traceback
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import eventlet
+from eventlet.greenio import GreenSocket
 
 from ..errors import CallerGoneError
 from ..events import Event, log
@@ -43,11 +45,12 @@
     ctx: Context
 
 
-def accept_all(listener: Any, serve: Callable[[Any], None]) -> None:  # noqa: ANN401
+def accept_all(listener: socket.socket, serve: Callable[[Any], None]) -> None:
     """Accept connections for ever; serve each in a greenlet of its own."""
+    green = GreenSocket(listener)
     while True:
         try:
-            sock, _ = listener.accept()
+            sock, _ = green.accept()
         except OSError as exc:
             log(Event.ACCEPT_FAILED, str(exc))
             eventlet.sleep(ACCEPT_AGAIN_S)
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -230,12 +230,14 @@
     return Published(name, "work", address, "hall1", slots, leaving)
 
 
-def entry_settings(*, grace_s: float = 4.0) -> EntrySettings:
+def entry_settings(
+    *, grace_s: float = 4.0, callers_port: int | None = None
+) -> EntrySettings:
     """Return settings of an entry on free ports."""
     return EntrySettings(
         name="entry-1",
         hall="hall1",
-        callers=Address(LOCAL, free_port()),
+        callers=Address(LOCAL, callers_port or free_port()),
         health=Address(LOCAL, free_port()),
         gossip=Address(LOCAL, free_port()),
         metrics=Address(LOCAL, free_port()),
--- /dev/null
+++ b/tests/platform/test_early.py
@@ -0,0 +1,76 @@
+"""What an entry does before the rest of the program is loaded."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import eventlet
+from eventlet.green import socket
+
+from dockreach.direct.entry import Entry
+from dockreach_platform.early import reserve
+from dockreach_platform.headers import PlatformDialect
+from tests.direct.standins import (
+    LOCAL,
+    Caller,
+    EndpointStandIn,
+    entry_settings,
+    free_port,
+    published,
+    revision,
+    status_of,
+)
+
+from .test_platform_settings import fields, written
+
+
+def listening_fields() -> dict[str, object]:
+    addresses = {"front": f"{LOCAL}:{free_port()}", "ready": f"{LOCAL}:{free_port()}"}
+    return {**fields(), "ip": LOCAL, "listen_addrs": addresses}
+
+
+def test_callers_can_connect_before_the_program_is_loaded(tmp_path: Path) -> None:
+    listener = reserve(written(tmp_path, listening_fields()))
+    assert listener is not None
+    with listener, socket.create_connection(listener.getsockname(), timeout=1.0):
+        pass
+
+
+def test_settings_that_are_not_valid_are_left_to_the_program(tmp_path: Path) -> None:
+    assert reserve(written(tmp_path, {"ip": "front-a-1"})) is None
+
+
+def test_listening_loads_neither_eventlet_nor_click() -> None:
+    code = (
+        "import sys; import dockreach_platform.early;"
+        "print([name for name in ('eventlet', 'click', 'h11') if name in sys.modules])"
+    )
+    root = Path(__file__).resolve().parents[2]
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        env={"PYTHONPATH": f"{root}:{root / 'platform'}"},
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert found.stdout.strip() == "[]"
+
+
+def test_who_connected_early_is_served_once_the_configuration_is_known(
+    tmp_path: Path,
+) -> None:
+    content = listening_fields()
+    listener = reserve(written(tmp_path, content))
+    assert listener is not None
+    settings = entry_settings(callers_port=listener.getsockname()[1])
+    entry = Entry(settings, PlatformDialect(), listener=listener)
+    caller = Caller(entry)
+    caller.send("/once/a")
+    entry.start()
+    eventlet.sleep(0.1)
+    endpoint = EndpointStandIn(lambda dialog: dialog.answer(b"fine"))
+    entry.take_revision(revision(), "test")
+    entry.take_all([published("e-1", endpoint.address)], 1)
+    assert status_of(caller.read_answer()) == 200
