--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..errors import CallerGoneError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .attempt import NOWHERE
@@ -42,17 +43,21 @@
             CallerGoneError: The caller closed its connection.
         """
         self._ctx.counters.requests += 1
-        refusal = self._answer()
-        self._observe(refusal)
+        try:
+            refusal = self._answer()
+        except CallerGoneError:
+            self._observe("left")
+            self._log(Event.CALLER_LEFT)
+            raise
+        self._observe("answered" if refusal is None else refusal.verdict.value)
         if refusal is None:
             self._ctx.counters.answered += 1
             self._log(Event.REQUEST_ANSWERED)
             return
         self._refuse(refusal)
 
-    def _observe(self, refusal: Refusal | None) -> None:
+    def _observe(self, ended: str) -> None:
         """Count the time to the end of the answer, by route and by how it ended."""
-        ended = "answered" if refusal is None else refusal.verdict.value
         self._ctx.metrics.observe(
             "dockreach_direct_answer_seconds",
             "Time from a request's arrival to the end of its answer",
@@ -176,6 +181,7 @@
             detail=refusal.detail if refusal is not None else "",
             held_ms=round((self._ctx.now() - self._req.arrived) * 1000),
             attempts=len(forwarded.attempts) if forwarded else 0,
+            events=forwarded.events if forwarded else 0,
             endpoint=placement.endpoint,
             waited_ms=round(placement.waited_s * 1000),
             own=placement.own,
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -93,6 +93,8 @@
         self._last_event = req.last_event_id
         self._last_answer: tuple[RawHead, bytes] | None = None
         self.attempts: list[Attempt] = []
+        self.events = 0
+        """Events of a stream that were passed on."""
         self.placement: Placement | None = None
         self.may_have_run = False
 
@@ -316,6 +318,7 @@
                 limit_s = self._gap_limit_s()
             pace.count(len(found), now)
             events += len(found)
+            self.events += len(found)
             self._start_stream(head)
             for event in found:
                 self._last_event = event.id or self._last_event
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -193,6 +193,19 @@
     assert row.others == 0
 
 
+def test_a_caller_that_leaves_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO", logger="dockreach")
+    entry = start_entry(EndpointStandIn(slow))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-left")
+    eventlet.sleep(0.1)
+    caller.close()
+    eventlet.sleep(0.2)
+    (line,) = [row for row in caplog.records if getattr(row, "event", 0) == 706]
+    assert line.rid == "r-left"  # type: ignore[attr-defined]
+    assert line.endpoint == "e-0"  # type: ignore[attr-defined]
+
+
 def test_a_caller_that_leaves_makes_no_noise(capfd: pytest.CaptureFixture[str]) -> None:
     entry = start_entry(EndpointStandIn(slow))
     caller = Caller(entry)
