Ask a route once for a request's service; tell what the configuration says in one type

Cause: exchange asked the route four times for the same request's service. Change: _Call holds what the configuration says of a request. A first form let limits through, since a refusal is falsy, and no test noticed: test_entry now has one that fails with it.

--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ..errors import CallerGoneError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
@@ -15,6 +17,23 @@
 from .requests import InboundRequest
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """What the configuration says of one request.
+
+    Attributes:
+        organisation: Whose key it carries; ``None`` on a public route.
+        tokens: What it counts against the organisation's limit.
+        ends: Steady time at which the caller or the route gives it up, in seconds.
+    """
+
+    route: Route
+    service: str
+    organisation: Organisation | None
+    tokens: int
+    ends: float
+
+
 class Exchange:
     """One request from its arrival to its final answer.
 
@@ -77,80 +96,92 @@
         if not req.rid:
             return Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "no request id")
         self._route_name = route.name
-        self._ctx.retries.count_request(route.service_for(req.rid), self._ctx.now())
-        tokens = self._tokens(organisation)
-        if organisation is not None:
-            self._organisation_name = organisation.name
-            over = self._ctx.spending.admit(
-                organisation, tokens, self._ctx.now(), tier=route.tier
-            )
-            if over is not None:
-                return Refusal(
-                    Verdict.NOT_RUN, Reason.LIMIT, str(over), retry_after_s=over.wait_s
-                )
-        return self._forward(route, organisation, tokens)
-
-    def _forward(
-        self, route: Route, organisation: Organisation | None, tokens: int
-    ) -> Refusal | None:
+        call = self._call(route, organisation)
+        self._ctx.retries.count_request(call.service, self._ctx.now())
+        refusal = self._over_limit(call)
+        # A refusal is falsy, so that it never passes for an answer.
+        return refusal if refusal is not None else self._forward(call)
+
+    def _call(self, route: Route, organisation: Organisation | None) -> _Call:
+        """Return what the configuration says of the request."""
+        ends = self._req.arrived + route.timeout_s
+        if self._req.deadline_s is not None:
+            ends = min(ends, self._req.arrived + self._req.deadline_s)
+        return _Call(
+            route=route,
+            service=route.service_for(self._req.rid),
+            organisation=organisation,
+            tokens=self._tokens(organisation),
+            ends=ends,
+        )
+
+    def _tokens(self, organisation: Organisation | None) -> int:
+        if self._req.has_token_counts:
+            return self._req.prompt_tokens + self._req.most_tokens
+        return organisation.plain_tokens if organisation else 0
+
+    def _over_limit(self, call: _Call) -> Refusal | None:
+        """Spend the request's tokens; return a refusal if they are not to be had."""
+        if call.organisation is None:
+            return None
+        self._organisation_name = call.organisation.name
+        over = self._ctx.spending.admit(
+            call.organisation, call.tokens, self._ctx.now(), tier=call.route.tier
+        )
+        if over is None:
+            return None
+        return Refusal(Verdict.NOT_RUN, Reason.LIMIT, str(over), retry_after_s=over.wait_s)
+
+    def _forward(self, call: _Call) -> Refusal | None:
+        organisation = call.organisation
         forward = Forward(
             self._ctx,
-            route,
+            call.route,
             self._req,
             self._caller,
             organisation=organisation.name if organisation else "",
-            ends=self._ends(route),
-            most_idle=self._most_idle(route),
+            ends=call.ends,
+            most_idle=self._most_idle(call.service),
         )
         self._forwarded = forward
         try:
-            return forward.run(self._job(route, organisation))
+            return forward.run(self._job(call))
         finally:
             if not forward.may_have_run and organisation is not None:
-                self._ctx.spending.refund(organisation, tokens, self._ctx.now())
-
-    def _ends(self, route: Route) -> float:
-        """Return the steady time at which the caller or the route gives up, in seconds."""
-        ends = self._req.arrived + route.timeout_s
-        if self._req.deadline_s is None:
-            return ends
-        return min(ends, self._req.arrived + self._req.deadline_s)
+                self._ctx.spending.refund(organisation, call.tokens, self._ctx.now())
 
-    def _job(self, route: Route, organisation: Organisation | None) -> Job:
+    def _job(self, call: _Call) -> Job:
         req = self._req
-        own_tier = organisation.tier if organisation else None
+        route = call.route
+        own_tier = call.organisation.tier if call.organisation else None
         tier = route.tier if own_tier is None else own_tier
-        left_s = self._ends(route) - req.arrived
+        left_s = call.ends - req.arrived
         return Job(
             rid=req.rid,
             route=route,
-            service=route.service_for(req.rid),
+            service=call.service,
             rank=(tier, route.tier),
             prompt_tokens=req.prompt_tokens,
-            events=self._likely_events(route),
+            events=self._likely_events(call.service),
             prefix=req.prefix,
             arrived=req.arrived,
             give_up=req.arrived + patience_s(route, left_s),
-            ends=self._ends(route),
+            ends=call.ends,
             can_return=can_return(route, left_s),
         )
 
-    def _most_idle(self, route: Route) -> int:
-        service = self._revision.services.get(route.service_for(self._req.rid))
-        if service is None:
+    def _most_idle(self, service: str) -> int:
+        """Return how many idle connections may be kept to an endpoint of a service."""
+        declared = self._revision.services.get(service)
+        if declared is None:
             return 1
-        return idle_share(service.max_connections, self._ctx.entries)
+        return idle_share(declared.max_connections, self._ctx.entries)
 
-    def _likely_events(self, route: Route) -> float:
+    def _likely_events(self, service: str) -> float:
         """Return how many events the answer is likely to have."""
-        service = self._revision.services.get(route.service_for(self._req.rid))
+        declared = self._revision.services.get(service)
         tokens = self._req.hint_tokens or self._req.most_tokens
-        return tokens / (service.event_tokens if service else 1.0)
-
-    def _tokens(self, organisation: Organisation | None) -> int:
-        if self._req.has_token_counts:
-            return self._req.prompt_tokens + self._req.most_tokens
-        return organisation.plain_tokens if organisation else 0
+        return tokens / (declared.event_tokens if declared else 1.0)
 
     def _refuse(self, refusal: Refusal) -> None:
         counters = self._ctx.counters
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -11,6 +11,7 @@
 
 from dockreach.direct.digest import Address
 from dockreach.direct.entry import LAPSE_S, Entry
+from dockreach.direct.fleet import Organisation
 from dockreach_platform.declared import read_revision
 from dockreach_platform.headers import PlatformDialect
 
@@ -193,6 +194,18 @@
     assert row.others == 0
 
 
+def test_who_is_over_its_limit_is_refused_and_nothing_runs() -> None:
+    endpoint = EndpointStandIn(ok)
+    poor = Organisation("poor", frozenset({"key-1"}), None, 1.0, 1.0, 10**6)
+    entry = start_entry(endpoint, in_force=revision(organisations=(poor,)))
+    first, second = Caller(entry), Caller(entry)
+    first.send("/once/a", rid="r-1")
+    assert status_of(first.read_answer()) == 429
+    second.send("/once/a", rid="r-2", extra="Token-Counts: 1,0\r\n")
+    assert status_of(second.read_answer()) == 200
+    assert len(endpoint.requests) == 1
+
+
 def test_a_caller_that_leaves_is_logged(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", logger="dockreach")
     entry = start_entry(EndpointStandIn(slow))
