Split the dispatcher: jobs, choosing, dispatching

Cause: one module of 390 lines held the waiting requests, the choice of an endpoint and the order and refusals; ahead meant two things. Change: jobs (what waits, patience), choosing (which endpoint, how many requests it gets: EXTRA), dispatching (order, refusals). No change of decisions.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -16,10 +16,11 @@
 from ..events import Event, log
 from ..metrics import Metrics, Sample, counter_samples, process_samples
 from . import view as views
+from .choosing import Choice, Chooser
 from .context import Context
 from .dialect import Dialect
 from .digest import Address, Digest
-from .dispatching import Choice, Dispatcher
+from .dispatching import Dispatcher
 from .endpoints import EndpointTable, Published
 from .entry_settings import EntrySettings
 from .fleet import Revision
@@ -87,7 +88,8 @@
         self.gossip = Gossip(
             settings.gossip, self.peers, self._make_digest, self._on_digest
         )
-        self.dispatcher = Dispatcher(self.endpoints, settings.hall, choice)
+        chooser = Chooser(self.endpoints, settings.hall, choice)
+        self.dispatcher = Dispatcher(self.endpoints, chooser)
         self._platform_answered = 0.0
         self._helping = Helping(self.peers, self._knowledge, self._take_view)
         self.ctx = Context(
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -10,9 +10,9 @@
 from .attempt import NOWHERE
 from .caller_side import CallerSide
 from .context import Context
-from .dispatching import Job, can_return, patience_s
 from .fleet import Organisation, Revision, Route
 from .forward import Forward
+from .jobs import Job, can_return, patience_s
 from .pool import idle_share
 from .requests import InboundRequest
 
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -13,7 +13,6 @@
 from .attempt import Attempt, Fate, Placement
 from .caller_side import CallerSide
 from .context import Context
-from .dispatching import Job, patience_s
 from .endpoints import EndpointRow, Pace
 from .event_stream import CONTENT_TYPE, EventSplitter
 from .fleet import Repeat, Route
@@ -24,6 +23,7 @@
     RawHead,
     end_to_end,
 )
+from .jobs import Job, patience_s
 from .requests import AnswerHead, InboundRequest, Standing
 
 BUFFER_BYTES = 1 << 20
--- a/dockreach/direct/scheduling.py
+++ b/dockreach/direct/scheduling.py
@@ -9,8 +9,9 @@
 from eventlet.event import Event as Waiter
 
 from ..verdict import Refusal
-from .dispatching import Decision, Dispatcher, Job, Placed
+from .dispatching import Dispatcher
 from .endpoints import EndpointRow
+from .jobs import Decision, Job, Placed
 
 
 class Scheduler:
--- a/tests/direct/cores.py
+++ b/tests/direct/cores.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dockreach.direct.choosing import Choice, Chooser
 from dockreach.direct.digest import Address, Digest
-from dockreach.direct.dispatching import Job
+from dockreach.direct.dispatching import Dispatcher
 from dockreach.direct.endpoints import EndpointTable, Published
 from dockreach.direct.fleet import Organisation, Repeat, Route, Split
+from dockreach.direct.jobs import Decision, Job, Placed
 from dockreach.direct.peers import PeerTable
 
 OWN = Address("10.0.0.1", 7000)
@@ -108,3 +110,15 @@
         address_ = f"10.1.0.{number + 1}:80"
         table.publish(Published(f"e-{number}", "work", address_, "hall1", places, False))
     return table
+
+
+def dispatcher(
+    table: EndpointTable, choice: Choice = Choice.MEASURED, *, extra: int = 0
+) -> Dispatcher:
+    """Return a dispatcher that gives endpoints so many requests beyond their places."""
+    return Dispatcher(table, Chooser(table, "hall1", choice, extra=extra))
+
+
+def placed(rows: list[Decision]) -> list[str]:
+    """Return the ids of the jobs that got a place, in order."""
+    return [row.job.rid for row in rows if isinstance(row, Placed)]
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -13,8 +13,8 @@
 import eventlet
 from eventlet.green import socket
 
+from dockreach.direct.choosing import Choice
 from dockreach.direct.digest import Address
-from dockreach.direct.dispatching import Choice
 from dockreach.direct.endpoints import Published
 from dockreach.direct.entry import Entry
 from dockreach.direct.entry_settings import EntrySettings
