--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .. import _decoding
 from ..errors import WireError
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -62,7 +63,6 @@
     Raises:
         WireError: They hold no valid digest.
     """
-    try:
-        return _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise WireError(f"not a digest: {exc}") from exc
+    return _decoding.decode(
+        _DECODER, data, lambda problem: WireError(f"not a digest: {problem}")
+    )
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -64,7 +64,6 @@
     Attributes:
         own: Requests of this entry under way there.
         others: Requests of other entries under way there, as last told.
-        scale: Its time relative to what is usual, as a running mean.
         suspect_until: Steady time until which it gets nothing, in seconds.
         failures: Failures in a row.
     """
@@ -75,7 +74,6 @@
     first_s: float = FIRST_PRIOR_S
     gap_s: float = GAP_PRIOR_S
     plain_s: float = PLAIN_PRIOR_S
-    measured: int = 0
     suspect_until: float = 0.0
     failures: int = 0
     lapsed_until: float | None = None
@@ -115,7 +113,6 @@
         """Take in a measured time to a first token."""
         usual = seconds * 2 * BASE_TOKENS / (BASE_TOKENS + prompt_tokens)
         self.first_s += LEARN * (usual - self.first_s)
-        self.measured += 1
 
     def learn_gap(self, seconds: float) -> None:
         """Take in a mean time between events of a stream."""
@@ -124,7 +121,6 @@
     def learn_plain(self, seconds: float) -> None:
         """Take in the time of a plain request."""
         self.plain_s += LEARN * (seconds - self.plain_s)
-        self.measured += 1
 
     def failed(self, now: float) -> None:
         """Leave the endpoint alone for a while, for longer after each failure in a row."""
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -355,7 +355,6 @@
         self._request = h11.Request(method="GET", target="/", headers=[("Host", "-")])
         self._writer: Any = None
         self._is_written = True
-        self.uses = 0
         self.is_framed = True
         """Whether the answer's end is told apart from that of the connection."""
 
@@ -373,7 +372,6 @@
         Raises:
             AnswerError: The connection broke. Some of it may have arrived.
         """
-        self.uses += 1
         if body is not None:
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         self._request = h11.Request(method=method, target=target, headers=headers)
--- a/dockreach/direct/view.py
+++ b/dockreach/direct/view.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .. import _decoding
 from ..errors import WireError
 from .endpoints import Published
 
@@ -42,7 +43,6 @@
     Raises:
         WireError: They hold no valid view.
     """
-    try:
-        return _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise WireError(f"not a view: {exc}") from exc
+    return _decoding.decode(
+        _DECODER, data, lambda problem: WireError(f"not a view: {problem}")
+    )
--- a/dockreach/messages.py
+++ b/dockreach/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from . import _decoding
 from .errors import WireError
 from .verdict import Reason, Verdict
 
@@ -420,7 +421,4 @@
     Raises:
         WireError: The bytes are not a valid batch.
     """
-    try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise WireError(str(exc)) from exc
+    return _decoding.decode(_decoder, data, WireError)
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -90,9 +90,7 @@
 
     def reset(self) -> None:
         """Reset the connection."""
-        linger = struct.pack("ii", 1, 0)
-        self.sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
-        self.sock.close()
+        reset(self.sock)
 
     def wait_until_left(self) -> None:
         """Wait until the other side closes."""
@@ -111,16 +109,7 @@
         self.dialogs: list[Dialog] = []
         self._listener = listen_locally()
         self.address = address_of(self._listener)
-        eventlet.spawn(self._accept)
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                # `close` was called.
-                return
-            eventlet.spawn_n(self._serve, sock)
+        eventlet.spawn(accept_all, self._listener, self._serve)
 
     def _serve(self, sock: Any) -> None:  # noqa: ANN401
         dialog = Dialog(sock)
@@ -147,6 +136,23 @@
     return sock
 
 
+def accept_all(listener: Any, serve: Callable[[Any], None]) -> None:  # noqa: ANN401
+    """Serve each connection in a greenlet of its own, until the listener is closed."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        eventlet.spawn_n(serve, sock)
+
+
+def reset(sock: Any) -> None:  # noqa: ANN401
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
+    sock.close()
+
+
 def address_of(sock: Any) -> str:  # noqa: ANN401
     """Return a socket's own address, IP number and port."""
     ip, port = sock.getsockname()
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -13,7 +13,7 @@
 from dockreach.direct.fleet import CallerLimits
 from dockreach.direct.http1 import CallerConnection, RawHead
 from dockreach.errors import CallerGoneError
-from tests.direct.standins import address_of, listen_locally
+from tests.direct.standins import accept_all, address_of, listen_locally
 
 Answer = tuple[int, dict[str, Any]]
 
@@ -37,7 +37,7 @@
         self._changes: list[dict[str, Any]] = []
         self._forgotten = 0
         self._changed = Waiter()
-        eventlet.spawn(self._accept)
+        eventlet.spawn(accept_all, self._listener, self._serve)
 
     def put(self, key: str, value: bytes) -> None:
         """Write an item."""
@@ -71,11 +71,6 @@
         changed, self._changed = self._changed, Waiter()
         changed.send(None)
 
-    def _accept(self) -> None:
-        while True:
-            sock, _ = self._listener.accept()
-            eventlet.spawn_n(self._serve, sock)
-
     def _serve(self, sock: Any) -> None:  # noqa: ANN401
         conn = CallerConnection(sock, CallerLimits())
         while (raw := conn.read_request()) is not None:
--- a/tests/platform/test_early.py
+++ b/tests/platform/test_early.py
@@ -10,7 +10,8 @@
 from eventlet.green import socket
 
 from dockreach.direct.entry import Entry
-from dockreach_platform.early import reserve
+from dockreach.errors import SettingsError
+from dockreach_platform.early import begin
 from dockreach_platform.headers import PlatformDialect
 from tests.direct.standins import (
     LOCAL,
@@ -32,14 +33,16 @@
 
 
 def test_callers_can_connect_before_the_program_is_loaded(tmp_path: Path) -> None:
-    listener = reserve(written(tmp_path, listening_fields()))
+    listener = begin(written(tmp_path, listening_fields())).listener
     assert listener is not None
     with listener, socket.create_connection(listener.getsockname(), timeout=1.0):
         pass
 
 
 def test_settings_that_are_not_valid_are_left_to_the_program(tmp_path: Path) -> None:
-    assert reserve(written(tmp_path, {"ip": "front-a-1"})) is None
+    start = begin(written(tmp_path, {"ip": "front-a-1"}))
+    assert start.listener is None
+    assert isinstance(start.settings, SettingsError)
 
 
 def test_listening_loads_neither_eventlet_nor_click() -> None:
@@ -62,7 +65,7 @@
     tmp_path: Path,
 ) -> None:
     content = listening_fields()
-    listener = reserve(written(tmp_path, content))
+    listener = begin(written(tmp_path, content)).listener
     assert listener is not None
     settings = entry_settings(callers_port=listener.getsockname()[1])
     entry = Entry(settings, PlatformDialect(), listener=listener)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -27,21 +27,16 @@
 
 
 @pytest.fixture(name="entry")
-def _entry(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[bytes], int]]:
+def _entry(tmp_path: Path) -> Iterator[subprocess.Popen[bytes]]:
     """An entry that already listens, and most likely still loads."""
     content = {
         **listening_fields(),
         "port_range": [free_port(), free_port()],
         "platform": {"address": f"{LOCAL}:{free_port()}"},
     }
-    path = written(tmp_path, content)
-    env = {"PATH": os.environ["PATH"], "DOCKREACH_CONFIG": path}
-    process = subprocess.Popen([sys.executable, str(MAIN)], env=env, stdout=subprocess.PIPE)
-    address = content["listen_addrs"]
-    assert isinstance(address, dict)
-    port = int(address["front"].rpartition(":")[2])
-    _wait_until_it_listens(port)
-    yield process, port
+    process = _start(written(tmp_path, content))
+    _wait_until_it_listens(_port_of(content))
+    yield process
     process.kill()
     process.communicate()
 
@@ -76,16 +71,15 @@
 
 
 def test_changed_settings_while_it_loads_do_not_end_an_entry(
-    entry: tuple[subprocess.Popen[bytes], int],
+    entry: subprocess.Popen[bytes],
 ) -> None:
-    process, _ = entry
     for _ in range(20):
-        process.send_signal(signal.SIGHUP)
+        entry.send_signal(signal.SIGHUP)
         time.sleep(0.01)
-    _wait_for_line(process, b'"started"')
-    assert process.poll() is None
-    process.send_signal(signal.SIGTERM)
-    assert process.wait(timeout=8.0) == 0
+    _wait_for_line(entry, b'"started"')
+    assert entry.poll() is None
+    entry.send_signal(signal.SIGTERM)
+    assert entry.wait(timeout=8.0) == 0
 
 
 def test_a_second_signal_to_stop_cuts_nothing(tmp_path: Path) -> None:
--- a/tests/platform/test_settings_watch.py
+++ b/tests/platform/test_settings_watch.py
@@ -9,8 +9,8 @@
 from dockreach.direct.digest import Address
 from dockreach.direct.entry import Entry
 from dockreach_platform.headers import PlatformDialect
-from dockreach_platform.settings import PlatformSettings
-from dockreach_platform.settings_watch import SettingsWatch, mark_of
+from dockreach_platform.settings import PlatformSettings, mark_of
+from dockreach_platform.settings_watch import SettingsWatch
 from tests.direct.standins import entry_settings
 
 from .test_platform_settings import fields, written
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -79,7 +79,7 @@
         "refused as not run, but ran": _false_refusals(seen, by_rid),
         "an endpoint got work long after it said that it leaves": _late_work(seen),
         "ran at a service that no configuration in force names": _misrouted(seen, by_rid),
-        "cut off by a planned stop": _cut_by_stop(seen),
+        "cut off by a planned stop": _cut_by_stop(seen, by_rid),
         "an organisation got more than its limit": _over_limit(seen),
         "not served although nothing is wrong any more": _not_recovered(seen),
         "an entry ended by itself": seen.unplanned,
@@ -145,7 +145,7 @@
     return allowed | set(before[-1:])
 
 
-def _cut_by_stop(seen: Seen) -> list[str]:
+def _cut_by_stop(seen: Seen, by_rid: dict[str, list[Run]]) -> list[str]:
     """Return requests that were cut at an entry that was only told to stop."""
     cut = []
     for row in seen.outcomes:
@@ -155,8 +155,7 @@
         if not any(span.start <= row.ended <= span.end for span in stops):
             continue
         harms = [span for span in seen.harms if span.what in ("", row.entry)]
-        ran = bool(seen.record.of(row.rid))
-        if ran and not _harmed(harms, row.sent - 1.0, row.ended):
+        if row.rid in by_rid and not _harmed(harms, row.sent - 1.0, row.ended):
             cut.append(_told(row))
     return cut
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
-import struct
 from typing import Any
 
 import eventlet
 from eventlet.green import socket
 
-from tests.direct.standins import address_of, listen_locally
+from tests.direct.standins import accept_all, address_of, listen_locally, reset
 
 PIECE_BYTES = 65536
 
@@ -47,7 +47,7 @@
         self._harm = Harm.NONE
         self._pairs: set[tuple[Any, Any]] = set()
         self.address = address_of(self._listener)
-        eventlet.spawn(self._accept)
+        eventlet.spawn(accept_all, self._listener, self._serve)
 
     def harm(self, harm: Harm) -> None:
         """Change what is done to connections."""
@@ -56,21 +56,16 @@
             for pair in list(self._pairs):
                 self._reset(pair)
 
-    def _accept(self) -> None:
-        while True:
-            front, _ = self._listener.accept()
-            eventlet.spawn_n(self._serve, front)
-
     def _serve(self, front: Any) -> None:  # noqa: ANN401
         if self._harm is Harm.RESET:
-            _reset_socket(front)
+            _reset_if_open(front)
             return
         back = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         ip, _, port = self._behind.rpartition(":")
         try:
             back.connect((ip, int(port)))
         except OSError:
-            _reset_socket(front)
+            _reset_if_open(front)
             return
         pair = (front, back)
         self._pairs.add(pair)
@@ -110,14 +105,10 @@
     def _reset(self, pair: tuple[Any, Any]) -> None:
         self._pairs.discard(pair)
         for sock in pair:
-            _reset_socket(sock)
+            _reset_if_open(sock)
 
 
-def _reset_socket(sock: Any) -> None:  # noqa: ANN401
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The other side was faster.
-        pass
-    sock.close()
+def _reset_if_open(sock: Any) -> None:  # noqa: ANN401
+    """Reset a connection, unless the other direction has already done so."""
+    with contextlib.suppress(OSError):
+        reset(sock)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -84,14 +84,10 @@
     """
     end = time.monotonic() + READY_S
     for entry in world.entries:
-        while True:
-            try:
-                eventlet.connect(entry.front).close()
-                break
-            except OSError as exc:
-                if time.monotonic() > end:
-                    raise TimeoutError(f"{entry.name} does not listen") from exc
-                eventlet.sleep(0.05)
+        while not entry.is_listening:
+            if time.monotonic() > end:
+                raise TimeoutError(f"{entry.name} does not listen")
+            eventlet.sleep(0.05)
 
 
 def _inject(world: World, faults_s: float) -> list[str]:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -43,10 +43,6 @@
 
     runs: list[Run] = field(default_factory=list)
 
-    def of(self, rid: str) -> list[Run]:
-        """Return the runs of one request."""
-        return [run for run in self.runs if run.rid == rid]
-
 
 def length_of(rid: str) -> int:
     """Return how many events the stream of a request has."""
