Count how callers were served from their first try; report worth

Cause: the users value service from a caller's first try: a refusal that succeeds later earns nothing extra, holding a request that is not served costs by its length, and a second refusal costs. Ruled out: telling first tries by nine tenths of the route's time (a caller that comes back after 0.3 s passes for a first one, and plain routes whose time is below their callers' deadlines tell nothing). Change: each try is counted by route, tier, outcome, reason and whether its caller had come before; the usual deadline of a route is learned from its latest requests. Late first events and pauses are told apart. Log lines carry the same. `dockreach report worth` makes one number of metrics pages or logs, with prices from an INI file.

--- a/dockreach/cli.py
+++ b/dockreach/cli.py
@@ -20,6 +20,7 @@
 
 from . import __version__, editing
 from .burn import BurnRow, burn_rows, page, window_name
+from .cli_worth import worth_command
 from .declarations import Declarations, content_hash, key_hash, parse
 from .errors import DockreachError
 from .query import Row, columns
@@ -278,6 +279,9 @@
     """Print reports."""
 
 
+report.add_command(worth_command)
+
+
 @report.command(name="burn")
 @_file
 @_entry
--- /dev/null
+++ b/dockreach/cli_worth.py
@@ -0,0 +1,140 @@
+"""``dockreach report worth``: how well callers were served, as one number."""
+
+from __future__ import annotations
+
+import html
+import sys
+from collections.abc import Sequence
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from .errors import SettingsError
+from .served_reading import read_files, read_prices
+from .served_worth import Counted, Prices, RouteWorth, by_route, total
+
+EXIT_REFUSED = 1
+
+_BAR_PX = 400
+_COLOURS = {
+    "late first event": "#e6a23c",
+    "pause": "#f2d16b",
+    "not served": "#c33",
+    "held in vain": "#8e44ad",
+    "failed again": "#555",
+}
+
+
+@click.command(name="worth")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@click.option(
+    "--prices",
+    "prices_path",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="An INI file with a section [worth].",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--html", "html_path", type=click.Path(path_type=Path), help="Write a page.")
+def worth_command(
+    files: tuple[Path, ...], prices_path: Path | None, as_json: bool, html_path: Path | None
+) -> None:
+    """Report what callers got, from entries' metrics pages or logs."""
+    try:
+        prices = read_prices(prices_path) if prices_path else Prices()
+    except SettingsError as exc:
+        click.echo(f"dockreach: {exc}", err=True)
+        sys.exit(EXIT_REFUSED)
+    counted = read_files(files)
+    rows = by_route(counted)
+    if html_path is not None:
+        html_path.write_text(_page(rows, prices, counted))
+    if as_json:
+        click.echo(msgspec.json.encode(_as_json(rows, prices, counted)).decode())
+    else:
+        Console().print(_table(rows, prices))
+        click.echo(f"worth of all: {total(rows, prices):.4f}")
+    _tell_gaps(counted)
+    if not rows:
+        sys.exit(EXIT_REFUSED)
+
+
+def _tell_gaps(counted: Counted) -> None:
+    for problem in counted.problems:
+        click.echo(f"dockreach: {problem}", err=True)
+    if counted.is_partial:
+        click.echo(f"dockreach: partial: {counted.left_out} lines left out", err=True)
+
+
+def _as_json(
+    rows: Sequence[RouteWorth], prices: Prices, counted: Counted
+) -> dict[str, Any]:
+    routes = [
+        {**asdict(row), "worth": row.worth(prices), "lost": row.lost(prices)}
+        for row in rows
+    ]
+    return {
+        "worth": total(rows, prices),
+        "routes": routes,
+        "partial": counted.is_partial,
+        "left_out": counted.left_out,
+        "problems": counted.problems,
+    }
+
+
+def _table(rows: Sequence[RouteWorth], prices: Prices) -> Table:
+    table = Table(title="what callers got, from their first try")
+    for name in ("route", "tier"):
+        table.add_column(name)
+    for name in ("owed", "back", "in time", "late", "pause", "unserved", "held", "worth"):
+        table.add_column(name, justify="right")
+    for row in rows:
+        why = ", ".join(f"{name} {n:.0f}" for name, n in sorted(row.unserved.items()))
+        cells = [row.route, str(row.tier), f"{row.owed:.0f}", f"{row.returned:.0f}"]
+        cells += [f"{row.in_time:.0f}", f"{row.late_first:.0f}", f"{row.late_gap:.0f}"]
+        cells += [why, f"{row.held:.0f}", f"{row.worth(prices):.3f}"]
+        table.add_row(*cells)
+    return table
+
+
+def _page(rows: Sequence[RouteWorth], prices: Prices, counted: Counted) -> str:
+    """Return the report as an HTML page with a bar of losses for each route."""
+    parts = [
+        "<!doctype html><meta charset=utf-8><title>Served worth</title>",
+        "<style>body{font-family:sans-serif}td,th{padding:.2em .8em}</style>",
+        "<h1>Served worth</h1>",
+        f"<p>{total(rows, prices):.1%} of what callers were owed.",
+    ]
+    if counted.is_partial:
+        parts.append(f"<p><b>Partial:</b> {counted.left_out} log lines are missing.")
+        parts += [f"<p>{html.escape(problem)}" for problem in counted.problems]
+    legend = [f'<b style="color:{code}">{name}</b>' for name, code in _COLOURS.items()]
+    parts.append(f"<p>Losses: {', '.join(legend)}.<table>")
+    parts += [_page_row(row, prices) for row in rows]
+    return "\n".join([*parts, "</table>\n"])
+
+
+def _page_row(row: RouteWorth, prices: Prices) -> str:
+    bars = []
+    start = 0.0
+    for name, part in row.lost(prices).items():
+        width = part * _BAR_PX
+        bars.append(
+            f'<rect x="{start:.1f}" width="{width:.1f}" height="14" '
+            f'fill="{_COLOURS[name]}"><title>{name}: {part:.1%}</title></rect>'
+        )
+        start += width
+    svg = f'<svg width="{2 * _BAR_PX}" height="14">{"".join(bars)}</svg>'
+    return (
+        f"<tr><td>{html.escape(row.route)}<td>tier {row.tier}"
+        f"<td>{row.worth(prices):.1%} of {row.owed:.0f}<td>{svg}"
+    )
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -8,6 +8,8 @@
 from ..metrics import Metrics
 from .dialect import Dialect
 from .endpoints import EndpointTable
+from .first_tries import FirstTries
+from .outcomes import Tally
 from .pool import ConnectionPool
 from .retrying import RetryBudget
 from .scheduling import Scheduler
@@ -41,6 +43,8 @@
     pool: ConnectionPool
     metrics: Metrics
     counters: Counters = field(default_factory=Counters)
+    tally: Tally = field(default_factory=Tally)
+    first_tries: FirstTries = field(default_factory=FirstTries)
     entries: int = 1
     """Entries that may be alive, this one included."""
 
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -160,6 +160,7 @@
         if self.revision is not None and revision.number <= self.revision.number:
             return False
         self.revision = revision
+        self.ctx.first_tries.keep_only({route.name for route in revision.routes})
         log(Event.CONFIG_IN_FORCE, revision=revision.number, source=source)
         self.gossip.changed()
         return True
@@ -325,6 +326,7 @@
     def _samples(self) -> Iterator[Sample]:
         yield from process_samples(self.started)
         yield from counter_samples("direct", self.ctx.counters)
+        yield from self.ctx.tally.samples()
         gauges = {
             "peers": len(self.peers),
             "endpoints": len(self.endpoints),
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from ..errors import CallerGoneError
 from ..events import Event, log
@@ -13,6 +14,7 @@
 from .fleet import Organisation, Revision, Route
 from .forward import Forward
 from .jobs import Job, can_return, patience_s
+from .outcomes import Ending, Outcome, Progress, judge_answer
 from .pool import idle_share
 from .requests import InboundRequest
 
@@ -25,6 +27,7 @@
         organisation: Whose key it carries; ``None`` on a public route.
         tokens: What it counts against the organisation's limit.
         ends: Steady time at which the caller or the route gives it up, in seconds.
+        tried_at: Steady time of its caller's first try, in seconds.
     """
 
     route: Route
@@ -32,6 +35,7 @@
     organisation: Organisation | None
     tokens: int
     ends: float
+    tried_at: float
 
 
 class Exchange:
@@ -52,8 +56,7 @@
         self._req = req
         self._caller = caller
         self._forwarded: Forward | None = None
-        self._route_name = "none"
-        self._organisation_name = ""
+        self._call: _Call | None = None
 
     def run(self) -> None:
         """Answer the request.
@@ -66,12 +69,12 @@
             refusal = self._answer()
         except CallerGoneError:
             self._observe("left")
-            self._log(Event.CALLER_LEFT)
+            self._end(Event.CALLER_LEFT, Outcome.LEFT)
             raise
         self._observe("answered" if refusal is None else refusal.verdict.value)
         if refusal is None:
             self._ctx.counters.answered += 1
-            self._log(Event.REQUEST_ANSWERED)
+            self._end(Event.REQUEST_ANSWERED, self._judge())
             return
         self._refuse(refusal)
 
@@ -81,7 +84,7 @@
             "dockreach_direct_answer_seconds",
             "Time from a request's arrival to the end of its answer",
             self._ctx.now() - self._req.arrived,
-            {"route": self._route_name, "ended": ended},
+            {"route": self._call.route.name if self._call else "none", "ended": ended},
         )
 
     def _answer(self) -> Refusal | None:
@@ -95,24 +98,27 @@
             return Refusal(Verdict.NOT_RUN, Reason.BAD_KEY)
         if not req.rid:
             return Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "no request id")
-        self._route_name = route.name
-        call = self._call(route, organisation)
+        call = self._declared(route, organisation)
+        self._call = call
         self._ctx.retries.count_request(call.service, self._ctx.now())
         refusal = self._over_limit(call)
         # A refusal is falsy, so that it never passes for an answer.
         return refusal if refusal is not None else self._forward(call)
 
-    def _call(self, route: Route, organisation: Organisation | None) -> _Call:
+    def _declared(self, route: Route, organisation: Organisation | None) -> _Call:
         """Return what the configuration says of the request."""
-        ends = self._req.arrived + route.timeout_s
-        if self._req.deadline_s is not None:
-            ends = min(ends, self._req.arrived + self._req.deadline_s)
+        req = self._req
+        ends = req.arrived + route.timeout_s
+        if req.deadline_s is not None:
+            ends = min(ends, req.arrived + req.deadline_s)
+        tried_s = self._ctx.first_tries.tried_s(route.name, req.deadline_s)
         return _Call(
             route=route,
             service=route.service_for(self._req.rid),
             organisation=organisation,
             tokens=self._tokens(organisation),
             ends=ends,
+            tried_at=req.arrived - tried_s,
         )
 
     def _tokens(self, organisation: Organisation | None) -> int:
@@ -124,7 +130,6 @@
         """Spend the request's tokens; return a refusal if they are not to be had."""
         if call.organisation is None:
             return None
-        self._organisation_name = call.organisation.name
         over = self._ctx.spending.admit(
             call.organisation, call.tokens, self._ctx.now(), tier=call.route.tier
         )
@@ -183,40 +188,93 @@
         tokens = self._req.hint_tokens or self._req.most_tokens
         return tokens / (declared.event_tokens if declared else 1.0)
 
+    def _judge(self) -> Outcome:
+        """Return how the whole answer served its caller."""
+        if self._call is None or self._forwarded is None:
+            return Outcome.FAILED
+        return judge_answer(self._call.route, self._forwarded.progress, self._call.tried_at)
+
     def _refuse(self, refusal: Refusal) -> None:
         counters = self._ctx.counters
         if self._caller.head_sent:
             counters.cut += 1
-            self._log(Event.REQUEST_CUT, refusal)
+            self._end(Event.REQUEST_CUT, Outcome.CUT, refusal)
             self._caller.abort()
             return
         if refusal.verdict is Verdict.NOT_RUN:
             counters.refused += 1
-            self._log(Event.REQUEST_REFUSED, refusal)
+            self._end(Event.REQUEST_REFUSED, Outcome.REFUSED, refusal)
         else:
             counters.lost += 1
-            self._log(Event.REQUEST_LOST, refusal)
+            self._end(Event.REQUEST_LOST, Outcome.LOST, refusal)
         self._caller.send_whole(*self._ctx.dialect.refusal(refusal, self._req.rid))
 
-    def _log(self, event: Event, refusal: Refusal | None = None) -> None:
-        """Log how the request ended, and what was known when it was placed."""
-        forwarded = self._forwarded
-        placement = (forwarded and forwarded.placement) or NOWHERE
+    def _end(self, event: Event, outcome: Outcome, refusal: Refusal | None = None) -> None:
+        """Count and log how the request ended."""
+        reason = refusal.reason.value if refusal is not None else ""
+        held_s = self._ctx.now() - self._req.arrived
+        call = self._call
+        if call is not None:
+            ending = Ending(
+                route=call.route.name,
+                tier=call.route.tier,
+                outcome=outcome,
+                reason=reason,
+                returned=call.tried_at < self._req.arrived,
+            )
+            self._ctx.tally.add(ending, held_s / call.route.objective_s)
+            self._observe_first(call)
         log(
             event,
             rid=self._req.rid,
-            route=self._route_name,
-            organisation=self._organisation_name,
             revision=self._revision.number,
-            reason=refusal.reason.value if refusal is not None else "",
+            outcome=outcome.value,
+            reason=reason,
             detail=refusal.detail if refusal is not None else "",
-            held_ms=round((self._ctx.now() - self._req.arrived) * 1000),
-            attempts=len(forwarded.attempts) if forwarded else 0,
-            events=forwarded.events if forwarded else 0,
-            endpoint=placement.endpoint,
-            waited_ms=round(placement.waited_s * 1000),
-            own=placement.own,
-            others=placement.others,
-            slots=placement.slots,
+            held_ms=round(held_s * 1000),
             peers=self._ctx.entries - 1,
+            **self._call_fields(),
+            **self._forward_fields(),
         )
+
+    def _observe_first(self, call: _Call) -> None:
+        """Count the time from the caller's first try to what it got first."""
+        first_at = self._forwarded.progress.first_at if self._forwarded else None
+        if first_at is not None:
+            self._ctx.metrics.observe(
+                "dockreach_direct_first_event_seconds",
+                "Time from a caller's first try to the first event or a plain answer",
+                first_at - call.tried_at,
+                {"route": call.route.name, "tier": str(call.route.tier)},
+            )
+
+    def _call_fields(self) -> dict[str, Any]:
+        """Return what the configuration says of the request, for its log line."""
+        call = self._call
+        if call is None:
+            return {"route": "none", "organisation": ""}
+        return {
+            "route": call.route.name,
+            "tier": call.route.tier,
+            "organisation": call.organisation.name if call.organisation else "",
+            "objective_ms": round(call.route.objective_s * 1000),
+            "tried_ms": round((self._req.arrived - call.tried_at) * 1000),
+        }
+
+    def _forward_fields(self) -> dict[str, Any]:
+        """Return what was known when the request was placed, for its log line."""
+        forwarded = self._forwarded
+        placement = (forwarded and forwarded.placement) or NOWHERE
+        progress = forwarded.progress if forwarded else Progress()
+        first_s = (progress.first_at or self._req.arrived) - self._req.arrived
+        return {
+            "attempts": len(forwarded.attempts) if forwarded else 0,
+            "events": progress.events,
+            "first_ms": round(first_s * 1000),
+            "gap_ms": round(progress.longest_gap_s * 1000),
+            "endpoint": placement.endpoint,
+            "waited_ms": round(placement.waited_s * 1000),
+            "own": placement.own,
+            "others": placement.others,
+            "slots": placement.slots,
+        }
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -24,6 +24,7 @@
     end_to_end,
 )
 from .jobs import Job, patience_s
+from .outcomes import Progress
 from .requests import AnswerHead, InboundRequest, Standing
 
 BUFFER_BYTES = 1 << 20
@@ -46,6 +47,9 @@
 
 SERVER_ERRORS = range(500, 600)
 
+LEAST_FAILURE = 400
+"""Lowest status of an answer that does not serve its caller."""
+
 FALLBACK_RETRY_S = 0.5
 """Time after which a caller is told to come back where nothing better is known."""
 
@@ -93,8 +97,7 @@
         self._last_event = req.last_event_id
         self._last_answer: tuple[RawHead, bytes] | None = None
         self.attempts: list[Attempt] = []
-        self.events = 0
-        """Events of a stream that were passed on."""
+        self.progress = Progress()
         self.placement: Placement | None = None
         self.may_have_run = False
 
@@ -186,6 +189,7 @@
             if self.may_have_run and refusal.verdict is Verdict.NOT_RUN:
                 return Refusal(Verdict.MAY_HAVE_RUN, Reason.ENGINE_LOST)
             return refusal
+        self.progress.is_failure = True
         self._caller.send_whole(*self._last_answer)
         return None
 
@@ -281,7 +285,10 @@
             return Attempt(Fate.FAILED, row.id, f"status {head.status}", (raw, body))
         if self._caller.head_sent:
             return Attempt(Fate.FAILED, row.id, f"status {head.status} on resuming")
-        row.learn_plain(self._ctx.now() - sent)
+        now = self._ctx.now()
+        row.learn_plain(now - sent)
+        self.progress.count(0, now)
+        self.progress.is_failure = head.status >= LEAST_FAILURE
         self._caller.send_whole(raw, body)
         return Attempt(Fate.DELIVERED, row.id)
 
@@ -318,7 +325,7 @@
                 limit_s = self._gap_limit_s()
             pace.count(len(found), now)
             events += len(found)
-            self.events += len(found)
+            self.progress.count(len(found), now)
             self._start_stream(head)
             for event in found:
                 self._last_event = event.id or self._last_event
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -304,4 +304,3 @@
         if index + passed >= len(total):
             return
         total[index + passed] += amount
-
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -268,4 +268,3 @@
     spent = Fleet(entries, seed).spend(over, until=12.0)
     assert worst_window(spent) <= SAFE * LITTLE_SLACK.most(organisation())
     assert sum(tokens for time, tokens in spent if time > 4.0) >= 0.95 * OWED
-
--- /dev/null
+++ b/tests/test_served_worth.py
@@ -0,0 +1,165 @@
+"""The report on what callers got."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from dockreach.cli import main
+from dockreach.direct.outcomes import Ending, Outcome, Tally
+from dockreach.metrics import Metrics
+from dockreach.served_worth import Counted, Prices, by_route, total
+
+DRAFT = "draft"
+
+
+def ending(outcome: Outcome, reason: str = "", *, back: bool = False) -> Ending:
+    return Ending(DRAFT, 0, outcome, reason, back)
+
+
+def counted() -> Counted:
+    found = Counted()
+    found.add(ending(Outcome.IN_TIME), 6, 0.0)
+    found.add(ending(Outcome.LATE_GAP), 1, 0.0)
+    found.add(ending(Outcome.REFUSED, "hopeless"), 3, 0.0)
+    found.add(ending(Outcome.LATE_FIRST, back=True), 1, 0.0)
+    found.add(ending(Outcome.REFUSED, "shed", back=True), 2, 3.0)
+    return found
+
+
+def test_worth_counts_from_the_first_try() -> None:
+    (row,) = by_route(counted())
+    assert (row.owed, row.returned) == (10, 3)
+    prices = Prices(late_part=0.1, held=0.1, again=0.3)
+    assert row.worth(prices) == pytest.approx((6 + 0.2 - 0.3 - 0.6) / 10)
+    assert 1 - sum(row.lost(prices).values()) == pytest.approx(row.worth(prices))
+
+
+def test_a_refusal_that_succeeds_later_earns_nothing_by_itself() -> None:
+    only_late = Counted()
+    only_late.add(ending(Outcome.LATE_FIRST), 1, 0.0)
+    came_back = Counted()
+    came_back.add(ending(Outcome.REFUSED, "hopeless"), 1, 0.0)
+    came_back.add(ending(Outcome.LATE_FIRST, back=True), 1, 0.0)
+    first, second = (total(by_route(found), Prices()) for found in (only_late, came_back))
+    assert first == second
+
+
+def test_callers_that_spoil_their_own_request_are_owed_nothing() -> None:
+    found = Counted()
+    found.add(ending(Outcome.REFUSED, "bad_key"), 5, 0.0)
+    found.add(ending(Outcome.LEFT), 5, 0.0)
+    found.add(ending(Outcome.IN_TIME), 1, 0.0)
+    assert total(by_route(found), Prices()) == 1.0
+
+
+def test_tiers_weigh_what_the_settings_say() -> None:
+    found = counted()
+    found.add(Ending("chat", 2, Outcome.IN_TIME, "", False), 10, 0.0)
+    low = total(by_route(found), Prices(tiers={2: 0.1}))
+    assert low < total(by_route(found), Prices())
+
+
+def metrics_page(path: Path) -> Path:
+    tally = Tally()
+    for _ in range(3):
+        tally.add(ending(Outcome.IN_TIME), 0.0)
+    tally.add(ending(Outcome.REFUSED, "shed"), 1.5)
+    metrics = Metrics("entry-1")
+    path.write_bytes(metrics.page(tally.samples())[0])
+    return path
+
+
+def log_line(**fields: object) -> str:
+    line = {
+        "time": "2026-05-02 02:46:01,000",
+        "level": "INFO",
+        "message": "request answered",
+        "daemon": "entry-1",
+        "event": 700,
+        "name_of_event": "request_answered",
+        "rid": "r",
+        "route": DRAFT,
+        "tier": 0,
+        "objective_ms": 1000,
+        "held_ms": 500,
+        "tried_ms": 0,
+        "reason": "",
+        **fields,
+    }
+    return json.dumps(line) + "\n"
+
+
+def report(*args: str | Path) -> tuple[int, dict[str, object], str]:
+    result = CliRunner().invoke(main, ["report", "worth", "--json", *map(str, args)])
+    found = json.loads(result.stdout) if result.stdout else {}
+    return result.exit_code, found, result.stderr
+
+
+def test_metrics_pages_and_logs_are_judged_by_the_same_command(tmp_path: Path) -> None:
+    page = metrics_page(tmp_path / "entry-1.prom")
+    log = tmp_path / "entry-1.log"
+    lines = [log_line(outcome="in_time")] * 3
+    lines.append(log_line(outcome="refused", reason="shed", held_ms=1500))
+    log.write_text("".join(lines))
+    from_page = report(page)
+    from_log = report(log)
+    assert from_page == from_log
+    assert from_page[0] == 0
+    assert from_page[1]["worth"] == pytest.approx((3 - 0.15) / 4)
+    assert from_page[1]["partial"] is False
+
+
+def test_what_cannot_be_read_makes_the_report_partial(tmp_path: Path) -> None:
+    log = tmp_path / "entry-1.log"
+    torn = log_line(outcome="in_time")[:-30] + "\n"
+    left_out = log_line(outcome="in_time", left_out=7)
+    other = log_line(outcome="in_a_word_of_a_later_version")
+    log.write_text(left_out + torn + other)
+    code, found, told = report(log)
+    assert code == 0
+    assert found["partial"] is True
+    assert found["left_out"] == 7
+    assert "1 torn lines" in told
+    assert "in_a_word_of_a_later_version" in told
+
+
+def test_files_without_any_try_are_refused(tmp_path: Path) -> None:
+    empty = tmp_path / "empty"
+    empty.write_text("")
+    code, found, told = report(empty)
+    assert code == 1
+    assert found["partial"] is True
+    assert "no tries are told" in told
+
+
+@pytest.mark.parametrize(
+    ("text", "problem"),
+    [
+        ("[other]\n", "no such section"),
+        ("[worth]\nlate_part = much\n", "late_part"),
+        ("[worth]\nlate = 0.1\n", "late"),
+        ("[worth]\ntier.x = 1\n", "x"),
+    ],
+)
+def test_wrong_prices_are_refused_with_their_place(
+    tmp_path: Path, text: str, problem: str
+) -> None:
+    prices = tmp_path / "prices.ini"
+    prices.write_text(text)
+    code, _, told = report(metrics_page(tmp_path / "page"), "--prices", prices)
+    assert code == 1
+    assert "prices.ini" in told
+    assert problem in told
+
+
+def test_the_page_names_what_is_missing(tmp_path: Path) -> None:
+    out = tmp_path / "worth.html"
+    log = tmp_path / "entry-1.log"
+    log.write_text(log_line(outcome="in_time", left_out=7))
+    report(log, "--html", out)
+    assert "Partial" in out.read_text()
+    assert "<svg" in out.read_text()
