After a loss of all entries low tiers have a part of what is left of a limit

The part that low tiers leave was taken off the whole limit before what may have been spent in the past, so that nothing was left for them. Ruled out: a smaller past (an organisation may have spent all of it; QUOTA would break). Change: the past is taken off first; low tiers leave their part of the rest.

--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -249,8 +249,8 @@
         *,
         part: float,
     ) -> bool:
-        most = self.tolerance.most(organisation) * SAFE * part
-        most -= self._unseen_past(organisation, now)
+        most = self.tolerance.most(organisation) * SAFE
+        most = (most - self._unseen_past(organisation, now)) * part
         if not self._is_even(organisation, steps):
             return False
         silent = self._peers.silent(now)
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -268,3 +268,8 @@
     spent = Fleet(entries, seed).spend(over, until=12.0)
     assert worst_window(spent) <= SAFE * LITTLE_SLACK.most(organisation())
     assert sum(tokens for time, tokens in spent if time > 4.0) >= 0.95 * OWED
+
+
+def test_after_a_loss_of_all_entries_a_low_tier_has_a_part_of_what_is_left() -> None:
+    spending = SpendTable(peers(), LITTLE_SLACK, started=0.0, has_past=True)
+    assert spending.admit(organisation(), 400, 0.1, tier=2) is None
