Ablation as a command; one copy of the code that edits the repository for a trial

Cause: what a mechanism is worth was told by trials by hand, of which nothing could be rerun. Ruled out: switches in the entry's settings: code that only trials need would stand in every decision. A test holds that each edit still fits the code; it failed for one rule of mutants, 'a lost link is no proof', whose code has moved: that rule is switched off where it stands now, and tests notice. An unused question of the chooser is gone.

--- /dev/null
+++ b/benchmarks/ablation.py
@@ -0,0 +1,262 @@
+"""Plays days with one mechanism switched off at a time, paired against all on.
+
+The users' bench is named by its path, as are the site files; neither is part of the
+repository. Processor time is not charged, so that days can be played side by side.
+"""
+
+from __future__ import annotations
+
+import itertools
+import re
+import shutil
+import statistics
+import subprocess
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from .edited_copy import ROOT, Edit, copy_with
+
+RESULTS = ROOT / "docs/results/ablation.md"
+DAYS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
+ALL_ON = "all on"
+
+MECHANISMS = (
+    Edit(
+        "places kept for higher tiers",
+        "direct/choosing.py",
+        "KEPT_SHARE = 0.12",
+        "KEPT_SHARE = 0.0",
+    ),
+    Edit("one extra request", "direct/choosing.py", "EXTRA = 1\n", "EXTRA = 0\n"),
+    Edit(
+        "engines that end a stream in time",
+        "direct/choosing.py",
+        "    return quick or rows",
+        "    return rows",
+    ),
+    Edit(
+        "engines that a prompt holds up",
+        "direct/choosing.py",
+        "    if not objective_s or not rows:",
+        "    if True:",
+    ),
+    Edit(
+        "price of holding streams up",
+        "direct/choosing.py",
+        "DISTURBED_S = 0.3",
+        "DISTURBED_S = 0.0",
+    ),
+    Edit(
+        "price of crowded places",
+        "direct/choosing.py",
+        "SLOT_PRICE = 0.3",
+        "SLOT_PRICE = 0.0",
+    ),
+    Edit(
+        "price of running long",
+        "direct/choosing.py",
+        "MAKING_PART = 0.1",
+        "MAKING_PART = 0.0",
+    ),
+    Edit(
+        "prompt parts kept by engines",
+        "direct/endpoints.py",
+        "PREFIX_KEPT_S = 30.0",
+        "PREFIX_KEPT_S = -1.0",
+    ),
+    Edit(
+        "refusals when requests come",
+        "direct/dispatching.py",
+        "        if job.was_weighed or ",
+        "        if True or job.was_weighed or ",
+    ),
+    Edit(
+        "in time before late",
+        "direct/dispatching.py",
+        "    return job.rank, late, job.first_arrived",
+        "    return job.rank, False, job.first_arrived",
+    ),
+    Edit(
+        "limits let in evenly",
+        "direct/spending.py",
+        "        if not self._is_even(organisation, steps):",
+        "        if False:",
+    ),
+    Edit(
+        "low tiers leave a part of limits",
+        "direct/spending.py",
+        "LOWER_TIER = 0.04",
+        "LOWER_TIER = 0.0",
+    ),
+    Edit(
+        "what peers spent since they told",
+        "direct/spending.py",
+        "        steps[0] += self._untold(steps, now)\n",
+        "",
+    ),
+    Edit(
+        "failing endpoints left alone",
+        "direct/endpoints.py",
+        "        self.suspect_until = now + wait",
+        "        self.suspect_until = 0.0",
+    ),
+    Edit(
+        "retries and resumes",
+        "direct/context.py",
+        "        return self.retries.take(service, self.entries, self.now())",
+        "        return False",
+    ),
+)
+"""What can be switched off. The past assumed after a loss of all entries is not among
+them: without it QUOTA breaks."""
+
+
+class Play(NamedTuple):
+    """One day to be played."""
+
+    mechanism: str
+    site: Path
+    day: str
+    seed: int
+
+
+class Played(NamedTuple):
+    """A day's worth, and the rules that it broke, as the bench prints them."""
+
+    play: Play
+    worth: float
+    broken: str
+
+
+class Bench(NamedTuple):
+    """The users' bench, and where copies of the repository lie."""
+
+    program: Path
+    work: Path
+
+    def play(self, play: Play) -> Played:
+        """Play one day.
+
+        Raises:
+            click.ClickException: The bench printed no worth.
+        """
+        why = f"Ablation trial: without {play.mechanism}"
+        if play.mechanism == ALL_ON:
+            why = "Ablation trial: all on"
+        done = subprocess.run(  # noqa: S603
+            [
+                *(str(self.program), "run", str(play.site), play.day),
+                *("--seed", str(play.seed), "--no-cpu", "--why", why),
+            ],
+            cwd=self.copy(play.mechanism),
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        found = re.search(rf"^{play.day} +\S+ +\S+ +(-?[\d.]+) (.*)$", done.stdout, re.M)
+        if found is None:
+            raise click.ClickException(f"{play}: {done.stdout[-500:]}{done.stderr[-500:]}")
+        rules = " ".join(sorted(set(re.findall(r"\b[A-Z]{5,}\b", found[2]))))
+        return Played(play, float(found[1]), rules)
+
+    def copy(self, mechanism: str) -> Path:
+        """Return the folder of the copy without a mechanism."""
+        return self.work / mechanism.replace(" ", "-")
+
+    def build(self, mechanism: Edit | None) -> None:
+        """Make the copy without a mechanism, and build it."""
+        target = self.copy(mechanism.rule if mechanism else ALL_ON)
+        copy_with(mechanism, target)
+        for command in (["git", "init", "-q"], ["git", "add", "-A"]):
+            subprocess.run(command, cwd=target, check=True)  # noqa: S603
+        subprocess.run(  # noqa: S603
+            [str(self.program), "build"], cwd=target, check=True, capture_output=True
+        )
+
+
+def table(played: Iterable[Played]) -> str:
+    """Return the differences to all on as a table: mean, spread, days, broken rules."""
+    worth = {row.play: row.worth for row in played}
+    broken = {row.play: row.broken for row in played if row.broken}
+    names = dict.fromkeys(play.mechanism for play in worth if play.mechanism != ALL_ON)
+    sites = dict.fromkeys(play.site for play in worth)
+    lines = [
+        "| without | " + " | ".join(site.stem for site in sites) + " | rules broken |",
+        "|---" * (len(sites) + 2) + "|",
+    ]
+    for name in names:
+        cells = [_cell(worth, name, site) for site in sites]
+        rules = {broken[play] for play in broken if play.mechanism == name}
+        lines.append(f"| {name} | {' | '.join(cells)} | {' '.join(sorted(rules))} |")
+    means = [_mean(worth, site) for site in sites]
+    lines.append(f"| nothing (mean worth) | {' | '.join(means)} | |")
+    return "\n".join(lines) + "\n"
+
+
+def _cell(worth: dict[Play, float], name: str, site: Path) -> str:
+    pairs = [
+        value - worth[play._replace(mechanism=ALL_ON)]
+        for play, value in worth.items()
+        if play.mechanism == name and play.site == site
+    ]
+    spread = statistics.stdev(pairs) if len(pairs) > 1 else 0.0
+    return f"{statistics.mean(pairs):+.4f} ({spread:.4f}, {len(pairs)})"
+
+
+def _mean(worth: dict[Play, float], site: Path) -> str:
+    values = [
+        value
+        for play, value in worth.items()
+        if play.mechanism == ALL_ON and play.site == site
+    ]
+    return f"{statistics.mean(values):.4f}"
+
+
+def _keep_journals(bench: Bench, mechanisms: Sequence[str]) -> None:
+    for name in mechanisms:
+        for entry in (bench.copy(name) / "journal").glob("*.json"):
+            shutil.copy(entry, ROOT / "journal")
+
+
+@click.command()
+@click.option("--bench", "program", type=Path, required=True, help="The users' bench.")
+@click.option("--site", "sites", type=Path, multiple=True, required=True)
+@click.option("--work", type=Path, required=True, help="An empty folder, not below /tmp.")
+@click.option("--day", "days", multiple=True, default=DAYS, show_default=True)
+@click.option("--seed", "seeds", type=int, multiple=True, default=(1, 2, 3))
+@click.option("--only", multiple=True, help="Mechanisms; all if none is named.")
+@click.option("--jobs", default=8, show_default=True, help="Days played side by side.")
+@click.option("--keep", is_flag=True, help="Keep the table and the journal.")
+def main(
+    program: Path,
+    sites: tuple[Path, ...],
+    work: Path,
+    days: tuple[str, ...],
+    seeds: tuple[int, ...],
+    only: tuple[str, ...],
+    jobs: int,
+    keep: bool,
+) -> None:
+    """Play days without each mechanism, and print what each is worth."""
+    bench = Bench(program.resolve(), work.resolve())
+    chosen = [edit for edit in MECHANISMS if not only or edit.rule in only]
+    for edit in (None, *chosen):
+        bench.build(edit)
+    names = [ALL_ON, *(edit.rule for edit in chosen)]
+    paths = [site.resolve() for site in sites]
+    plays = [Play(*found) for found in itertools.product(names, paths, days, seeds)]
+    with ThreadPoolExecutor(jobs) as pool:
+        played = list(pool.map(bench.play, plays))
+    found = table(played)
+    click.echo(found)
+    if keep:
+        RESULTS.write_text(f"# What each mechanism is worth\n\n{found}")
+        _keep_journals(bench, names)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -3,54 +3,46 @@
 from __future__ import annotations
 
 import os
-import shutil
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
-from typing import NamedTuple
 
 import click
 
-ROOT = Path(__file__).parent.parent
-SKIPPED = (".venv", ".git", ".mypy_cache", ".ruff_cache", ".hypothesis", "*.egg-info")
-
-
-class Mutant(NamedTuple):
-    """A rule, and the text that switches it off."""
-
-    rule: str
-    module: str
-    before: str
-    after: str
+from .edited_copy import Edit, copy_with
 
+IGNORED = ("test_failures.py", "test_ablation.py")
+"""Tests that need minutes, and those that only compare the edits with the code."""
 
 MUTANTS = (
-    Mutant(
+    Edit(
         "a proof of not-run fences the request",
         "running.py",
         "    world.fence(message.rid, world.grant_number)\n    world.counters.fenced",
         "    world.counters.fenced",
     ),
-    Mutant(
+    Edit(
         "a commit needs its own grant, in force",
         "running.py",
         "grant is None or grant.number != message.number or grant.hold.entry != peer",
         "grant is None or message.number > world.grant_number",
     ),
-    Mutant(
+    Edit(
         "a grant ends with its lease",
         "running.py",
         "    if grant.expires <= world.now:\n        return Reason.GRANT_VOID\n",
         "",
     ),
-    Mutant(
+    Edit(
         "a lost link is no proof",
-        "commitment.py",
-        "            make_unclear(world, req)\n    _reclaim_lost",
-        "            place_again(world, req, Reason.FENCED)\n    _reclaim_lost",
+        "membership.py",
+        "            make_unclear(world, req)\n",
+        "            from .commitment import place_again\n"
+        "            from .verdict import Reason\n"
+        "            place_again(world, req, Reason.FENCED)\n",
     ),
-    Mutant(
+    Edit(
         "a restarted agent does not vouch for its earlier life",
         "running.py",
         "    if message.incarnation != world.incarnation:\n"
@@ -58,13 +50,13 @@
         "        return\n",
         "",
     ),
-    Mutant(
+    Edit(
         "a bound key is not claimed anew",
         "claims.py",
         "    elif not row.state.agent or message.refuted == row.state.number:",
         "    else:",
     ),
-    Mutant(
+    Edit(
         "a restarted owner first asks its peers",
         "claims.py",
         "    if not _rebuilt(world):\n"
@@ -72,7 +64,7 @@
         "        return\n",
         "",
     ),
-    Mutant(
+    Edit(
         "chunks leave in order",
         "running.py",
         "    run.ahead[chunk.number] = chunk\n"
@@ -80,49 +72,49 @@
         "        _keep(world, run, chunk_next)",
         "    _keep(world, run, chunk)",
     ),
-    Mutant(
+    Edit(
         "an answer with chunks missing is not whole",
         "running.py",
         "    whole = message.whole and run.next_chunk == message.chunks",
         "    whole = message.whole",
     ),
-    Mutant(
+    Edit(
         "the lowest tier is displaced first",
         "queueing.py",
         "        for tier in sorted(self._tiers, reverse=True):\n            arrivals",
         "        for tier in sorted(self._tiers):\n            arrivals",
     ),
-    Mutant(
+    Edit(
         "a leaving endpoint takes nothing",
         "agent_tables.py",
         "        return self.leaving or self.drained or self.unreachable",
         "        return self.unreachable",
     ),
-    Mutant(
+    Edit(
         "a lender does not use what it lent",
         "limits.py",
         "        share.lent.append(Loan(amount, now + LOAN_LEASE_S))\n",
         "",
     ),
-    Mutant(
+    Edit(
         "a borrower stops before the lender resumes",
         "limits.py",
         "        until = asked + loan.lease_ms / 1000 - LOAN_MARGIN_S",
         "        until = asked + 2 * loan.lease_ms / 1000",
     ),
-    Mutant(
+    Edit(
         "a new life uses no share while old loans may run",
         "limits.py",
         "if share is None or now < self.started + self.quiet_s:\n            return 0.0",
         "if share is None:\n            return 0.0",
     ),
-    Mutant(
+    Edit(
         "a revision never goes back",
         "spreading.py",
         "        if revision < self.revision:",
         "        if False:",
     ),
-    Mutant(
+    Edit(
         "two bodies under one revision are refused",
         "spreading.py",
         "            if digest == self.digest:\n                return None\n",
@@ -131,21 +123,17 @@
 )
 
 
-def tried(mutant: Mutant) -> list[str]:
+def tried(mutant: Edit) -> list[str]:
     """Return the tests that notice a mutant.
 
     Raises:
-        click.ClickException: The rule's text is no longer in the module.
+        EditError: The rule's text is no longer in the module.
     """
     with tempfile.TemporaryDirectory() as directory:
         copy = Path(directory) / "copy"
-        shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns(*SKIPPED))
-        module = copy / "dockreach" / mutant.module
-        text = module.read_text()
-        if mutant.before not in text:
-            raise click.ClickException(f"{mutant.module}: rule text is not there")
-        module.write_text(text.replace(mutant.before, mutant.after, 1))
-        options = ["-q", "-p", "no:cacheprovider", "--ignore=tests/test_failures.py"]
+        copy_with(mutant, copy)
+        options = ["-q", "-p", "no:cacheprovider"]
+        options += [f"--ignore=tests/{name}" for name in IGNORED]
         found = subprocess.run(  # noqa: S603
             [sys.executable, "-m", "pytest", *options, "tests"],
             cwd=copy,
--- a/dockreach/direct/choosing.py
+++ b/dockreach/direct/choosing.py
@@ -89,10 +89,6 @@
         """Note that a job came: lower tiers leave places for others like it."""
         self._seen.setdefault(job.service, {})[job.route.tier] = job.arrived
 
-    def is_lowest_tier(self, job: Job, now: float) -> bool:
-        """Return whether no lower tier had jobs for the same service lately."""
-        return not any(tier > job.route.tier for tier in self._tiers_lately(job, now))
-
     def choose(self, job: Job, now: float) -> EndpointRow | None:
         """Return the endpoint for a job; ``None`` if all are full."""
         usable = self._endpoints.usable(job.service, now)
--- /dev/null
+++ b/tests/test_ablation.py
@@ -0,0 +1,30 @@
+"""Switching mechanisms off: each switch still fits the code, and the table is right."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from benchmarks.ablation import ALL_ON, MECHANISMS, Play, Played, table
+from benchmarks.edited_copy import ROOT, Edit
+from benchmarks.mutants import MUTANTS
+
+
+@pytest.mark.parametrize("edit", [*MECHANISMS, *MUTANTS], ids=lambda edit: edit.rule)
+def test_what_is_switched_off_is_there_once_and_changes(edit: Edit) -> None:
+    text = (ROOT / "dockreach" / edit.module).read_text()
+    assert text.count(edit.before) == 1
+    assert edit.before != edit.after
+
+
+def test_differences_are_paired_by_site_day_and_seed() -> None:
+    site = Path("north.toml")
+    rows = []
+    for seed, on, off in ((1, 0.5, 0.4), (2, 0.7, 0.65)):
+        rows.append(Played(Play(ALL_ON, site, "d", seed), on, ""))
+        rows.append(Played(Play("x", site, "d", seed), off, "QUOTA" if seed == 2 else ""))
+    lines = table(rows).splitlines()
+    assert lines[0] == "| without | north | rules broken |"
+    assert lines[2] == "| x | -0.0750 (0.0354, 2) | QUOTA |"
+    assert lines[3] == "| nothing (mean worth) | 0.6000 | |"
