--- /dev/null
+++ b/dockreach/direct/call.py
@@ -0,0 +1,26 @@
+"""What the configuration says of one request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .fleet import Organisation, Route
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What the configuration says of one request.
+
+    Attributes:
+        organisation: Whose key it carries; ``None`` on a public route.
+        tokens: What it counts against the organisation's limit.
+        ends: Steady time at which the caller or the route gives it up, in seconds.
+        tried_at: Steady time of its caller's first try, in seconds.
+    """
+
+    route: Route
+    service: str
+    organisation: Organisation | None
+    tokens: int
+    ends: float
+    tried_at: float
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -5,7 +5,7 @@
 import secrets
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -14,19 +14,18 @@
 
 from ..errors import RevisionError
 from ..events import Event, log
-from ..metrics import Metrics, Sample, counter_samples, process_samples
-from . import view as views
+from ..metrics import Metrics
 from .choosing import Choice, Chooser
 from .context import Context
 from .dialect import Dialect
 from .digest import Address, Digest
 from .dispatching import Dispatcher
 from .endpoints import EndpointTable, Published
+from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
 from .fleet import Revision
 from .gossip import Gossip
 from .helping import Helping, Knowledge
-from .http1 import RawHead
 from .listening import listen
 from .peers import PeerTable
 from .pool import ConnectionPool
@@ -34,7 +33,7 @@
 from .scheduling import Scheduler
 from .serving import CallerServer, accept_all
 from .spending import SpendTable
-from .status_pages import NOT_FOUND, Page, serve_page
+from .status_pages import serve_page
 from .view import View
 
 CONNECT_S = 0.4
@@ -112,12 +111,13 @@
         """Listen, and follow the other entries."""
         self.gossip.start()
         settings = self.settings
+        pages = EntryPages(self)
         listener = self._listener or listen(settings.callers)
         eventlet.spawn(self._accept_callers, listener)
-        self._listen(settings.health, partial(serve_page, page=self._health_page))
-        self._listen(settings.gossip, partial(serve_page, page=self._view_page))
+        self._listen(settings.health, partial(serve_page, page=pages.health))
+        self._listen(settings.gossip, partial(serve_page, page=pages.view))
         if settings.metrics is not None:
-            self._listen(settings.metrics, partial(serve_page, page=self._metrics_page))
+            self._listen(settings.metrics, partial(serve_page, page=pages.metrics))
         eventlet.spawn(self._helping.run)
         eventlet.spawn(self._rounds)
         log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_past)
@@ -218,7 +218,8 @@
         revision = self.revision.number if self.revision else 0
         return Knowledge(revision, self._fleet_revision, self._platform_answered)
 
-    def _view(self) -> View:
+    def view(self) -> View:
+        """Return all that the platform published, for an entry that it does not serve."""
         text = self.revision.text if self.revision else b""
         published = [row.published for row in self.endpoints]
         number = self.revision.number if self.revision else 0
@@ -306,41 +307,6 @@
             if row.lapsed_until is not None and now >= row.lapsed_until:
                 self.lose_endpoint(row.id)
 
-    # Pages.
-
-    def _health_page(self, target: bytes) -> Page:
-        del target
-        return RawHead(200 if self.is_ready else 503, b"", []), b""
-
-    def _view_page(self, target: bytes) -> Page:
-        if target != views.PATH:
-            return NOT_FOUND
-        return RawHead(200, b"OK", []), views.encode(self._view())
-
-    def _metrics_page(self, target: bytes) -> Page:
-        if target != self.settings.metrics_path.encode():
-            return NOT_FOUND
-        body, kind = self.ctx.metrics.page(self._samples())
-        return RawHead(200, b"OK", [(b"Content-Type", kind.encode())]), body
-
-    def _samples(self) -> Iterator[Sample]:
-        yield from process_samples(self.started)
-        yield from counter_samples("direct", self.ctx.counters)
-        yield from self.ctx.tally.samples()
-        gauges = {
-            "peers": len(self.peers),
-            "endpoints": len(self.endpoints),
-            "revision": self.revision.number if self.revision else 0,
-            "under_way": sum(row.own for row in self.endpoints),
-            "waiting": sum(self.dispatcher.waiting().values()),
-            "digests_sent": self.gossip.sent,
-            "connections_opened": self.ctx.pool.opened,
-            "connections_reused": self.ctx.pool.reused,
-        }
-        for name, value in gauges.items():
-            text = name.replace("_", " ").capitalize()
-            yield Sample(f"dockreach_direct_{name}", text, value, {}, counter=False)
-
     def stop(self) -> bool:
         """Take no new callers, and finish what was taken.
 
--- /dev/null
+++ b/dockreach/direct/entry_pages.py
@@ -0,0 +1,86 @@
+"""The pages of an entry: for the balancer, for its peers, and for readers of metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from ..metrics import Sample, counter_samples, process_samples
+from . import view as views
+from .context import Context
+from .dispatching import Dispatcher
+from .endpoints import EndpointTable
+from .entry_settings import EntrySettings
+from .fleet import Revision
+from .gossip import Gossip
+from .http1 import RawHead
+from .peers import PeerTable
+from .status_pages import NOT_FOUND, Page
+
+
+class Shown(Protocol):
+    """An entry, as far as its pages show it."""
+
+    settings: EntrySettings
+    started: float
+    revision: Revision | None
+    ctx: Context
+    endpoints: EndpointTable
+    peers: PeerTable
+    gossip: Gossip
+    dispatcher: Dispatcher
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+
+    def view(self) -> views.View:
+        """Return all that the platform published."""
+
+
+class EntryPages:
+    """Answers questions for an entry's pages.
+
+    Args:
+        entry: The entry.
+    """
+
+    def __init__(self, entry: Shown) -> None:
+        self._entry = entry
+
+    def health(self, target: bytes) -> Page:
+        """Tell the balancer whether callers may come; its path is not looked at."""
+        del target
+        return RawHead(200 if self._entry.is_ready else 503, b"", []), b""
+
+    def view(self, target: bytes) -> Page:
+        """Tell a peer what the platform published."""
+        if target != views.PATH:
+            return NOT_FOUND
+        return RawHead(200, b"OK", []), views.encode(self._entry.view())
+
+    def metrics(self, target: bytes) -> Page:
+        """Return the metrics page."""
+        if target != self._entry.settings.metrics_path.encode():
+            return NOT_FOUND
+        body, kind = self._entry.ctx.metrics.page(self._samples())
+        return RawHead(200, b"OK", [(b"Content-Type", kind.encode())]), body
+
+    def _samples(self) -> Iterator[Sample]:
+        entry = self._entry
+        yield from process_samples(entry.started)
+        yield from counter_samples("direct", entry.ctx.counters)
+        yield from entry.ctx.tally.samples()
+        gauges = {
+            "peers": len(entry.peers),
+            "endpoints": len(entry.endpoints),
+            "revision": entry.revision.number if entry.revision else 0,
+            "under_way": sum(row.own for row in entry.endpoints),
+            "waiting": sum(entry.dispatcher.waiting().values()),
+            "digests_sent": entry.gossip.sent,
+            "connections_opened": entry.ctx.pool.opened,
+            "connections_reused": entry.ctx.pool.reused,
+        }
+        for name, value in gauges.items():
+            text = name.replace("_", " ").capitalize()
+            yield Sample(f"dockreach_direct_{name}", text, value, {}, counter=False)
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -2,42 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Any
-
 from ..errors import CallerGoneError
-from ..events import Event, log
+from ..events import Event
 from ..verdict import Reason, Refusal, Verdict
-from .attempt import NOWHERE
+from .call import Call
 from .caller_side import CallerSide
 from .context import Context
+from .end_record import EndRecord
 from .fleet import Organisation, Revision, Route
 from .forward import Forward
 from .jobs import Job, patience_s
-from .outcomes import Ending, Outcome, Progress, judge_answer
+from .outcomes import Outcome, judge_answer
 from .pool import idle_share
 from .requests import InboundRequest
 
 
-@dataclass(frozen=True, slots=True)
-class _Call:
-    """What the configuration says of one request.
-
-    Attributes:
-        organisation: Whose key it carries; ``None`` on a public route.
-        tokens: What it counts against the organisation's limit.
-        ends: Steady time at which the caller or the route gives it up, in seconds.
-        tried_at: Steady time of its caller's first try, in seconds.
-    """
-
-    route: Route
-    service: str
-    organisation: Organisation | None
-    tokens: int
-    ends: float
-    tried_at: float
-
-
 class Exchange:
     """One request from its arrival to its final answer.
 
@@ -56,7 +35,7 @@
         self._req = req
         self._caller = caller
         self._forwarded: Forward | None = None
-        self._call: _Call | None = None
+        self._call: Call | None = None
 
     def run(self) -> None:
         """Answer the request.
@@ -105,14 +84,14 @@
         # A refusal is falsy, so that it never passes for an answer.
         return refusal if refusal is not None else self._forward(call)
 
-    def _declared(self, route: Route, organisation: Organisation | None) -> _Call:
+    def _declared(self, route: Route, organisation: Organisation | None) -> Call:
         """Return what the configuration says of the request."""
         req = self._req
         ends = req.arrived + route.timeout_s
         if req.deadline_s is not None:
             ends = min(ends, req.arrived + req.deadline_s)
         tried_s = self._ctx.first_tries.tried_s(route.name, req.deadline_s)
-        return _Call(
+        return Call(
             route=route,
             service=route.service_for(self._req.rid),
             organisation=organisation,
@@ -126,7 +105,7 @@
             return self._req.prompt_tokens + self._req.most_tokens
         return organisation.plain_tokens if organisation else 0
 
-    def _over_limit(self, call: _Call) -> Refusal | None:
+    def _over_limit(self, call: Call) -> Refusal | None:
         """Spend the request's tokens; return a refusal if they are not to be had."""
         if call.organisation is None:
             return None
@@ -137,7 +116,7 @@
             return None
         return Refusal(Verdict.NOT_RUN, Reason.LIMIT, str(over), retry_after_s=over.wait_s)
 
-    def _forward(self, call: _Call) -> Refusal | None:
+    def _forward(self, call: Call) -> Refusal | None:
         organisation = call.organisation
         forward = Forward(
             self._ctx,
@@ -155,7 +134,7 @@
             if not forward.may_have_run and organisation is not None:
                 self._ctx.spending.refund(organisation, call.tokens, self._ctx.now())
 
-    def _job(self, call: _Call) -> Job:
+    def _job(self, call: Call) -> Job:
         req = self._req
         route = call.route
         own_tier = call.organisation.tier if call.organisation else None
@@ -211,70 +190,5 @@
 
     def _end(self, event: Event, outcome: Outcome, refusal: Refusal | None = None) -> None:
         """Count and log how the request ended."""
-        reason = refusal.reason.value if refusal is not None else ""
-        held_s = self._ctx.now() - self._req.arrived
-        call = self._call
-        if call is not None:
-            ending = Ending(
-                route=call.route.name,
-                tier=call.route.tier,
-                outcome=outcome,
-                reason=reason,
-                returned=call.tried_at < self._req.arrived,
-            )
-            self._ctx.tally.add(ending, held_s / call.route.objective_s)
-            self._observe_first(call)
-        log(
-            event,
-            rid=self._req.rid,
-            revision=self._revision.number,
-            outcome=outcome.value,
-            reason=reason,
-            detail=refusal.detail if refusal is not None else "",
-            held_ms=round(held_s * 1000),
-            peers=self._ctx.entries - 1,
-            **self._call_fields(),
-            **self._forward_fields(),
-        )
-
-    def _observe_first(self, call: _Call) -> None:
-        """Count the time from the caller's first try to what it got first."""
-        first_at = self._forwarded.progress.first_at if self._forwarded else None
-        if first_at is not None:
-            self._ctx.metrics.observe(
-                "dockreach_direct_first_event_seconds",
-                "Time from a caller's first try to the first event or a plain answer",
-                first_at - call.tried_at,
-                {"route": call.route.name, "tier": str(call.route.tier)},
-            )
-
-    def _call_fields(self) -> dict[str, Any]:
-        """Return what the configuration says of the request, for its log line."""
-        call = self._call
-        if call is None:
-            return {"route": "none", "organisation": ""}
-        return {
-            "route": call.route.name,
-            "tier": call.route.tier,
-            "organisation": call.organisation.name if call.organisation else "",
-            "objective_ms": round(call.route.objective_s * 1000),
-            "tried_ms": round((self._req.arrived - call.tried_at) * 1000),
-        }
-
-    def _forward_fields(self) -> dict[str, Any]:
-        """Return what was known when the request was placed, for its log line."""
-        forwarded = self._forwarded
-        placement = (forwarded and forwarded.placement) or NOWHERE
-        progress = forwarded.progress if forwarded else Progress()
-        first_s = (progress.first_at or self._req.arrived) - self._req.arrived
-        return {
-            "attempts": len(forwarded.attempts) if forwarded else 0,
-            "events": progress.events,
-            "first_ms": round(first_s * 1000),
-            "gap_ms": round(progress.longest_gap_s * 1000),
-            "endpoint": placement.endpoint,
-            "waited_ms": round(placement.waited_s * 1000),
-            "own": placement.own,
-            "others": placement.others,
-            "slots": placement.slots,
-        }
+        record = EndRecord(self._ctx, self._req, self._call, self._forwarded)
+        record.write(event, outcome, refusal, revision=self._revision.number)
