A refusal by a limit names the part of the limit that refuses

Cause: refusals by limits could not be told apart: window, too much at once, the past that is assumed after a loss, or peers that are not heard. Ruled out: a time to come back from what each part needs (the past leaves at the pace at which it is owed): callers that were told 0.25 s come back while they can still be in time. Change: the log line's detail begins with the part. No decision changes. Conclusion: the name is kept, the time is as before.

--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -69,17 +70,35 @@
         return self.owed(organisation) * (1 + self.over) + self.slack
 
 
+class Clause(enum.StrEnum):
+    """Which part of a limit refuses a request."""
+
+    WINDOW = "window"
+    """The window holds what is let in."""
+
+    AT_ONCE = "at once"
+    """Too much came in a part of the window."""
+
+    BOUND = "bound"
+    """The window would exceed its bound, with what may have been spent in the past."""
+
+    SILENT = "silent peers"
+    """The window would exceed its bound if peers that are not heard spend as well."""
+
+
 @dataclass(frozen=True, slots=True)
 class OverLimit:
     """A request that its organisation's limit does not allow now.
 
     Attributes:
+        clause: Which part of the limit refuses it.
         wait_s: Seconds after which to ask again.
         spent: Tokens that all entries spent in the window, as far as known here.
         asked: Tokens that the request would spend.
         owed: Tokens that the organisation has a right to in a window.
     """
 
+    clause: Clause
     wait_s: float
     spent: int
     asked: int
@@ -87,7 +106,8 @@
 
     def __str__(self) -> str:
         """Return the figures that decided."""
-        return f"spent {self.spent} of {self.owed} tokens, asks for {self.asked}"
+        told = f"spent {self.spent} of {self.owed} tokens, asks for {self.asked}"
+        return f"{self.clause.value}: {told}"
 
 
 class _Steps:
@@ -222,12 +242,14 @@
         steps[0] += self._untold(steps, now)
         spent = max(float(sum(steps)), self._remembered(organisation.name, now))
         part = 1 - LOWER_TIER * min(max(tier, 0), MOST_TIERS - 1)
-        if self._allows(organisation, tokens, spent, steps, now, part=part):
+        clause = self._refuses(organisation, tokens, spent, steps, now, part=part)
+        if clause is None:
             self._own.setdefault(organisation.name, _Steps()).add(tokens, now)
             return None
         owed = self.tolerance.owed(organisation)
         wait_s = (spent + tokens - owed * AIM) / organisation.rate
         return OverLimit(
+            clause=clause,
             wait_s=min(max(wait_s, SOONEST_S), self.tolerance.window_s),
             spent=round(spent),
             asked=tokens,
@@ -239,7 +261,7 @@
         if organisation.rate > 0 and organisation.name in self._own:
             self._own[organisation.name].add(-tokens, now)
 
-    def _allows(
+    def _refuses(
         self,
         organisation: Organisation,
         tokens: int,
@@ -248,21 +270,35 @@
         now: float,
         *,
         part: float,
-    ) -> bool:
+    ) -> Clause | None:
+        """Return which part of the limit a request exceeds; ``None`` if it is allowed."""
+        if not self._is_even(organisation, steps):
+            return Clause.AT_ONCE
         most = self.tolerance.most(organisation) * SAFE
         most = (most - self._unseen_past(organisation, now)) * part
-        if not self._is_even(organisation, steps):
-            return False
         silent = self._peers.silent(now)
-        if not silent:
-            # The request's own size is left out: large ones would be refused more often.
-            aim = self._aim(organisation, self._span) * part
-            return spent < aim and spent + tokens <= most
+        if silent:
+            apart = self._if_silent_spend_too(organisation, tokens, spent, silent, now)
+            return Clause.SILENT if apart > most else None
+        # The request's own size is left out: large ones would be refused more often.
+        if spent >= self._aim(organisation, self._span) * part:
+            return Clause.WINDOW
+        return Clause.BOUND if spent + tokens > most else None
+
+    def _if_silent_spend_too(
+        self,
+        organisation: Organisation,
+        tokens: int,
+        spent: float,
+        silent: list[PeerRow],
+        now: float,
+    ) -> float:
+        """Return what is spent if silent peers spend as those in reach do."""
         known = len(self._peers) + 1
         factor = known / (known - len(silent))
         since = min(row.heard for row in silent)
         lately = self._spent_since(organisation.name, since, now) + tokens
-        return spent - lately + tokens + lately * factor <= most
+        return spent - lately + tokens + lately * factor
 
     def _aim(self, organisation: Organisation, seconds: float) -> float:
         """Return the tokens that are let in within a part of the window."""
