Ask once which peers are heard, and with one piece of code

Cause: five places filtered peers by hand (helping, requests under way, two sums of spending, silent ones), and each peer's test worked out the same limit of time anew, from the number of peers. The reserve for untold spending had added one more such pass to every request. Ruled out: running sums of ages; the passes that are left are those over what peers spent. Change: PeerTable.fresh; the limit is worked out once a pass. No decision changes.

--- a/dockreach/direct/helping.py
+++ b/dockreach/direct/helping.py
@@ -79,7 +79,7 @@
     def peer_to_ask(self, now: float) -> PeerRow | None:
         """Return a peer that knows more than this entry; ``None`` if none does."""
         knows = self._knows()
-        fresh = [row for row in self._peers.rows if self._peers.is_fresh(row, now)]
+        fresh = self._peers.fresh(now)
         newest = max(fresh, key=lambda row: row.digest.revision, default=None)
         if newest is not None and newest.digest.revision > knows.revision:
             self._behind_since = self._behind_since or now
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -79,9 +79,19 @@
         """The least time between two digests, in seconds."""
         return max(GAP_S, GAP_PER_PEER_S * len(self._rows))
 
+    @property
+    def _fresh_s(self) -> float:
+        """How long ago a peer may have been heard to count as heard, in seconds."""
+        return max(FRESH_S, FRESH_GAPS * self.gap_s)
+
     def is_fresh(self, row: PeerRow, now: float) -> bool:
         """Return whether a peer was heard lately."""
-        return now - row.heard <= max(FRESH_S, FRESH_GAPS * self.gap_s)
+        return now - row.heard <= self._fresh_s
+
+    def fresh(self, now: float) -> list[PeerRow]:
+        """Return the peers that were heard lately."""
+        limit_s = self._fresh_s
+        return [row for row in self._rows.values() if now - row.heard <= limit_s]
 
     @property
     def rows(self) -> list[PeerRow]:
@@ -143,19 +153,16 @@
     def under_way(self, now: float) -> dict[str, int]:
         """Return the requests of all fresh peers, by endpoint."""
         counts: dict[str, int] = {}
-        for row in self._rows.values():
-            if not self.is_fresh(row, now):
-                continue
+        for row in self.fresh(now):
             for endpoint, count in row.digest.under_way.items():
                 counts[endpoint] = counts.get(endpoint, 0) + count
         return counts
 
     def silent(self, now: float) -> list[PeerRow]:
         """Return peers that may go on serving where they are not heard."""
-        rows = self._rows.values()
-        return [
-            row for row in rows if not row.digest.leaving and not self.is_fresh(row, now)
-        ]
+        limit_s = self._fresh_s
+        quiet = [row for row in self._rows.values() if now - row.heard > limit_s]
+        return [row for row in quiet if not row.digest.leaving]
 
 
 def _is_newer(digest: Digest, row: PeerRow, now: float) -> bool:
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -195,10 +195,8 @@
         own = self._own.get(name)
         empty = [0] * (math.ceil(self._span / STEP_S) + 1)
         total = own.back(now, self._span) if own else empty
-        rows = self._peers.rows if fresh_only else [*self._peers.rows, *self._ended]
+        rows = self._peers.fresh(now) if fresh_only else [*self._peers.rows, *self._ended]
         for row in rows:
-            if fresh_only and not self._peers.is_fresh(row, now):
-                continue
             _add_told(total, row, name, now)
         return total
 
@@ -208,7 +206,7 @@
         The busiest step of the window is taken for the pace, since all entries let in and
         refuse at the same moments.
         """
-        fresh = [row for row in self._peers.rows if self._peers.is_fresh(row, now)]
+        fresh = self._peers.fresh(now)
         age_s = sum(now - row.heard for row in fresh) / (len(fresh) + 1)
         return round(max(steps) / STEP_S * age_s)
 
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -40,6 +40,16 @@
     assert table.under_way(1.1 + FRESH_S) == {"e": 1}
 
 
+def test_a_peer_is_either_heard_or_silent() -> None:
+    table = peers()
+    for number in range(10):
+        table.receive(digest(address(number)), 1.0 + number / 10)
+    for now in (1.5, 1.0 + FRESH_S, 2.3):
+        heard = table.fresh(now)
+        assert all(table.is_fresh(row, now) for row in heard)
+        assert len(heard) + len(table.silent(now)) == len(table)
+
+
 def test_among_many_peers_one_is_silent_only_after_several_digests() -> None:
     table = peers()
     for number in range(100):
