Report and ablation: one writer and reader of labels, one way to fail, all rules told

Cause: read as a newcomer. The names of the two counters and their labels stood once where the page is written and again where it is read; the command's way to end on an error stood twice; two sets of outcomes had no use. Ruled out: one class for what an entry counts and what the report adds up (the one counts tries, the other also what is missing of them). Change: Ending writes and reads its labels, counters' names are constants beside them; cli_exit holds the error's text and codes; rules of four letters are read as well.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -157,11 +157,10 @@
             text=True,
             check=False,
         )
-        found = re.search(rf"^{play.day} +\S+ +\S+ +(-?[\d.]+) (.*)$", done.stdout, re.M)
+        found = read_day(done.stdout, play.day)
         if found is None:
             raise click.ClickException(f"{play}: {done.stdout[-500:]}{done.stderr[-500:]}")
-        rules = " ".join(sorted(set(re.findall(r"\b[A-Z]{5,}\b", found[2]))))
-        return Played(play, float(found[1]), rules)
+        return Played(play, *found)
 
     def copy(self, mechanism: str) -> Path:
         """Return the folder of the copy without a mechanism."""
@@ -178,6 +177,15 @@
         )
 
 
+def read_day(printed: str, day: str) -> tuple[float, str] | None:
+    """Return a day's worth and the rules it broke; ``None`` if the bench did not tell."""
+    found = re.search(rf"^{day} +\S+ +\S+ +(-?[\d.]+) (.*)$", printed, re.M)
+    if found is None:
+        return None
+    rules = sorted(set(re.findall(r"\b[A-Z]{4,}\b", found[2])))
+    return float(found[1]), " ".join(rules)
+
+
 def table(played: Iterable[Played]) -> str:
     """Return the differences to all on as a table: mean, spread, days, broken rules."""
     worth = {row.play: row.worth for row in played}
--- a/dockreach/cli.py
+++ b/dockreach/cli.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import sys
 import time
 from itertools import chain
 from pathlib import Path
-from typing import Any, NoReturn, TextIO
+from typing import Any, TextIO
 
 import click
 import msgspec
@@ -20,14 +19,13 @@
 
 from . import __version__, editing
 from .burn import BurnRow, burn_rows, page, window_name
+from .cli_exit import EXIT_UNREACHABLE, fail
 from .cli_worth import worth_command
 from .declarations import Declarations, content_hash, key_hash, parse
 from .errors import DockreachError
 from .query import Row, columns
 from .story import read_lines, story
 
-EXIT_REFUSED = 1
-EXIT_UNREACHABLE = 3
 TIMEOUT_S = 10.0
 
 _entry = click.option(
@@ -62,11 +60,6 @@
     """Ask what is running, where and why, and change policy."""
 
 
-def _fail(problem: str, code: int = EXIT_REFUSED) -> NoReturn:
-    click.echo(f"dockreach: {problem}", err=True)
-    sys.exit(code)
-
-
 def _post(entry: str, key: str, path: str, body: dict[str, str]) -> bytes:
     try:
         answer = urllib3.request(
@@ -78,9 +71,9 @@
             retries=False,
         )
     except (urllib3.exceptions.HTTPError, OSError) as exc:
-        _fail(f"{entry} does not answer: {exc}", EXIT_UNREACHABLE)
+        fail(f"{entry} does not answer: {exc}", EXIT_UNREACHABLE)
     if answer.status != 200:
-        _fail(msgspec.json.decode(answer.data).get("error", f"status {answer.status}"))
+        fail(msgspec.json.decode(answer.data).get("error", f"status {answer.status}"))
     return answer.data
 
 
@@ -143,7 +136,7 @@
     """Tell from daemons' logs what became of a request."""
     found = story(read_lines(chain(*logs)), request, before_s=before)
     if not found:
-        _fail(f"no line about {request}")
+        fail(f"no line about {request}")
     for line in found:
         click.echo(line)
 
@@ -175,7 +168,7 @@
     old, new = _read(before), _read(after)
     click.echo(editing.difference(old[0], new[0], after.name))
     if new[1].revision <= old[1].revision and old[0] != new[0]:
-        _fail(f"revision {new[1].revision} is not above {old[1].revision}")
+        fail(f"revision {new[1].revision} is not above {old[1].revision}")
 
 
 def _read(path: Path) -> tuple[str, Declarations]:
@@ -183,9 +176,9 @@
         body = path.read_text()
         return body, parse(body, path.name)
     except (OSError, UnicodeDecodeError) as exc:
-        _fail(f"{path}: {exc}")
+        fail(f"{path}: {exc}")
     except DockreachError as exc:
-        _fail(str(exc))
+        fail(str(exc))
 
 
 def _change(path: Path, changes: list[tuple[str, str, str]], entry: str, key: str) -> None:
@@ -197,7 +190,7 @@
             body = editing.set_value(body, section, name, value)
         _finish(path, read, body, entry, key)
     except DockreachError as exc:
-        _fail(str(exc))
+        fail(str(exc))
 
 
 def _finish(path: Path, read: str, body: str, entry: str, key: str) -> None:
@@ -224,7 +217,7 @@
     """Set KEY=VALUE in a section, such as "tier bulletin" deadline_s=10."""
     name, equals, value = assignment.partition("=")
     if not equals:
-        _fail("write KEY=VALUE")
+        fail("write KEY=VALUE")
     _change(path, [(section, name.strip(), value.strip())], entry, key)
 
 
@@ -271,7 +264,7 @@
         body = editing.add_section(read, f"organisation {name}", values)
         _finish(path, read, body, entry, key)
     except DockreachError as exc:
-        _fail(str(exc))
+        fail(str(exc))
 
 
 @main.group()
--- a/dockreach/cli_worth.py
+++ b/dockreach/cli_worth.py
@@ -14,12 +14,11 @@
 from rich.console import Console
 from rich.table import Table
 
+from .cli_exit import EXIT_REFUSED, fail
 from .errors import SettingsError
 from .served_reading import read_files, read_prices
 from .served_worth import Counted, Prices, RouteWorth, by_route, total
 
-EXIT_REFUSED = 1
-
 _BAR_PX = 400
 _COLOURS = {
     "late first event": "#e6a23c",
@@ -52,8 +51,7 @@
     try:
         prices = read_prices(prices_path) if prices_path else Prices()
     except SettingsError as exc:
-        click.echo(f"dockreach: {exc}", err=True)
-        sys.exit(EXIT_REFUSED)
+        fail(str(exc))
     counted = read_files(files)
     rows = by_route(counted)
     if html_path is not None:
--- a/dockreach/direct/outcomes.py
+++ b/dockreach/direct/outcomes.py
@@ -4,12 +4,20 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from ..metrics import Sample
 from .fleet import Route
 
+TRIES = "dockreach_direct_tries_total"
+_TRIES_HELP = "Tries of callers by how they ended"
+
+HELD = "dockreach_direct_unserved_held_objectives_total"
+_HELD_HELP = "Time that tries were held which were not served, in objectives"
+
+_YES = "yes"
+
 
 class Outcome(enum.StrEnum):
     """How one try of a caller ended."""
@@ -104,6 +112,32 @@
     reason: str
     returned: bool
 
+    def labels(self) -> dict[str, str]:
+        """Return the labels of its counts on the metrics page."""
+        return {
+            "route": self.route,
+            "tier": str(self.tier),
+            "outcome": self.outcome.value,
+            "reason": self.reason,
+            "returned": _YES if self.returned else "no",
+        }
+
+    @classmethod
+    def from_labels(cls, labels: Mapping[str, str]) -> Ending:
+        """Return what labels of a metrics page stand for.
+
+        Raises:
+            KeyError: A label is missing.
+            ValueError: A label is of another version.
+        """
+        return cls(
+            route=labels["route"],
+            tier=int(labels["tier"]),
+            outcome=Outcome(labels["outcome"]),
+            reason=labels["reason"],
+            returned=labels["returned"] == _YES,
+        )
+
 
 class Tally:
     """Counts all tries, none left out, by how they ended."""
@@ -126,26 +160,6 @@
     def samples(self) -> Iterator[Sample]:
         """Return the counts for the metrics page."""
         for ending, count in self.tries.items():
-            yield Sample(
-                "dockreach_direct_tries_total",
-                "Tries of callers by how they ended",
-                count,
-                _labels(ending),
-            )
+            yield Sample(TRIES, _TRIES_HELP, count, ending.labels())
         for ending, held in self._held.items():
-            yield Sample(
-                "dockreach_direct_unserved_held_objectives_total",
-                "Time that tries were held which were not served, in objectives",
-                held,
-                _labels(ending),
-            )
-
-
-def _labels(ending: Ending) -> dict[str, str]:
-    return {
-        "route": ending.route,
-        "tier": str(ending.tier),
-        "outcome": ending.outcome.value,
-        "reason": ending.reason,
-        "returned": "yes" if ending.returned else "no",
-    }
+            yield Sample(HELD, _HELD_HELP, held, ending.labels())
--- a/dockreach/served_reading.py
+++ b/dockreach/served_reading.py
@@ -10,14 +10,11 @@
 from prometheus_client.parser import text_string_to_metric_families
 from prometheus_client.samples import Sample as ParsedSample
 
-from .direct.outcomes import SERVED, Ending, Outcome
+from .direct.outcomes import HELD, SERVED, TRIES, Ending, Outcome
 from .errors import SettingsError
 from .served_worth import Counted, Prices
 from .story import LogLine, read_lines
 
-TRIES = "dockreach_direct_tries"
-HELD = "dockreach_direct_unserved_held_objectives"
-
 SECTION = "worth"
 _TIER = "tier."
 _LINE = '"event":'
@@ -90,20 +87,10 @@
 
 
 def _add_sample(sample: ParsedSample, counted: Counted) -> None:
-    name = sample.name.removesuffix("_total")
-    if name not in (TRIES, HELD):
-        return
-    ending = Ending(
-        route=sample.labels["route"],
-        tier=int(sample.labels["tier"]),
-        outcome=Outcome(sample.labels["outcome"]),
-        reason=sample.labels["reason"],
-        returned=sample.labels["returned"] == "yes",
-    )
-    if name == TRIES:
-        counted.add(ending, sample.value, 0.0)
-    else:
-        counted.add(ending, 0.0, sample.value)
+    if sample.name == TRIES:
+        counted.add(Ending.from_labels(sample.labels), sample.value, 0.0)
+    elif sample.name == HELD:
+        counted.add(Ending.from_labels(sample.labels), 0.0, sample.value)
 
 
 def _read_log(path: Path, text: str) -> Counted:
--- a/dockreach/served_worth.py
+++ b/dockreach/served_worth.py
@@ -15,10 +15,6 @@
 NOT_OWED = frozenset(("bad_key", "unknown_service", "bad_request"))
 """Reasons of refusals that callers brought about themselves."""
 
-LATE = frozenset((Outcome.LATE_FIRST, Outcome.LATE_GAP))
-
-UNSERVED = frozenset((Outcome.FAILED, Outcome.REFUSED, Outcome.LOST, Outcome.CUT))
-
 
 @dataclass(frozen=True, slots=True)
 class Prices:
--- a/tests/test_ablation.py
+++ b/tests/test_ablation.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from benchmarks.ablation import ALL_ON, MECHANISMS, Play, Played, table
+from benchmarks.ablation import ALL_ON, MECHANISMS, Play, Played, read_day, table
 from benchmarks.edited_copy import ROOT, Edit
 from benchmarks.mutants import MUTANTS
 
@@ -18,6 +18,14 @@
     assert edit.before != edit.after
 
 
+def test_rules_that_a_day_broke_are_read_from_its_line() -> None:
+    line = "scale-2  22/21  0.00  -0.125  0.671  0.429  0.021  LOST, QUOTA; nines 0.36"
+    assert read_day(line, "scale-2") == (-0.125, "LOST QUOTA")
+    kept = "scale-2  22/21  1.00  0.439  0.671  0.429  0.021  nines 0.36; prices 0.059"
+    assert read_day(kept, "scale-2") == (0.439, "")
+    assert read_day(kept, "scale-1") is None
+
+
 def test_differences_are_paired_by_site_day_and_seed() -> None:
     site = Path("north.toml")
     rows = []
