Sight: log each failed call to the platform; metrics of how old what was read is

The logs told the first failed call of an outage only, and not for how long a call was held nor whether a connection came up. Of the four hypotheses of the late configuration (held call, pauses, peers in step, late to put in force) the first two could be told apart only from the platform's own counts of calls.

Event 307 has a line for each failed call: list or watch, time held, how many in a row. Metrics dockreach_direct_feed_age_seconds, _calls_total and _failed_calls_total by feed. What is done about a failure is unchanged.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -23,6 +23,7 @@
 from .endpoints import EndpointTable, Published
 from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
+from .feeds import Feeds
 from .fleet import Revision
 from .gossip import Gossip
 from .helping import Helping, Knowledge
@@ -82,6 +83,7 @@
         self._dialect = dialect
         self._incarnation = secrets.randbits(63)
         self._number = 0
+        self.feeds = Feeds()
         self.endpoints = EndpointTable()
         self.peers = PeerTable(settings.gossip, settings.seeds)
         self.gossip = Gossip(
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -11,6 +12,7 @@
 from .dispatching import Dispatcher
 from .endpoints import EndpointTable
 from .entry_settings import EntrySettings
+from .feeds import Feeds
 from .fleet import Revision
 from .gossip import Gossip
 from .http1 import RawHead
@@ -25,6 +27,7 @@
     started: float
     revision: Revision | None
     ctx: Context
+    feeds: Feeds
     endpoints: EndpointTable
     peers: PeerTable
     gossip: Gossip
@@ -71,6 +74,7 @@
         yield from process_samples(entry.started)
         yield from counter_samples("direct", entry.ctx.counters)
         yield from entry.ctx.tally.samples()
+        yield from entry.feeds.samples(time.monotonic(), entry.started)
         gauges = {
             "peers": len(entry.peers),
             "endpoints": len(entry.endpoints),
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -33,6 +33,7 @@
     PLATFORM_BACK = 304
     SETTINGS_IN_FORCE = 305
     SETTINGS_REFUSED = 306
+    PLATFORM_CALL_FAILED = 307
     ENGINE_SUSPECT = 500
     ENGINE_RECOVERED = 501
     ENGINE_UNREACHABLE = 502
@@ -65,6 +66,7 @@
     Event.CONFIG_REFUSED: logging.WARNING,
     Event.CONFIG_CONFLICT: logging.ERROR,
     Event.PLATFORM_DOWN: logging.WARNING,
+    Event.PLATFORM_CALL_FAILED: logging.WARNING,
     Event.SETTINGS_REFUSED: logging.ERROR,
     Event.ENGINE_SUSPECT: logging.WARNING,
     Event.ENGINE_UNREACHABLE: logging.WARNING,
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import eventlet
 import pytest
@@ -165,6 +166,35 @@
     assert entry.endpoints.get("i-7") is not None
 
 
+def test_each_failed_call_is_logged_with_the_time_that_it_was_held(
+    store: StoreStandIn, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO", logger="dockreach")
+    entry = follow(store)
+    store.failing = 503
+    store.cut()
+    eventlet.sleep(0.6)
+    failed = [row for row in caplog.records if vars(row)["event"] == 307]
+    mine = [vars(row) for row in failed if vars(row)["prefix"] == "op/"]
+    assert [row["failures"] for row in mine] == list(range(1, len(mine) + 1))
+    assert len(mine) > 1
+    assert {row["call"] for row in mine} == {"watch"}
+    assert "503" in mine[0]["message"]
+    assert mine[0]["held_ms"] < 1000
+    assert entry.feeds.configuration.failed_calls == len(mine)
+
+
+def test_the_metrics_tell_how_old_what_was_read_is(store: StoreStandIn) -> None:
+    entry = follow(store)
+    store.failing = 503
+    store.cut()
+    eventlet.sleep(0.5)
+    samples = list(entry.feeds.samples(time.monotonic(), entry.started))
+    ages = [row for row in samples if row.name == "dockreach_direct_feed_age_seconds"]
+    assert [row.labels["feed"] for row in ages] == ["configuration", "endpoints"]
+    assert all(0.4 < row.value < 2.0 for row in ages)
+
+
 def test_errors_of_the_store_are_told_apart(store: StoreStandIn) -> None:
     reader = Store(store.address)
     store.forget()
