Agent path: no call for the configuration outlasts the time in which it must settle

The same cause as in the direct path, found by looking for it: a watcher waited 20 s for a change and 2 s for the answer, where a configuration must be in force everywhere within 18 s. A connection to the platform that fell silent kept it blind for 22 s. Both watchers of a data hall wait in step.

Change: the watch takes its limits from the same feed as the direct path, for 18 s: 9 s of waiting at most, less by up to three tenths, 5.4 s for the answer. The setting watch_s only shortens the wait. Failed calls are followed by calls that do not wait.

--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -86,7 +86,9 @@
         """Return the time since the last answer, or since the start, in seconds."""
         return now - (started if self.answered is None else self.answered)
 
-    def next_call(self, in_force_s: float) -> CallLimits:
+    def next_call(
+        self, in_force_s: float, *, most_wait_s: float | None = None
+    ) -> CallLimits:
         """Return how long the next call may be held.
 
         After a failure it does not wait for a change: what answers at once shows within
@@ -94,11 +96,15 @@
 
         Args:
             in_force_s: Time in which a change must be in force, in seconds.
+            most_wait_s: Longest wait for a change, where the operator sets one, in seconds.
         """
         if self.failures:
             part = min(ANSWER_PART * 2.0 ** (self.failures - 1), ANSWER_MOST_PART)
             return CallLimits(0.0, part * in_force_s)
-        wait_s = WAIT_PART * in_force_s * random.uniform(1 - SPREAD, 1)
+        longest_s = WAIT_PART * in_force_s
+        if most_wait_s is not None:
+            longest_s = min(longest_s, most_wait_s)
+        wait_s = longest_s * random.uniform(1 - SPREAD, 1)
         return CallLimits(wait_s, ANSWER_PART * in_force_s)
 
     def pause_s(self, held_s: float) -> float:
--- a/dockreach/entry_node.py
+++ b/dockreach/entry_node.py
@@ -12,6 +12,7 @@
 from . import _green
 from .callers import CallerApp
 from .declarations import Declarations, Fleet
+from .direct.feeds import Feed
 from .entry import next_wake, tick
 from .entry_tables import (
     Admit,
@@ -80,6 +81,7 @@
         self.waiters: dict[int, Waiter] = {}
         self._numbers = itertools.count(1)
         self._platform_up = True
+        self._config_feed = Feed()
 
     def tables(self) -> EntryWorld:
         """Return the core's tables."""
@@ -247,14 +249,17 @@
             if not self.is_watcher():
                 _green.sleep(RETRY_PLATFORM_S)
                 continue
+            limits = self._config_feed.next_call(
+                SETTLE_S, most_wait_s=self.settings.platform.watch_s
+            )
             try:
-                body = self.platform.watch_config(
-                    self.config.revision, self.settings.platform.watch_s
-                )
+                body = self.platform.watch_config(self.config.revision, limits)
             except PlatformError as exc:
+                self._config_feed.fail()
                 self._platform_down(str(exc))
                 _green.sleep(RETRY_PLATFORM_S)
                 continue
+            self._config_feed.failures = 0
             if body is not None and self.offer_config(body, "platform"):
                 _green.sleep(RETRY_PLATFORM_S)
 
--- a/dockreach/platform.py
+++ b/dockreach/platform.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from .declarations import MAX_BODY_BYTES
+from .direct.feeds import CallLimits
 from .errors import PlatformError
 from .messages import VmRow, VmRows
 
@@ -34,12 +35,12 @@
         self.calls = 0
         self.failures = 0
 
-    def watch_config(self, after: int, wait_s: float) -> str | None:
+    def watch_config(self, after: int, limits: CallLimits) -> str | None:
         """Wait for a revision above `after`.
 
         Args:
             after: The revision that the caller has.
-            wait_s: How long the service may hold the call, in seconds.
+            limits: How long the service may hold the call, and be silent beyond that.
 
         Returns:
             The declarations' text, or ``None`` if there is nothing newer.
@@ -47,7 +48,8 @@
         Raises:
             PlatformError: No answer, or one that is not text of a sane size.
         """
-        data = self._get(f"/v1/config?after={after}&wait={wait_s}", wait_s + CONNECT_S)
+        path = f"/v1/config?after={after}&wait={limits.wait_s}"
+        data = self._get(path, limits.wait_s + limits.answer_s)
         if data is None:
             return None
         try:
@@ -68,9 +70,9 @@
             raise self._failed(f"not a VM list: {exc}") from exc
         return VmRows(version=found.version, rows=tuple(found.vms))
 
-    def _get(self, path: str, timeout_s: float) -> bytes | None:
+    def _get(self, path: str, silence_s: float) -> bytes | None:
         self.calls += 1
-        timeout = urllib3.Timeout(connect=CONNECT_S, read=timeout_s)
+        timeout = urllib3.Timeout(connect=CONNECT_S, read=silence_s)
         try:
             answer = self._pool.request(
                 "GET", self._url + path, timeout=timeout, preload_content=False
