--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -14,22 +14,22 @@
 
 from ..metrics import Sample
 
-WAIT_PART = 0.5
+WAIT_PART = 0.6
 """Longest wait for a change, as a part of the time in which one must be in force. Each call
 is priced, so it is as long as the other parts allow."""
 
-SPREAD = 0.3
+SPREAD = 0.2
 """Part by which waits differ, at random. Entries that hear of a change at the same moment
 would else ask in step for ever, all be blind together, and have no peer that knows more."""
 
-ANSWER_PART = 0.3
-"""Longest silence beyond the wait, as a part of the same time: 0.6 s of 2 s, where the
+ANSWER_PART = 0.25
+"""Longest silence beyond the wait, as a part of the same time: 0.5 s of 2 s, where the
 users' sheets have days on which an answer takes 0.24 s."""
 
-ANSWER_MOST_PART = 0.6
+ANSWER_MOST_PART = 0.5
 """The same after several failures: a platform that is slower still is read as well."""
 
-AWAY_PART = 0.9
+AWAY_PART = 0.95
 """Time without an answer after which peers are asked for endpoints, as a part of the same
 time: longer than one call may be held."""
 
