A request whose caller has left already reaches no endpoint

Cause: a request is read, placed and sent on a kept connection before the entry looks whether its caller is still there.

Change: the end of the connection is looked for before a request is served, with one system call that does not wait.

Ruled out: requests that already wait or run are stopped at once when their callers leave; that held before.

--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -244,8 +244,26 @@
                 return
             if not data:
                 return
-            self._ahead += len(data)
-            self._http.receive_data(data)
+            self._keep_ahead(data)
+
+    def has_left(self) -> bool:
+        """Return whether the caller has closed already; keep what it sent ahead."""
+        plain = self._sock.fd
+        while self._ahead < MOST_PIPELINED:
+            try:
+                data = plain.recv(RECV_BYTES)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+            if not data:
+                return True
+            self._keep_ahead(data)
+        return True
+
+    def _keep_ahead(self, data: bytes) -> None:
+        self._ahead += len(data)
+        self._http.receive_data(data)
 
     def send_head(self, head: RawHead) -> None:
         """Send the head of the answer.
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -117,6 +117,10 @@
         Raises:
             CallerGoneError: It left.
         """
+        # An entry that stood still finds requests whose callers have given them up: none
+        # of them is to reach an endpoint.
+        if conn.has_left():
+            raise CallerGoneError("caller closed its connection before it was served")
         server = eventlet.spawn(self._serve_until_gone, conn, raw)
         watcher = eventlet.spawn(self._watch, conn, server)
         try:
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -33,6 +33,8 @@
 
 LOCAL = "127.0.0.1"
 READ_S = 3.0
+SILENCE_S = 60.0
+"""How long a silent connection is held, in seconds: longer than any test."""
 
 Script = Callable[["Dialog"], None]
 
@@ -44,6 +46,7 @@
         self.sock = sock
         self.request = b""
         self.left = False
+        self.is_muted = False
 
     def read(self) -> bytes:
         """Read one request, by its length."""
@@ -116,6 +119,8 @@
         self.dialogs.append(dialog)
         try:
             while dialog.read():
+                if dialog.is_muted:
+                    eventlet.sleep(SILENCE_S)
                 number = len(self.requests)
                 self.requests.append(dialog.request)
                 self.scripts[min(number, len(self.scripts) - 1)](dialog)
@@ -123,6 +128,11 @@
             # The caller left, or this endpoint closed the socket while it waited.
             return
 
+    def mute(self) -> None:
+        """Let all connections that are open now fall silent; new ones work."""
+        for dialog in self.dialogs:
+            dialog.is_muted = True
+
     def close(self) -> None:
         """Stop to listen."""
         self._listener.close()
@@ -275,6 +285,17 @@
     return entry
 
 
+def fill_pool(entry: Entry, endpoint: EndpointStandIn, count: int = 1) -> None:
+    """Let an entry keep idle connections to an endpoint, each used for one request."""
+    pool = entry.ctx.pool
+    conns = [pool.get(endpoint.address) for _ in range(count)]
+    for conn in conns:
+        conn.send(b"GET", b"/", [(b"Host", b"h")], None)
+        conn.read_head()
+        conn.read_body(1000)
+        pool.put(conn, 9.0)
+
+
 class Caller:
     """A caller's connection to an entry."""
 
