What cannot be tried again is not sent on a connection that rested

One that must not be repeated was lost, with a verdict that it may have run, at each such connection; a repeatable one lost an attempt, and its last attempt too.

Change: requests without another attempt use a kept connection only if it rested for 0.25 s at most. After an attempt was silent on a kept connection, all idle ones are closed: connections fall silent together.

Ruled out: closing idle connections sooner altogether (repeatable requests would open more); keep-alive probes (found after 2 s at the soonest).

--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -25,6 +25,7 @@
 )
 from .jobs import Job, patience_s
 from .outcomes import Progress
+from .pool import RESTED_S
 from .requests import AnswerHead, InboundRequest, Standing
 
 BUFFER_BYTES = 1 << 20
@@ -194,8 +195,9 @@
 
     def _attempt(self, row: EndpointRow) -> Attempt:
         """Send the request to one endpoint and pass on its answer if it is one."""
+        rested_s = None if self._has_another_attempt else RESTED_S
         try:
-            conn = self._ctx.pool.get(row.published.address)
+            conn = self._ctx.pool.get(row.published.address, most_rested_s=rested_s)
         except ConnectError as exc:
             row.failed(self._ctx.now())
             return Attempt(Fate.NOT_SENT, row.id, str(exc))
@@ -207,6 +209,10 @@
             kept_s = answer.kept_s
         except (AnswerError, _SilentError) as exc:
             row.failed(self._ctx.now())
+            if conn.was_kept and isinstance(exc, _SilentError):
+                # Connections fall silent together, as when a device between loses its
+                # state: without this each would cost one more request.
+                self._ctx.pool.drop_all()
             return Attempt(Fate.LOST, row.id, str(exc))
         finally:
             self._ctx.pool.put(conn, kept_s, self._most_idle)
@@ -243,17 +249,23 @@
             self._ctx.counters.late_answers += 1
             conn.skip_answer()
 
+    @property
+    def _has_another_attempt(self) -> bool:
+        """Whether the request may be sent again if the attempt under way fails."""
+        route = self._route
+        return route.repeat is not Repeat.NEVER and self._sent + 1 < route.max_attempts
+
     def _first_limit_s(self) -> float | None:
         """Return how long to wait for an answer's head, in seconds."""
         route = self._route
-        if route.repeat is Repeat.NEVER or self._sent + 1 >= route.max_attempts:
+        if not self._has_another_attempt:
             return None
         factor = FIRST_SILENCE if route.is_stream else PLAIN_SILENCE
         return factor * route.objective_s
 
     def _gap_limit_s(self) -> float | None:
         route = self._route
-        if route.repeat is not Repeat.RESUME or self._sent + 1 >= route.max_attempts:
+        if route.repeat is not Repeat.RESUME or not self._has_another_attempt:
             return None
         return max(GAP_SILENCE * route.gap_objective_s, route.objective_s)
 
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -375,6 +375,8 @@
         self._is_written = True
         self.is_framed = True
         """Whether the answer's end is told apart from that of the connection."""
+        self.was_kept = False
+        """Whether an earlier request was answered on it."""
 
     def send(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes | None
@@ -493,6 +495,7 @@
         if not both_done or not self._is_written or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self.was_kept = True
         return True
 
     def is_quiet(self) -> bool:
--- a/dockreach/direct/pool.py
+++ b/dockreach/direct/pool.py
@@ -17,6 +17,11 @@
 MOST_IDLE = 8
 """Idle connections kept for each endpoint: more than an engine has places."""
 
+RESTED_S = 0.25
+"""How long a connection may have rested to be used for what cannot be tried again, in
+seconds. One that has fallen silent meanwhile, or is forgotten by the endpoint, takes a
+request with it; a new one that does not come up takes none."""
+
 IDLE_PART = 0.5
 """Part of an endpoint's connections that all entries together may keep idle."""
 
@@ -33,6 +38,7 @@
 
 class _Idle(NamedTuple):
     conn: EndpointConnection
+    since: float
     until: float
 
 
@@ -49,16 +55,26 @@
         self.opened = 0
         self.reused = 0
 
-    def get(self, address: str) -> EndpointConnection:
+    def get(
+        self, address: str, *, most_rested_s: float | None = None
+    ) -> EndpointConnection:
         """Return a connection, kept or new.
 
+        Args:
+            address: The endpoint's.
+            most_rested_s: Longest time that a kept one may have rested, in seconds.
+
         Raises:
             ConnectError: A new one did not come up.
         """
         kept = self._idle.get(address, [])
+        now = time.monotonic()
         while kept:
+            if most_rested_s is not None and now - kept[-1].since > most_rested_s:
+                # The last one was used last: the others rested for longer.
+                break
             idle = kept.pop()
-            if idle.until > time.monotonic() and idle.conn.is_quiet():
+            if idle.until > now and idle.conn.is_quiet():
                 self.reused += 1
                 return idle.conn
             idle.conn.close()
@@ -80,7 +96,8 @@
         if for_s <= 0 or len(kept) >= most_idle or not conn.make_reusable():
             conn.close()
             return
-        kept.append(_Idle(conn, time.monotonic() + for_s))
+        now = time.monotonic()
+        kept.append(_Idle(conn, now, now + for_s))
 
     def expire(self) -> None:
         """Close connections that will not be reused."""
@@ -92,6 +109,11 @@
             if not kept:
                 del self._idle[address]
 
+    def drop_all(self) -> None:
+        """Close all idle connections: one was found silent, and others may be."""
+        for address in list(self._idle):
+            self.drop(address)
+
     def drop(self, address: str) -> None:
         """Close all idle connections to an address."""
         for idle in self._idle.pop(address, []):
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -13,16 +13,13 @@
 from dockreach.direct.fleet import CallerLimits
 from dockreach.direct.http1 import CallerConnection, RawHead
 from dockreach.errors import CallerGoneError
-from tests.direct.standins import accept_all, address_of, listen_locally
+from tests.direct.standins import SILENCE_S, accept_all, address_of, listen_locally
 
 Answer = tuple[int, dict[str, Any]]
 
 PIECES = 10
 """Pieces of an answer that trickles."""
 
-SILENCE_S = 60.0
-"""How long a call that gets no answer is held, in seconds: longer than any test."""
-
 
 class StoreStandIn:
     """Keeps items and their changes.
