Soak: connections that fall silent for good, faults in series, callers that leave, any size

New faults: all open connections to the store, to the endpoints or to both fall silent without a reset while new ones work; signals to one entry in a row. Faults come up to three times in a row and overlap. Each soak draws a few kinds of faults and how densely they come: with all kinds in each, hardly a moment was left in which a promise with a time binds. Configurations follow one another throughout, each with a route of its own.

New promises: a route that must be known is not refused; a request whose caller has left reaches no endpoint half a second later, and no endpoint works on for it.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 import click
 
 from .run import soak
+from .world import ENTRIES
 
 SIDE_BY_SIDE = 4
 """Soaks at a time: each has four busy processes."""
@@ -20,17 +21,21 @@
 @click.option("--seeds", default=8, help="How many soaks.")
 @click.option("--first", type=int, help="The first seed; drawn if it is left out.")
 @click.option("--seconds", default=10.0, help="How long faults come in each.")
+@click.option("--entries", default=ENTRIES, help="Entries in each; many run alone.")
 @click.option("--one", type=int, help="Run this seed alone, in this process.")
-def main(seeds: int, first: int | None, seconds: float, one: int | None) -> None:
+def main(
+    seeds: int, first: int | None, seconds: float, entries: int, one: int | None
+) -> None:
     """Run soaks with fresh seeds, some side by side; exit with 1 if one broke a promise."""
     if one is not None:
-        sys.exit(_run_one(one, seconds))
+        sys.exit(_run_one(one, seconds, entries))
     start = secrets.randbelow(10**6) if first is None else first
     todo = list(range(start, start + seeds))
     failed = []
     while todo:
-        batch, todo = todo[:SIDE_BY_SIDE], todo[SIDE_BY_SIDE:]
-        running = [(seed, _spawn(seed, seconds)) for seed in batch]
+        count = max(SIDE_BY_SIDE * ENTRIES // entries, 1)
+        batch, todo = todo[:count], todo[count:]
+        running = [(seed, _spawn(seed, seconds, entries)) for seed in batch]
         for seed, process in running:
             output, _ = process.communicate()
             click.echo(output.decode(), nl=False)
@@ -42,17 +47,17 @@
     sys.exit(1 if failed else 0)
 
 
-def _spawn(seed: int, seconds: float) -> subprocess.Popen[bytes]:
+def _spawn(seed: int, seconds: float, entries: int) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-W", "ignore", "-m", "tests.soak"]
-    options = ["--one", str(seed), "--seconds", str(seconds)]
+    options = ["--one", str(seed), "--seconds", str(seconds), "--entries", str(entries)]
     return subprocess.Popen(
         command + options, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
     )
 
 
-def _run_one(seed: int, seconds: float) -> int:
+def _run_one(seed: int, seconds: float, entries: int) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        result = soak(seed, seconds, Path(folder))
+        result = soak(seed, seconds, Path(folder), entries)
     click.echo(f"seed {seed}: {result.served} of {result.asked} requests served")
     if not result.broken:
         return 0
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -15,7 +15,17 @@
 WAIT_S = 4.0
 """How long a caller waits for an answer, in seconds."""
 
-KINDS = ("once", "safe", "draft", "brief")
+PAUSE_S = 0.1
+"""Longest pause of a caller between requests, in seconds."""
+
+LEAVING = 0.08
+"""Part of the requests whose callers do not wait for the answer."""
+
+LEAVE_S = 0.3
+"""Longest time after which such a caller closes its connection, in seconds."""
+
+KINDS = ("once", "safe", "draft", "brief", "new")
+"""Routes; ``new`` stands for one that a configuration added a moment ago."""
 
 
 @dataclass(slots=True)
@@ -27,6 +37,9 @@
         is_whole: Whether the answer ended as a whole one does.
         sent: Steady time at which it was sent, in seconds.
         ended: Steady time at which it was over, in seconds.
+        path: Where it is sent, if not to the route of its kind.
+        patience_s: How long its caller waits, in seconds.
+        left: Steady time at which its caller gave it up, in seconds; 0 if it did not.
     """
 
     rid: str
@@ -39,6 +52,14 @@
     ended: float = 0.0
     retry_after: str = ""
     trouble: str = ""
+    path: str = ""
+    patience_s: float = WAIT_S
+    left: float = 0.0
+
+    @property
+    def left_early(self) -> bool:
+        """Whether its caller left before an answer was due."""
+        return bool(self.left) and self.patience_s < WAIT_S
 
 
 @dataclass(slots=True)
@@ -46,7 +67,9 @@
     """All callers and what they saw."""
 
     addresses: Callable[[], list[tuple[str, str]]]
+    added: Callable[[], int]
     rng: random.Random
+    pause_s: float = PAUSE_S
     outcomes: list[Outcome] = field(default_factory=list)
     is_over: bool = False
     _count: int = 0
@@ -55,7 +78,7 @@
         """Be one caller until the soak is over."""
         conn: _Connection | None = None
         while not self.is_over:
-            eventlet.sleep(self.rng.uniform(0.0, 0.1))
+            eventlet.sleep(self.rng.uniform(0.0, self.pause_s))
             if conn is None:
                 entry, address = self.rng.choice(self.addresses())
                 conn = _Connection(entry, address)
@@ -69,7 +92,12 @@
     def _next(self, entry: str) -> Outcome:
         self._count += 1
         kind = self.rng.choice(KINDS)
-        return Outcome(f"{kind}-{self._count}", kind, entry, time.monotonic())
+        outcome = Outcome(f"{kind}-{self._count}", kind, entry, time.monotonic())
+        if kind == "new":
+            outcome.path = f"/new-{self.added()}/x"
+        if self.rng.random() < LEAVING:
+            outcome.patience_s = self.rng.uniform(0.0, LEAVE_S)
+        return outcome
 
 
 class _Connection:
@@ -82,11 +110,14 @@
     def ask(self, outcome: Outcome, key: str) -> bool:
         """Send one request and read its answer; return whether to go on here."""
         try:
-            with eventlet.Timeout(WAIT_S):
+            with eventlet.Timeout(outcome.patience_s):
                 return self._ask(outcome, key)
-        except (OSError, h11.ProtocolError, eventlet.Timeout) as exc:
+        except eventlet.Timeout as exc:
+            outcome.left = time.monotonic()
             outcome.trouble = repr(exc)
-            return False
+        except (OSError, h11.ProtocolError) as exc:
+            outcome.trouble = repr(exc)
+        return False
 
     def _ask(self, outcome: Outcome, key: str) -> bool:
         if self._sock is None:
@@ -95,7 +126,7 @@
             self._sock.connect((ip, int(port)))
         head = h11.Request(
             method="POST",
-            target=f"/{outcome.kind}/x",
+            target=outcome.path or f"/{outcome.kind}/x",
             headers=[
                 ("Host", "tools.example"),
                 ("Request-Id", outcome.rid),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from .clients import WAIT_S
 from .entries import GRACE_S, EntryProcess
 from .proxy import Harm
 from .world import World
@@ -18,6 +19,15 @@
 started again within 0.2 s and needs up to a second on a busy machine."""
 
 
+SIGNALS = (
+    signal.SIGHUP,
+    signal.SIGTERM,
+    signal.SIGSTOP,
+    signal.SIGCONT,
+    signal.SIGKILL,
+)
+
+
 def _entry(world: World) -> EntryProcess:
     return world.rng.choice(world.entries)
 
@@ -121,6 +131,36 @@
     world.store.failing = ""
 
 
+def _mute_store_links(world: World) -> None:
+    world.harm_store(0.0)
+    for proxy in world.store_proxies:
+        proxy.mute()
+
+
+def _mute_workers(world: World) -> None:
+    # Requests under way are lost, at the latest when their callers give them up.
+    world.harmed("", WAIT_S)
+    for worker in world.workers.values():
+        worker.proxy.mute()
+
+
+def _mute_all(world: World) -> None:
+    _mute_store_links(world)
+    _mute_workers(world)
+
+
+def _signals(world: World) -> None:
+    """Send one entry signals in a row: changed settings, pauses, two stops, a kill."""
+    entry = _entry(world)
+    world.stopped(entry.name, GRACE_S)
+    world.harmed(entry.name, GRACE_S + AFTER_S)
+    for number in world.rng.choices(SIGNALS, k=world.rng.randint(2, 5)):
+        if entry.is_listening:
+            entry.send(number)
+        eventlet.sleep(world.rng.uniform(0.0, 0.4))
+    entry.send(signal.SIGCONT)
+
+
 def _forget_history(world: World) -> None:
     world.harm_store(0.5)
     world.store.forget()
@@ -145,4 +185,8 @@
     _harm_store_link,
     _harm_store,
     _forget_history,
+    _mute_store_links,
+    _mute_workers,
+    _mute_all,
+    _signals,
 )
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from .clients import Outcome
@@ -10,6 +11,8 @@
 NOT_RUN = {408, 421, 429, 503}
 """Statuses that promise that a request was not run."""
 
+NOT_FOUND = 404
+
 AT_MOST_ONCE = ("once", "draft")
 
 DRAIN_S = 2.0
@@ -27,6 +30,13 @@
 RECOVERED = 0.95
 """Part of the requests that must be served once nothing is wrong any more."""
 
+GONE_S = 0.5
+"""Time after a caller has left in which an entry may still send its request, in seconds."""
+
+WORK_ON_S = 1.0
+"""Time after a caller has left in which an endpoint may still work for it, in seconds: an
+endpoint that is slow notices at its next event."""
+
 MOST_SHOWN = 5
 
 
@@ -79,7 +89,10 @@
         "refused as not run, but ran": _false_refusals(seen, by_rid),
         "an endpoint got work long after it said that it leaves": _late_work(seen),
         "ran at a service that no configuration in force names": _misrouted(seen, by_rid),
+        "refused by an older configuration": _unknown_routes(seen),
         "cut off by a planned stop": _cut_by_stop(seen, by_rid),
+        "sent to an endpoint after its caller had left": _sent_for_nobody(seen, by_rid),
+        "worked on long after its caller had left": _worked_for_nobody(seen, by_rid),
         "an organisation got more than its limit": _over_limit(seen),
         "not served although nothing is wrong any more": _not_recovered(seen),
         "an entry ended by itself": seen.unplanned,
@@ -96,7 +109,7 @@
 
 
 def _is_own(row: Outcome) -> bool:
-    if row.kind in ("once", "safe"):
+    if row.kind in ("once", "safe", "new"):
         return not row.is_whole or row.body == answer_of(row.rid)
     events = [event_of(row.rid, number + 1) for number in range(length_of(row.rid))]
     whole = b"".join(events)
@@ -121,7 +134,7 @@
         left = seen.leaving.get(run.worker)
         if left is None or run.began <= left + DRAIN_S:
             continue
-        if not _harmed(seen.store, left - CONTACT_S, run.began):
+        if not _harmed(seen.store, run.began - CONTACT_S, run.began):
             late.append(f"{run.rid} at {run.worker} {run.began - left:.1f} s after")
     return late
 
@@ -131,13 +144,25 @@
     for row in seen.outcomes:
         for run in by_rid.get(row.rid, []):
             since = row.sent - CONFIG_S
-            if _harmed(seen.store, since - CONTACT_S, run.began):
+            if _harmed(seen.store, row.sent - CONTACT_S, run.began):
                 continue
             if row.kind == "once" and run.service not in _allowed(seen, since, run.began):
                 wrong.append(f"{row.rid} at {run.service}")
     return wrong
 
 
+def _unknown_routes(seen: Seen) -> list[str]:
+    """Return requests to a route that must have been known, and was not."""
+    unknown = []
+    for row in seen.outcomes:
+        if row.kind != "new" or row.status != NOT_FOUND:
+            continue
+        spans = [span for span in seen.harms if span.what in ("", row.entry)]
+        if not _harmed(spans + seen.store, row.sent - CONTACT_S, row.ended):
+            unknown.append(f"{_told(row)} for {row.path}")
+    return unknown
+
+
 def _allowed(seen: Seen, since: float, until: float) -> set[str]:
     """Return the services that a configuration in force may have named."""
     allowed = {name for when, name in seen.routed if since <= when <= until}
@@ -149,7 +174,7 @@
     """Return requests that were cut at an entry that was only told to stop."""
     cut = []
     for row in seen.outcomes:
-        if row.is_whole or row.ended - row.sent >= TIMEOUT_S:
+        if row.is_whole or row.left_early or row.ended - row.sent >= TIMEOUT_S:
             continue
         stops = [span for span in seen.stops if span.what == row.entry]
         if not any(span.start <= row.ended <= span.end for span in stops):
@@ -160,6 +185,35 @@
     return cut
 
 
+def _sent_for_nobody(seen: Seen, by_rid: dict[str, list[Run]]) -> list[str]:
+    return [
+        f"{row.rid} at {row.entry} {run.began - row.left:.1f} s after"
+        for row, run in _runs_after_leaving(seen, by_rid)
+        if run.began > row.left + GONE_S
+    ]
+
+
+def _worked_for_nobody(seen: Seen, by_rid: dict[str, list[Run]]) -> list[str]:
+    return [
+        f"{row.rid} at {row.entry} {run.ended - row.left:.1f} s after"
+        for row, run in _runs_after_leaving(seen, by_rid)
+        if run.ended > row.left + WORK_ON_S
+    ]
+
+
+def _runs_after_leaving(
+    seen: Seen, by_rid: dict[str, list[Run]]
+) -> Iterator[tuple[Outcome, Run]]:
+    """Return runs for callers that left, where nothing hindered an entry to notice it."""
+    for row in seen.outcomes:
+        if not row.left:
+            continue
+        harms = [span for span in seen.harms if span.what in ("", row.entry)]
+        for run in by_rid.get(row.rid, []):
+            if not _harmed(harms, row.left - CONTACT_S, max(run.began, run.ended)):
+                yield row, run
+
+
 def _over_limit(seen: Seen) -> list[str]:
     runs = sorted(
         (run for run in seen.record.runs if run.organisation == "limited"),
@@ -178,7 +232,11 @@
 
 
 def _not_recovered(seen: Seen) -> list[str]:
-    rows = [row for row in seen.outcomes if row.sent > seen.calm_from and row.status != 429]
+    rows = [
+        row
+        for row in seen.outcomes
+        if row.sent > seen.calm_from and row.status != 429 and not row.left_early
+    ]
     unserved = [row for row in rows if row.status != 200 or not row.is_whole]
     if not rows:
         return ["nobody asked"]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -46,6 +46,7 @@
         self._listener = listen_locally()
         self._harm = Harm.NONE
         self._pairs: set[tuple[Any, Any]] = set()
+        self._muted: set[tuple[Any, Any]] = set()
         self.address = address_of(self._listener)
         eventlet.spawn(accept_all, self._listener, self._serve)
 
@@ -56,6 +57,10 @@
             for pair in list(self._pairs):
                 self._reset(pair)
 
+    def mute(self) -> None:
+        """Let all open connections be silent for good, without a reset; new ones work."""
+        self._muted |= self._pairs
+
     def _serve(self, front: Any) -> None:  # noqa: ANN401
         if self._harm is Harm.RESET:
             _reset_if_open(front)
@@ -78,10 +83,13 @@
                 if self._harm is Harm.DELAY:
                     eventlet.sleep(DELAY_S)
                 self._hold(source, pair)
-                sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
+                if pair not in self._muted:
+                    sink.sendall(data)
+            if pair not in self._muted:
+                sink.shutdown(socket.SHUT_WR)
         except (OSError, EOFError):
-            self._reset(pair)
+            if pair not in self._muted:
+                self._reset(pair)
         finally:
             if source is pair[1]:
                 self._pairs.discard(pair)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,15 +9,25 @@
 import eventlet
 
 from .entries import reserved_net
-from .faults import FAULTS
+from .faults import FAULTS, Fault
 from .promises import broken
-from .world import World
+from .world import ENTRIES, World
 
 READY_S = 10.0
 """Longest time that entries take to serve, in seconds: a busy machine is slow."""
 
-BETWEEN_S = (0.0, 0.8)
-"""Shortest and longest time between two faults, in seconds: they overlap."""
+BETWEEN_S = (0.8, 2.0, 5.0)
+"""Longest time between two faults, in seconds; one is drawn for each soak. In some, faults
+overlap all the time; in others there are moments in which promises with a time bind."""
+
+KINDS = (2, 8)
+"""Fewest and most kinds of faults in one soak, for the same reason."""
+
+SERIES = (1, 1, 1, 2, 3)
+"""How often a fault comes in a row; one is drawn."""
+
+SERIES_GAP_S = 0.4
+"""Longest time between faults of a series, in seconds."""
 
 RECOVER_S = 10.0
 """Time for everything to be well again after the last fault, in seconds: a planned stop may
@@ -47,16 +57,17 @@
     logs: list[str]
 
 
-def soak(seed: int, faults_s: float, folder: Path) -> Result:
+def soak(seed: int, faults_s: float, folder: Path, entries: int = ENTRIES) -> Result:
     """Run one soak.
 
     Args:
         seed: Of the faults and of the callers' requests.
         faults_s: How long faults come, in seconds.
         folder: For settings and logs.
+        entries: How many entries there are.
     """
     with reserved_net() as net:
-        return _soak(World(seed, net, folder), seed, faults_s)
+        return _soak(World(seed, net, folder, entries), seed, faults_s)
 
 
 def _soak(world: World, seed: int, faults_s: float) -> Result:
@@ -95,12 +106,26 @@
     start = time.monotonic()
     names = []
     running = []
+    most_s = world.rng.choice(BETWEEN_S)
+    kinds = world.rng.sample(FAULTS, world.rng.randint(*KINDS))
     while time.monotonic() < start + faults_s:
-        fault = world.rng.choice(FAULTS)
-        names.append(f"{time.monotonic() - start:.2f} {fault.__name__.strip('_')}")
-        running.append(eventlet.spawn(fault, world))
-        eventlet.sleep(world.rng.uniform(*BETWEEN_S))
+        fault = world.rng.choice(kinds)
+        times = world.rng.choice(SERIES)
+        name = fault.__name__.strip("_")
+        names.append(f"{time.monotonic() - start:.2f} {name} x{times}")
+        running.append(eventlet.spawn(_in_series, world, fault, times))
+        eventlet.sleep(world.rng.uniform(0.0, most_s))
     for greenlet in running:
         greenlet.wait()
     world.mend()
     return names
+
+
+def _in_series(world: World, fault: Fault, times: int) -> None:
+    """Bring a fault about several times; each ends by itself, and they may overlap."""
+    running = []
+    for _ in range(times):
+        running.append(eventlet.spawn(fault, world))
+        eventlet.sleep(world.rng.uniform(0.0, SERIES_GAP_S))
+    for greenlet in running:
+        greenlet.wait()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -70,6 +70,8 @@
     found.leaving["i-1"] = 10.0
     assert "leaves" in broken(found)[0]
     found.store.append(Span("store", 9.0, 9.5))
+    assert "leaves" in broken(found)[0]
+    found.store.append(Span("store", 9.0, 10.5))
     assert broken(found) == []
 
 
@@ -82,6 +84,13 @@
     assert broken(found)
 
 
+def test_a_route_that_must_be_known_and_is_refused_is_seen() -> None:
+    found = seen(outcome("new-1", status=404, path="/new-7/x"))
+    assert "older configuration" in broken(found)[0]
+    found.store.append(Span("store", 7.0, 7.5))
+    assert broken(found) == []
+
+
 def test_a_request_that_a_planned_stop_cut_is_seen() -> None:
     row = outcome("draft-1", is_whole=False, body=b"")
     found = seen(row, runs=(run("draft-1"),))
@@ -94,6 +103,28 @@
     assert broken(found) == []
 
 
+def test_work_for_a_caller_that_has_left_is_seen() -> None:
+    row = outcome("safe-1", status=0, is_whole=False, left=10.2)
+    late = run("safe-1", began=10.9)
+    assert "after its caller" in broken(seen(row, runs=(late,)))[0]
+    long = run("safe-1", began=10.1)
+    long.ended = 11.5
+    found = seen(row, runs=(long,))
+    assert "worked on" in broken(found)[0]
+    found.harms.append(Span("entry-0", 8.0, 9.0))
+    assert broken(found) == []
+
+
+def test_a_change_must_be_in_force_soon_after_the_store_is_well_again() -> None:
+    row = outcome("once-1", sent=13.5)
+    found = seen(row, runs=(run("once-1", began=13.6),))
+    found.routed[:] = [(0.0, "a"), (9.0, "b")]
+    found.store.append(Span("store", 8.0, 11.0))
+    assert broken(found) == []
+    found.store[0].end = 10.0
+    assert "no configuration" in broken(found)[0]
+
+
 def test_more_than_a_limit_in_any_window_is_seen() -> None:
     within = tuple(run(f"safe-{i}", began=10.0 + 3 * i) for i in range(9))
     assert broken(seen(runs=within)) == []
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -20,12 +20,13 @@
 """Requests beyond its places that an endpoint lets wait before it refuses."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Run:
     """One run of a request, as the endpoint saw it.
 
     Attributes:
         began: Steady time, in seconds.
+        ended: Steady time at which the endpoint stopped to work on it, in seconds.
         tokens: What it counts against its organisation's limit.
     """
 
@@ -35,6 +36,7 @@
     organisation: str
     tokens: int
     began: float
+    ended: float = 0.0
 
 
 @dataclass(slots=True)
@@ -99,8 +101,14 @@
             self._running -= 1
 
     def _run(self, dialog: Dialog) -> None:
+        run = self._note(dialog)
+        try:
+            self._serve_run(dialog)
+        finally:
+            run.ended = time.monotonic()
+
+    def _serve_run(self, dialog: Dialog) -> None:
         path = dialog.request.split(b" ", 2)[1].decode()
-        self._note(dialog)
         if self._rng.random() < self.failing:
             dialog.answer(b"failed", b"500 Internal Server Error")
             return
@@ -109,7 +117,7 @@
             serve = self._stream
         serve(dialog)
 
-    def _note(self, dialog: Dialog) -> None:
+    def _note(self, dialog: Dialog) -> Run:
         counts = (header_of(dialog.request, b"token-counts") or b"0,0").split(b",")
         run = Run(
             rid=dialog.rid.decode(),
@@ -120,6 +128,7 @@
             began=time.monotonic(),
         )
         self._record.runs.append(run)
+        return run
 
     def _plain(self, dialog: Dialog) -> None:
         eventlet.sleep(WORK_S * self.slowness)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,7 @@
 
 from .clients import Callers
 from .entries import FRONT_PORT, EntryProcess
-from .promises import Seen, Span
+from .promises import CONFIG_S, Seen, Span
 from .proxy import Harm, Proxy
 from .workers import Record, Worker
 
@@ -29,6 +29,12 @@
 """The limited organisation sends more than this: some twenty requests of 20 tokens a second
 are let in. As on the platform, one request is a small part of a window."""
 
+CHANGES_S = (0.3, 1.2)
+"""Shortest and longest time between configurations, in seconds."""
+
+ADDED_ROUTES = 40
+"""Routes that are kept of those that each version adds."""
+
 HEARTBEATS_S = 1.0
 """How long the entry of a crashed endpoint stays published, in seconds."""
 
@@ -43,9 +49,10 @@
         seed: Of all choices.
         net: Second part of the entries' loopback numbers; apart for soaks side by side.
         folder: For settings and logs.
+        entries: How many there are.
     """
 
-    def __init__(self, seed: int, net: int, folder: Path) -> None:
+    def __init__(self, seed: int, net: int, folder: Path, entries: int) -> None:
         self.rng = random.Random(seed)
         self.store = StoreStandIn()
         self.store.page_items = 50
@@ -55,13 +62,13 @@
         self.workers: dict[str, Worker] = {}
         limit = (LIMIT_RATE * WINDOW_S + LIMIT_BURST) * (1 + LIMIT_OVER)
         self.seen = Seen([], self._record, limit, WINDOW_S)
-        self.store_proxies = [Proxy(self.store.address) for _ in range(ENTRIES)]
+        self.store_proxies = [Proxy(self.store.address) for _ in range(entries)]
         self.entries = [
             EntryProcess(number, net, proxy.address, folder)
             for number, proxy in enumerate(self.store_proxies)
         ]
         self.callers_proxies = [Proxy(f"{entry.ip}:{FRONT_PORT}") for entry in self.entries]
-        self.callers = Callers(self._addresses, random.Random(seed + 1))
+        self.callers = Callers(self._addresses, self._added, random.Random(seed + 1))
         self.seen.outcomes = self.callers.outcomes
 
     def start(self) -> None:
@@ -76,7 +83,11 @@
 
     def call(self) -> None:
         """Start the callers."""
-        for number in range(CALLERS):
+        eventlet.spawn(self._operate)
+        # The endpoints stay as they are: more callers ask less often each.
+        callers = max(CALLERS, len(self.entries))
+        self.callers.pause_s *= callers / CALLERS
+        for number in range(callers):
             key = "key-limited" if number % 3 == 0 else "key-free"
             eventlet.spawn(self.callers.run_one, key)
 
@@ -92,6 +103,11 @@
         pairs = zip(self.entries, self.callers_proxies, strict=True)
         return [(entry.name, proxy.address) for entry, proxy in pairs]
 
+    def _added(self) -> int:
+        """Return the newest version that must be in force."""
+        limit = time.monotonic() - CONFIG_S
+        return max(sum(when <= limit for when, _ in self.seen.routed), 1)
+
     def _look_after_entries(self) -> None:
         """Start again what has ended, as the platform does."""
         while not self.callers.is_over:
@@ -109,6 +125,12 @@
         self.store.put("op/config", text)
         self.seen.routed.append((time.monotonic(), service))
 
+    def _operate(self) -> None:
+        """Publish a configuration now and then, so that one follows each fault soon."""
+        while not self.callers.is_over:
+            eventlet.sleep(self.rng.uniform(*CHANGES_S))
+            self.configure()
+
     def add_worker(self, service: str) -> None:
         """Start an endpoint and publish it."""
         self._workers_made += 1
@@ -180,6 +202,8 @@
         _route("draft", "streaming", SERVICES[0]),
         _route("brief", "streaming", SERVICES[1], max_attempts=2, resumable=True),
     ]
+    added = range(max(version - ADDED_ROUTES, 0) + 1, version + 1)
+    routes += [_route(f"new-{number}", "safe", SERVICES[0]) for number in added]
     tenants = [
         {"name": "free", "api_keys": ["key-free"]},
         {
