Entries that have just started name all others that they know

Cause: entries count what those peers spend of which they have heard. At the start each knows three seeds, a digest names 8 others, and among 150 entries a digest comes every 1.5 s, so that most are not known for some seconds.

Ruled out: reserving for peers that were named but not heard (the same figures: named peers are heard within one digest; who was not named yet is the gap).

Left: at 150 and more, digests are too old for a window of 4 s without slack; that is the matter of digests that go to all.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -268,7 +268,7 @@
             under_way=under_way,
             spent=self.ctx.spending.own(now),
             fleet_spent=self.ctx.spending.fleet(now),
-            known=self.peers.told(),
+            known=self.peers.told(now - self.started),
         )
 
     def _on_digest(self, digest: Digest) -> None:
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -35,6 +35,12 @@
 MOST_TOLD = 8
 """Addresses of others in one digest: enough for a newcomer to find all in a few."""
 
+YOUNG_S = 10.0
+"""Age up to which an entry names all others that it knows in a digest, in seconds. Where
+150 entries start together, limits are else exceeded by up to nine tenths of their bound in
+the first seconds (cores alone, five times the limit asked for): most do not know most
+others yet, and do not count what these spend. An address takes some 16 bytes."""
+
 
 @dataclass(slots=True)
 class PeerRow:
@@ -142,10 +148,14 @@
                 del self._hinted[address]
         return gone
 
-    def told(self) -> list[Address]:
-        """Return some peers to name in a digest, others each time."""
+    def told(self, age_s: float) -> list[Address]:
+        """Return the peers to name in a digest: some, others each time.
+
+        Args:
+            age_s: Age of this entry, in seconds; a young one names all.
+        """
         rows = list(self._rows)
-        if len(rows) <= MOST_TOLD:
+        if len(rows) <= MOST_TOLD or age_s < YOUNG_S:
             return rows
         self._turn = (self._turn + MOST_TOLD) % len(rows)
         return (rows + rows)[self._turn : self._turn + MOST_TOLD]
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -5,7 +5,14 @@
 import time
 
 from dockreach.direct.digest import decode, encode
-from dockreach.direct.peers import FRESH_S, MOST_PEERS, MOST_TOLD, SILENT_S, PeerTable
+from dockreach.direct.peers import (
+    FRESH_S,
+    MOST_PEERS,
+    MOST_TOLD,
+    SILENT_S,
+    YOUNG_S,
+    PeerTable,
+)
 
 from .cores import OWN, address, digest, peers
 
@@ -85,14 +92,14 @@
     for number in range(MOST_PEERS + 50):
         table.receive(digest(address(number)), 1.0)
     assert len(table) == MOST_PEERS
-    assert len(table.told()) == MOST_TOLD
+    assert len(table.told(YOUNG_S)) == MOST_TOLD
 
 
 def test_all_peers_are_named_in_time() -> None:
     table = peers()
     for number in range(50):
         table.receive(digest(address(number)), 1.0)
-    named = {entry for _ in range(50) for entry in table.told()}
+    named = {entry for _ in range(50) for entry in table.told(YOUNG_S)}
     assert len(named) == 50
 
 
@@ -104,7 +111,7 @@
         OWN,
         under_way={f"i-{number:010x}": 3 for number in range(1200)},
         spent={f"organisation-{number}": [100] * 17 for number in range(320)},
-        known=table.told(),
+        known=table.told(YOUNG_S),
     )
     data = encode(own)
     assert len(data) < 60_000
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -25,6 +25,9 @@
 LITTLE_SLACK = Tolerance(window_s=8.0, over=0.25, slack=1000.0)
 """A tenth of what is owed, as for a large organisation of the users."""
 
+NO_SLACK = Tolerance(window_s=4.0, over=0.25)
+"""A short window without tokens beyond the limit's own."""
+
 OWED = 10_000.0
 WINDOW_S = 8.0
 
@@ -277,9 +280,40 @@
         return spent
 
 
-def worst_window(spent: list[tuple[float, int]]) -> int:
+class StartingFleet(Fleet):
+    """Entries that know only some seeds at first, and find each other by digests."""
+
+    def __init__(self, entries: int, seed: int) -> None:
+        super().__init__(entries, seed)
+        self.peers = [PeerTable(own, self._addresses[:3]) for own in self._addresses]
+        self.tables = [
+            SpendTable(known, NO_SLACK, started=0.0, has_past=False) for known in self.peers
+        ]
+        self._by_address = dict(zip(self._addresses, self.peers, strict=True))
+        self._next = [self.rng.uniform(0, GAP_S) for _ in self._addresses]
+
+    def tell(self, now: float) -> None:
+        """Send all digests that are due, to whom the sender knows of."""
+        for number, due in enumerate(self._next):
+            if due > now:
+                continue
+            table = self.peers[number]
+            self._next[number] = now + table.gap_s
+            self._number += 1
+            told = digest(
+                table.own,
+                number=self._number,
+                age_s=now,
+                spent=self.tables[number].own(now),
+                known=table.told(now),
+            )
+            for target in table.targets():
+                self._by_address[target].receive(told, now)
+
+
+def worst_window(spent: list[tuple[float, int]], window_s: float = WINDOW_S) -> int:
     return max(
-        sum(tokens for time, tokens in spent if end - WINDOW_S < time <= end)
+        sum(tokens for time, tokens in spent if end - window_s < time <= end)
         for end, _ in spent
     )
 
@@ -295,6 +329,19 @@
     assert sum(tokens for time, tokens in spent if time > 4.0) >= 0.95 * OWED
 
 
+@pytest.mark.parametrize(("entries", "over"), [(5, 5.0), (60, 5.0), (150, 2.0), (150, 5.0)])
+def test_entries_that_still_find_each_other_keep_the_bound(
+    entries: int, over: float
+) -> None:
+    """A limit was exceeded by a tenth of its bound in the first seconds of 150 entries.
+
+    Entries counted what those peers spent that they had heard of. Each told 8 addresses in
+    a digest, and a digest came every 1.5 s: most peers were not known yet.
+    """
+    spent = StartingFleet(entries, 1).spend(over, until=12.0)
+    assert worst_window(spent, NO_SLACK.window_s) <= NO_SLACK.most(organisation())
+
+
 def test_after_a_loss_of_all_entries_a_low_tier_has_a_part_of_what_is_left() -> None:
     spending = SpendTable(peers(), LITTLE_SLACK, started=0.0, has_past=True)
     assert spending.admit(organisation(), 400, 0.1, tier=2) is None
