--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -62,6 +62,8 @@
             stands for all.
         limit: Tokens that the limited organisation may use in a window.
         window_s: Length of that window, in seconds.
+        unplanned: Ends of entries that nobody asked for.
+        late_s: For how long the soak itself stood still, in seconds.
         calm_from: When the last fault had ended, with time to recover.
     """
 
@@ -75,6 +77,7 @@
     stops: list[Span] = field(default_factory=list)
     harms: list[Span] = field(default_factory=list)
     unplanned: list[str] = field(default_factory=list)
+    late_s: float = 0.0
     calm_from: float = 0.0
 
 
