Tests: each process that runs them has ports of its own, also in two runs at once

Two test runs on one machine took the same ports: 21 tests failed with 'address already in use' while another run went on. A process now reserves a range by a socket on its first port.

--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
-import os
 import socket as plain_socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import eventlet
@@ -171,11 +169,32 @@
 
 FIRST_PORT = 15000
 PORTS_A_WORKER = 800
+RANGES = 20
 """Ports below those that the system hands out by itself (32768 and more), so that none is
-taken between its choice and its use; each worker of the test run has its own."""
+taken between its choice and its use. Each process that runs tests has a range of its own,
+also where two test runs go on at once."""
 
-_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_ports = itertools.count(FIRST_PORT + _worker * PORTS_A_WORKER)
+
+def _reserve_range() -> tuple[plain_socket.socket, Iterator[int]]:
+    """Return a range of ports, and the socket that keeps others from taking it.
+
+    Raises:
+        OSError: All are in use.
+    """
+    for index in range(RANGES):
+        first = FIRST_PORT + index * PORTS_A_WORKER
+        sock = plain_socket.socket()
+        try:
+            # Nobody listens on the first port: it is kept as the sign of who uses them.
+            sock.bind((LOCAL, first))
+        except OSError:
+            sock.close()
+            continue
+        return sock, iter(range(first + 1, first + PORTS_A_WORKER))
+    raise OSError("no range of ports is free")
+
+
+_reserved, _ports = _reserve_range()
 
 
 def free_port() -> int:
