--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -120,6 +120,48 @@
         "            if digest == self.digest:\n                return None\n",
         "            return None\n",
     ),
+    Edit(
+        "a call to the platform after a failed one does not wait for changes",
+        "direct/feeds.py",
+        "        if self.failures:\n            part",
+        "        if False:\n            part",
+    ),
+    Edit(
+        "a call to the platform is held no longer than a change may take",
+        "direct/feeds.py",
+        "        longest_s = WAIT_PART * in_force_s\n",
+        "        longest_s = 1.5 * in_force_s\n",
+    ),
+    Edit(
+        "entries do not wait for changes in step",
+        "direct/feeds.py",
+        "longest_s * random.uniform(1 - SPREAD, 1)",
+        "longest_s",
+    ),
+    Edit(
+        "what cannot be tried again is sent on no connection that rested",
+        "direct/forward.py",
+        "None if self._has_another_attempt else RESTED_S",
+        "None",
+    ),
+    Edit(
+        "after a silent connection no idle one is used",
+        "direct/forward.py",
+        "                self._ctx.pool.drop_all()\n",
+        "                pass\n",
+    ),
+    Edit(
+        "a request whose caller has left is not served",
+        "direct/serving.py",
+        "        if conn.has_left():\n",
+        "        if False:\n",
+    ),
+    Edit(
+        "entries that have just started name all others that they know",
+        "direct/peers.py",
+        " or age_s < YOUNG_S:",
+        ":",
+    ),
 )
 
 
--- /dev/null
+++ b/dockreach/direct/caller_connection.py
@@ -0,0 +1,229 @@
+"""The server's side of a connection: a caller's requests, and the answers to them."""
+
+from __future__ import annotations
+
+import errno
+import struct
+from typing import Any
+
+import eventlet
+import h11
+from eventlet.green import socket
+
+from ..errors import CallerGoneError
+from .fleet import CallerLimits
+from .http1 import RECV_BYTES, BadRequestError, RawHead, RawRequest, receive, tune
+
+MOST_PIPELINED = 1 << 20
+"""Bytes that a caller may send ahead of an answer."""
+
+
+class CallerConnection:
+    """The server's side of a connection.
+
+    Args:
+        sock: The accepted socket.
+        limits: What the caller may send.
+    """
+
+    def __init__(self, sock: Any, limits: CallerLimits) -> None:  # noqa: ANN401
+        self._sock = sock
+        self._limits = limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._ahead = 0
+        self._method = b""
+        self.is_idle = True
+        self.is_closing = False
+        """Whether the next answer tells the caller that the connection ends."""
+        self.head_sent = False
+        tune(sock)
+
+    def read_request(self) -> RawRequest | None:
+        """Read a whole request.
+
+        Returns:
+            The request; ``None`` if the caller closed, or sent nothing for too long.
+
+        Raises:
+            BadRequestError: What came is no request, or too large or too slow.
+        """
+        self.is_idle = True
+        self.head_sent = False
+        if not self._await_first_byte():
+            return None
+        self.is_idle = False
+        try:
+            with eventlet.Timeout(self._limits.header_s, BadRequestError(408, "too slow")):
+                return self._read_whole()
+        except h11.RemoteProtocolError as exc:
+            raise BadRequestError(exc.error_status_hint, str(exc)) from exc
+        except OSError:
+            return None
+
+    def _await_first_byte(self) -> bool:
+        if self._http.trailing_data[0]:
+            return True
+        self._sock.settimeout(self._limits.idle_s)
+        try:
+            data = receive(self._sock)
+        except OSError:
+            return False
+        finally:
+            self._sock.settimeout(None)
+        if data:
+            self._http.receive_data(data)
+        return bool(data)
+
+    def _read_whole(self) -> RawRequest | None:
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if not self._receive():
+                    return None
+            elif isinstance(event, h11.Request):
+                head = event
+                self._method = head.method
+                self._check(head)
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    raise BadRequestError(413, "body too large")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _raw(head, b"".join(parts))
+            else:
+                return None
+
+    def _receive(self) -> bool:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._sock.sendall(self._http.send(go_on))
+        data = receive(self._sock)
+        self._http.receive_data(data)
+        return bool(data)
+
+    def _check(self, head: h11.Request) -> None:
+        """Refuse framing that others may read in another way."""
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise BadRequestError(400, "both a length and chunks")
+        if names.count(b"host") > 1:
+            raise BadRequestError(400, "more than one host")
+
+    def watch(self) -> None:
+        """Read until the caller closes; keep what it sends ahead.
+
+        Returns when the caller has closed, or sent too much ahead.
+        """
+        while self._ahead < MOST_PIPELINED:
+            try:
+                data = receive(self._sock)
+            except OSError:
+                return
+            if not data:
+                return
+            self._keep_ahead(data)
+
+    def has_left(self) -> bool:
+        """Return whether the caller has closed already; keep what it sent ahead."""
+        plain = self._sock.fd
+        while self._ahead < MOST_PIPELINED:
+            try:
+                data = plain.recv(RECV_BYTES)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+            if not data:
+                return True
+            self._keep_ahead(data)
+        return True
+
+    def _keep_ahead(self, data: bytes) -> None:
+        self._ahead += len(data)
+        self._http.receive_data(data)
+
+    def send_head(self, head: RawHead) -> None:
+        """Send the head of the answer.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        headers = list(head.headers)
+        if self.is_closing:
+            headers.append((b"Connection", b"close"))
+        self.head_sent = True
+        self._send(
+            h11.Response(status_code=head.status, reason=head.reason, headers=headers)
+        )
+
+    def send_data(self, data: bytes) -> None:
+        """Send a piece of the answer's body.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        if data:
+            self._send(h11.Data(data=data))
+
+    def send_whole(self, head: RawHead, body: bytes) -> None:
+        """Send an answer whose body is known.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        length = (b"Content-Length", str(len(body)).encode())
+        self.send_head(RawHead(head.status, head.reason, [*head.headers, length]))
+        self.send_data(b"" if self._method == b"HEAD" else body)
+        self.end()
+
+    def end(self) -> None:
+        """Mark the answer as complete.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        self._send(h11.EndOfMessage())
+
+    def _send(self, event: Any) -> None:  # noqa: ANN401
+        data = self._http.send(event)
+        if not data:
+            return
+        try:
+            self._sock.sendall(data)
+        except OSError as exc:
+            raise CallerGoneError(f"caller closed: {exc}") from exc
+
+    def next_request(self) -> bool:
+        """Make ready for another request; return whether there can be one."""
+        self._ahead = 0
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if not done or self.is_closing:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    def abort(self) -> None:
+        """Reset the connection, so that what was sent cannot look complete."""
+        linger = struct.pack("ii", 1, 0)
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError as exc:
+            if exc.errno != errno.EBADF:
+                raise
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+
+def _raw(head: h11.Request, body: bytes) -> RawRequest:
+    names = [name for name, _ in head.headers]
+    has_body = b"content-length" in names or b"transfer-encoding" in names
+    return RawRequest(head.method, head.target, head.headers.raw_items(), body, has_body)
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -13,16 +13,11 @@
 from .attempt import Attempt, Fate, Placement
 from .caller_side import CallerSide
 from .context import Context
+from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, Pace
 from .event_stream import CONTENT_TYPE, EventSplitter
 from .fleet import Repeat
-from .http1 import (
-    AnswerError,
-    ConnectError,
-    EndpointConnection,
-    RawHead,
-    end_to_end,
-)
+from .http1 import AnswerError, ConnectError, RawHead, end_to_end
 from .jobs import Job, patience_s
 from .outcomes import Progress
 from .pool import RESTED_S
--- a/dockreach/direct/helping.py
+++ b/dockreach/direct/helping.py
@@ -11,7 +11,8 @@
 from ..errors import WireError
 from ..events import Event, log
 from . import view as views
-from .http1 import AnswerError, ConnectError, EndpointConnection
+from .endpoint_connection import EndpointConnection
+from .http1 import AnswerError, ConnectError
 from .peers import PeerRow, PeerTable
 from .view import View
 
--- a/dockreach/direct/pool.py
+++ b/dockreach/direct/pool.py
@@ -5,7 +5,7 @@
 import time
 from typing import NamedTuple
 
-from .http1 import EndpointConnection
+from .endpoint_connection import EndpointConnection
 
 DEFAULT_KEPT_S = 2.0
 """How long an idle connection is reused where the endpoint does not say, in seconds."""
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -14,10 +14,11 @@
 from ..errors import CallerGoneError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
+from .caller_connection import CallerConnection
 from .context import Context
 from .exchange import Exchange
 from .fleet import CallerLimits, Revision
-from .http1 import BadRequestError, CallerConnection, RawHead, RawRequest
+from .http1 import BadRequestError, RawHead, RawRequest
 
 ACCEPT_AGAIN_S = 0.1
 """Pause after a connection could not be accepted, in seconds."""
--- a/dockreach/direct/status_pages.py
+++ b/dockreach/direct/status_pages.py
@@ -7,8 +7,9 @@
 
 from ..errors import CallerGoneError
 from ..events import Event, log
+from .caller_connection import CallerConnection
 from .fleet import CallerLimits
-from .http1 import BadRequestError, CallerConnection, RawHead
+from .http1 import BadRequestError, RawHead
 
 Page = tuple[RawHead, bytes]
 
--- a/tests/direct/test_pool.py
+++ b/tests/direct/test_pool.py
@@ -9,7 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dockreach.direct.http1 import ConnectError, EndpointConnection
+from dockreach.direct.endpoint_connection import EndpointConnection
+from dockreach.direct.http1 import ConnectError
 from dockreach.direct.pool import MOST_IDLE, ConnectionPool, idle_share
 
 from .standins import Dialog, EndpointStandIn
