Feeds: one word for having caught up; a silence is told in tenths of a second

Read as a newcomer: the adapter set a feed's counter from outside, in two places; reached and _note_fleet were the same.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -214,7 +214,7 @@
         for row in self.endpoints:
             if row.id not in listed:
                 self.lose_endpoint(row.id, after_outage=after_outage)
-        self._note_fleet(fleet_revision)
+        self.reached(fleet_revision)
 
     def _knowledge(self) -> Knowledge:
         revision = self.revision.number if self.revision else 0
@@ -242,9 +242,6 @@
 
     def reached(self, fleet_revision: int) -> None:
         """Note up to which revision of the platform endpoints were read."""
-        self._note_fleet(fleet_revision)
-
-    def _note_fleet(self, fleet_revision: int) -> None:
         self._fleet_revision = max(fleet_revision, self._fleet_revision)
         if not self._has_endpoints:
             self._has_endpoints = True
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -76,6 +76,10 @@
         self.calls += 1
         self.answered = now
 
+    def catch_up(self) -> None:
+        """Note that all that changed meanwhile is read."""
+        self.failures = 0
+
     def fail(self) -> None:
         """Note that a call gave nothing."""
         self.calls += 1
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -110,9 +110,15 @@
             data: bytes = plain.recv(RECV_BYTES)
             return data
         except BlockingIOError:
-            limit_s = sock.gettimeout()
-            silent = TimeoutError(f"silent for {limit_s} s")
-            trampoline(plain, read=True, timeout=limit_s, timeout_exc=silent)
+            _await_data(sock)
+
+
+def _await_data(sock: Any) -> None:  # noqa: ANN401
+    limit_s = sock.gettimeout()
+    try:
+        trampoline(sock.fd, read=True, timeout=limit_s, timeout_exc=TimeoutError)
+    except TimeoutError as exc:
+        raise TimeoutError(f"silent for {limit_s:.1f} s") from exc
 
 
 def tune(sock: Any) -> None:  # noqa: ANN401
--- a/dockreach/entry_node.py
+++ b/dockreach/entry_node.py
@@ -259,7 +259,7 @@
                 self._platform_down(str(exc))
                 _green.sleep(RETRY_PLATFORM_S)
                 continue
-            self._config_feed.failures = 0
+            self._config_feed.catch_up()
             if body is not None and self.offer_config(body, "platform"):
                 _green.sleep(RETRY_PLATFORM_S)
 
--- a/tests/direct/test_feeds.py
+++ b/tests/direct/test_feeds.py
@@ -53,7 +53,7 @@
     feed = Feed()
     feed.fail()
     feed.answer(5.0)
-    feed.failures = 0
+    feed.catch_up()
     assert feed.next_call(2.0).wait_s > 0
     assert feed.age_s(6.5, 0.0) == 1.5
     assert feed.calls == 2
