A fault of the program costs one step of a loop and not the loop

Found by reading, looking for what ends without being noticed: an error that nobody expected ended a greenlet for good. The entry that followed the platform, listened to its peers, expired what was old or watched its settings no longer would have gone on to call itself ready. A value of the store that is not base64 did so.

Change: one function runs all five loops; a fault is logged (731) with its trace and the loop goes on. A value that cannot be read is an error of the platform like others. The soak looks for 731 in the entries' logs.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -28,6 +28,7 @@
 from .gossip import Gossip
 from .helping import Helping, Knowledge
 from .listening import listen
+from .loops import run_forever
 from .peers import PeerTable
 from .pool import ConnectionPool
 from .retrying import RetryBudget
@@ -119,8 +120,8 @@
         self._listen(settings.gossip, partial(serve_page, page=pages.view))
         if settings.metrics is not None:
             self._listen(settings.metrics, partial(serve_page, page=pages.metrics))
-        eventlet.spawn(self._helping.run)
-        eventlet.spawn(self._rounds)
+        self._helping.start()
+        eventlet.spawn(run_forever, self._round)
         log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_past)
 
     @staticmethod
@@ -290,17 +291,16 @@
         self.ctx.entries = len(self.peers) + 1
         self.ctx.scheduler.pump()
 
-    def _rounds(self) -> None:
-        while True:
-            eventlet.sleep(ROUND_S)
-            now = time.monotonic()
-            gone = self.peers.expire(now)
-            self.ctx.spending.keep_ended(gone)
-            for row in gone:
-                log(Event.PEER_DOWN, peer=row.digest.name)
-            self._end_lapsed(now)
-            self.ctx.pool.expire()
-            self._count_others(now)
+    def _round(self) -> None:
+        eventlet.sleep(ROUND_S)
+        now = time.monotonic()
+        gone = self.peers.expire(now)
+        self.ctx.spending.keep_ended(gone)
+        for row in gone:
+            log(Event.PEER_DOWN, peer=row.digest.name)
+        self._end_lapsed(now)
+        self.ctx.pool.expire()
+        self._count_others(now)
 
     def _end_lapsed(self, now: float) -> None:
         for row in self.endpoints:
--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -11,6 +11,7 @@
 from ..errors import WireError
 from ..events import Event, log
 from .digest import MAX_DATAGRAM_BYTES, Address, Digest, decode, encode
+from .loops import run_forever
 from .peers import PeerTable
 
 IDLE_S = 0.25
@@ -47,8 +48,8 @@
 
     def start(self) -> None:
         """Start to send and receive."""
-        eventlet.spawn(self._send_loop)
-        eventlet.spawn(self._receive_loop)
+        eventlet.spawn(run_forever, self._send_next)
+        eventlet.spawn(run_forever, self._receive_next)
 
     def changed(self) -> None:
         """Send a digest soon."""
@@ -72,20 +73,18 @@
             # A full or cut link: the next digest replaces this one.
             self.refused += 1
 
-    def _send_loop(self) -> None:
-        while True:
-            self._changed = eventlet.event.Event()
-            self.send_now()
-            eventlet.sleep(self._peers.gap_s)
-            with eventlet.Timeout(IDLE_S, False):
-                self._changed.wait()
-
-    def _receive_loop(self) -> None:
-        while True:
-            try:
-                data, _ = self._sock.recvfrom(RECV_BYTES)
-                digest = decode(data)
-            except (OSError, WireError) as exc:
-                log(Event.DIGEST_REFUSED, str(exc))
-                continue
-            self._on_digest(digest)
+    def _send_next(self) -> None:
+        self._changed = eventlet.event.Event()
+        self.send_now()
+        eventlet.sleep(self._peers.gap_s)
+        with eventlet.Timeout(IDLE_S, False):
+            self._changed.wait()
+
+    def _receive_next(self) -> None:
+        try:
+            data, _ = self._sock.recvfrom(RECV_BYTES)
+            digest = decode(data)
+        except (OSError, WireError) as exc:
+            log(Event.DIGEST_REFUSED, str(exc))
+            return
+        self._on_digest(digest)
--- a/dockreach/direct/helping.py
+++ b/dockreach/direct/helping.py
@@ -13,6 +13,7 @@
 from . import view as views
 from .endpoint_connection import EndpointConnection
 from .http1 import AnswerError, ConnectError
+from .loops import run_forever
 from .peers import PeerRow, PeerTable
 from .view import View
 
@@ -67,13 +68,15 @@
         self._take = take
         self._behind_since: float | None = None
 
-    def run(self) -> None:
+    def start(self) -> None:
         """Look now and then whether a peer knows more."""
-        while True:
-            eventlet.sleep(ROUND_S)
-            peer = self.peer_to_ask(time.monotonic())
-            if peer is not None:
-                self._ask(peer)
+        eventlet.spawn(run_forever, self._look)
+
+    def _look(self) -> None:
+        eventlet.sleep(ROUND_S)
+        peer = self.peer_to_ask(time.monotonic())
+        if peer is not None:
+            self._ask(peer)
 
     def peer_to_ask(self, now: float) -> PeerRow | None:
         """Return a peer that knows more than this entry; ``None`` if none does."""
--- /dev/null
+++ b/tests/direct/test_loops.py
@@ -0,0 +1,33 @@
+"""Loops go on after a fault of the program."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from dockreach.direct.loops import AFTER_FAULT_S, run_forever
+
+
+def test_a_fault_costs_one_step_and_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    steps: list[int] = []
+
+    def step() -> None:
+        steps.append(len(steps))
+        if len(steps) == 1:
+            raise ZeroDivisionError("a fault of the program")
+        eventlet.sleep(0.01)
+
+    loop = eventlet.spawn(run_forever, step)
+    eventlet.sleep(AFTER_FAULT_S + 0.1)
+    loop.kill()
+    assert len(steps) > 3
+    (row,) = [vars(row) for row in caplog.records if vars(row)["event"] == 731]
+    assert "ZeroDivisionError" in row["message"]
+    assert "in step" in row["trace"]
+
+
+def test_a_loop_that_is_killed_ends() -> None:
+    loop = eventlet.spawn(run_forever, eventlet.sleep)
+    eventlet.sleep(0.01)
+    loop.kill()
+    assert loop.dead
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -60,6 +60,10 @@
         del self._items[key]
         self._note({"tls_key": key, "revision": self.revision, "deleted": True})
 
+    def spoil(self, key: str) -> None:
+        """Let an item have a value that is not base64."""
+        self._items[key]["value"] = "not base64!"
+
     def cut(self) -> None:
         """End the watches that wait, with what `failing` says."""
         self._wake()
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -11,6 +11,7 @@
 
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import CallLimits
+from dockreach.direct.fleet import Revision
 from dockreach.errors import PlatformError
 from dockreach_platform.follower import Follower
 from dockreach_platform.headers import PlatformDialect
@@ -206,6 +207,33 @@
         reader.list("servers/", LIMITS)
 
 
+def test_a_value_that_cannot_be_read_is_an_error_of_the_platform(
+    store: StoreStandIn,
+) -> None:
+    store.spoil("op/config")
+    with pytest.raises(PlatformError, match="op/config is not base64"):
+        Store(store.address).list("op/", LIMITS)
+
+
+def test_a_fault_of_the_program_does_not_end_the_following(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = follow(store)
+    faults = iter([ZeroDivisionError("a fault of the program")])
+    take = entry.take_revision
+
+    def faulty(revision: Revision, source: str) -> bool:
+        for fault in faults:
+            raise fault
+        return take(revision, source)
+
+    monkeypatch.setattr(entry, "take_revision", faulty)
+    store.put("op/config", config(8))
+    eventlet.sleep(1.0)
+    assert entry.revision is not None
+    assert entry.revision.number == 8
+
+
 def test_a_store_that_is_not_there_is_an_error_at_once() -> None:
     with pytest.raises(PlatformError):
         Store("127.0.0.1:9").list("op/", LIMITS)
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+from dockreach.events import Event
+
 ROOT = Path(__file__).resolve().parents[2]
 GRACE_S = 8.0
 
@@ -23,6 +25,8 @@
 """Ports are the same for all entries, as on the platform: each has an IP number."""
 
 
+INTERNAL_ERROR = f'"event": {int(Event.INTERNAL_ERROR)},'
+
 NETS = range(40, 240)
 
 
@@ -152,6 +156,13 @@
         self._process.wait()
         self._process = None
 
+    def faults(self) -> list[str]:
+        """Return the faults of the program that its log tells of."""
+        if not self._log.exists():
+            return []
+        lines = self._log.read_text(errors="replace").splitlines()
+        return [line for line in lines if INTERNAL_ERROR in line]
+
     def tail(self, lines: int = 12) -> str:
         """Return the last lines of its log."""
         if not self._log.exists():
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -63,6 +63,7 @@
         limit: Tokens that the limited organisation may use in a window.
         window_s: Length of that window, in seconds.
         unplanned: Ends of entries that nobody asked for.
+        faults: Faults of the program that entries logged.
         late_s: For how long the soak itself stood still, in seconds.
         calm_from: When the last fault had ended, with time to recover.
     """
@@ -77,6 +78,7 @@
     stops: list[Span] = field(default_factory=list)
     harms: list[Span] = field(default_factory=list)
     unplanned: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
     late_s: float = 0.0
     calm_from: float = 0.0
 
@@ -99,6 +101,7 @@
         "an organisation got more than its limit": _over_limit(seen),
         "not served although nothing is wrong any more": _not_recovered(seen),
         "an entry ended by itself": seen.unplanned,
+        "a fault of the program": seen.faults,
     }
     return [
         f"{promise}: {len(cases)} ({'; '.join(cases[:MOST_SHOWN])})"
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -141,3 +141,9 @@
     found = seen()
     found.unplanned.append("entry-0: -11")
     assert "by itself" in broken(found)[0]
+
+
+def test_a_fault_of_the_program_is_seen() -> None:
+    found = seen()
+    found.faults.append('entry-0: {"event": 731, "message": "ZeroDivisionError()"}')
+    assert "a fault of the program" in broken(found)[0]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -105,6 +105,7 @@
             entry.end()
         for entry in self.entries:
             self.seen.unplanned += [f"{entry.name}: {code}" for code in entry.unplanned]
+            self.seen.faults += [f"{entry.name}: {line}" for line in entry.faults()]
 
     def _addresses(self) -> list[tuple[str, str]]:
         pairs = zip(self.entries, self.callers_proxies, strict=True)
