Two entries of each data hall read the platform; the others hear from them

Ruled out: longer waits. They are derived from the time in which a change must be in force.

Change: readers by rendezvous hashing within a hall; others fetch what is newer from an entry of their hall, and ask the platform themselves when nobody that they hear has had an answer for half of that time, when they stay behind, or after a failure. A revision of endpoints rises with changes only. A view tells which endpoints have lapsed.

A change is in force in time with readers deaf, and after an outage (tests on a stand-in of the store).

--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 
@@ -27,6 +29,10 @@
         fleet_spent: Tokens spent by all entries in the window, as the sender sees it.
         known: Some other entries.
         capacity: Part of a processor core that the sender may use.
+        hall: The sender's data hall.
+        configuration_age_s: Time since the platform last answered the sender on the
+            configuration, in seconds.
+        endpoints_age_s: The same on endpoints.
     """
 
     name: str
@@ -42,3 +48,6 @@
     fleet_spent: dict[str, int]
     known: list[Address]
     capacity: float = 1.0
+    hall: str = ""
+    configuration_age_s: float = math.inf
+    endpoints_age_s: float = math.inf
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 import socket
 import time
@@ -26,7 +27,7 @@
 from .endpoints import EndpointTable, Published
 from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
-from .feeds import AWAY_PART, Feeds
+from .feeds import AWAY_PART, Feed, Feeds
 from .fleet import Revision, Route
 from .gossip import Gossip
 from .granting import Granter
@@ -36,6 +37,7 @@
 from .peers import PeerTable
 from .placing_messages import PlacingAnswer, PlacingState
 from .pool import ConnectionPool
+from .readers import CONFIGURATION, ENDPOINTS, Readers
 from .retrying import RetryBudget
 from .scheduling import Scheduler
 from .serving import CallerServer, accept_all
@@ -109,7 +111,8 @@
         self.granter = Granter(
             settings.gossip, self.dispatcher, self.endpoints, self._route_named
         )
-        self._helping = Helping(self.peers, self._knowledge, self._take_view)
+        self._readers = Readers(self.peers, settings.hall)
+        self._helping = Helping(self.peers, settings.hall, self._knowledge, self._take_view)
         self.ctx = Context(
             dialect=dialect,
             endpoints=self.endpoints,
@@ -242,16 +245,19 @@
 
     def _knowledge(self) -> Knowledge:
         revision = self.revision.number if self.revision else 0
-        age_s = self.feeds.endpoints.age_s(time.monotonic(), self.started)
+        now = time.monotonic()
+        age_s = self.feeds.endpoints.age_s(now, self.started)
         is_cut_off = age_s > AWAY_PART * self.settings.in_force_s
-        return Knowledge(revision, self._fleet_revision, is_cut_off)
+        reads = self._readers.is_reader(now)
+        return Knowledge(revision, self._fleet_revision, is_cut_off, reads)
 
     def view(self) -> View:
         """Return all that the platform published, for an entry that it does not serve."""
         text = self.revision.text if self.revision else b""
         published = [row.published for row in self.endpoints]
         number = self.revision.number if self.revision else 0
-        return View(number, text, self._fleet_revision, published)
+        lapsed = [row.id for row in self.endpoints if row.lapsed_until is not None]
+        return View(number, text, self._fleet_revision, published, lapsed)
 
     def _take_view(self, view: View, peer: str) -> None:
         """Take in what a peer knows, as far as it is newer."""
@@ -263,10 +269,14 @@
         if view.fleet_revision > self._fleet_revision and view.endpoints:
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.fleet_revision)
             self.take_all(view.endpoints, view.fleet_revision)
+            for endpoint in view.lapsed:
+                self.lose_endpoint(endpoint, after_outage=True)
 
     def reached(self, fleet_revision: int) -> None:
         """Note up to which revision of the platform endpoints were read."""
-        self._fleet_revision = max(fleet_revision, self._fleet_revision)
+        if fleet_revision > self._fleet_revision:
+            self._fleet_revision = fleet_revision
+            self.gossip.changed()
         if not self._has_endpoints:
             self._has_endpoints = True
             log(Event.READY)
@@ -291,8 +301,24 @@
             fleet_spent=self.ctx.spending.fleet(now),
             known=self.peers.told(now - self.started),
             capacity=self.settings.capacity,
+            hall=self.settings.hall,
+            configuration_age_s=self.feeds.configuration.age_s(now, -math.inf),
+            endpoints_age_s=self.feeds.endpoints.age_s(now, -math.inf),
         )
 
+    def may_rest(self, feed: Feed) -> bool:
+        """Return whether the platform need not be asked now, since other entries read it.
+
+        Args:
+            feed: The part of what it publishes that would be asked for.
+        """
+        is_configuration = feed is self.feeds.configuration
+        part = CONFIGURATION if is_configuration else ENDPOINTS
+        knows = self._knowledge()
+        revision = knows.revision if is_configuration else knows.fleet_revision
+        in_force_s = self.settings.in_force_s
+        return self._readers.may_rest(part, feed, revision, in_force_s, time.monotonic())
+
     def _route_named(self, name: str) -> Route | None:
         return self.revision.routes_by_name.get(name) if self.revision else None
 
--- a/dockreach/direct/helping.py
+++ b/dockreach/direct/helping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -41,11 +42,14 @@
         fleet_revision: The platform's revision up to which endpoints were read.
         is_cut_off: Whether the platform has not answered for so long that endpoints may
             have changed unnoticed.
+        is_reader: Whether this entry asks the platform itself; else it asks those of its
+            data hall that do.
     """
 
     revision: int
     fleet_revision: int
     is_cut_off: bool
+    is_reader: bool = True
 
 
 class Helping:
@@ -53,6 +57,7 @@
 
     Args:
         peers: The other entries.
+        hall: The data hall of this entry.
         knows: Returns what this entry knows.
         take: Takes a peer's view in.
     """
@@ -60,10 +65,12 @@
     def __init__(
         self,
         peers: PeerTable,
+        hall: str,
         knows: Callable[[], Knowledge],
         take: Callable[[View, str], None],
     ) -> None:
         self._peers = peers
+        self._hall = hall
         self._knows = knows
         self._take = take
         self._behind_since: float | None = None
@@ -82,19 +89,22 @@
         """Return a peer that knows more than this entry; ``None`` if none does."""
         knows = self._knows()
         fresh = self._peers.fresh(now)
-        newest = max(fresh, key=lambda row: row.digest.revision, default=None)
-        if newest is not None and newest.digest.revision > knows.revision:
+        if not knows.is_reader:
+            near = [row for row in fresh if row.digest.hall == self._hall]
+            found = _ahead(near, _revision, knows.revision)
+            found = found or _ahead(near, _fleet_revision, knows.fleet_revision)
+            if found is not None:
+                return found
+        ahead = _ahead(fresh, _revision, knows.revision)
+        if ahead is None:
+            self._behind_since = None
+        else:
             self._behind_since = self._behind_since or now
             if not knows.revision or now - self._behind_since > BEHIND_S:
-                return newest
-        else:
-            self._behind_since = None
+                return ahead
         if not knows.is_cut_off and knows.fleet_revision:
             return None
-        ahead = max(fresh, key=lambda row: row.digest.fleet_revision, default=None)
-        if ahead is not None and ahead.digest.fleet_revision > knows.fleet_revision:
-            return ahead
-        return None
+        return _ahead(fresh, _fleet_revision, knows.fleet_revision)
 
     def _ask(self, peer: PeerRow) -> None:
         address = peer.digest.address
@@ -105,6 +115,27 @@
             log(Event.PEER_SILENT, str(exc), peer=peer.digest.name)
 
 
+def _revision(row: PeerRow) -> int:
+    return row.digest.revision
+
+
+def _fleet_revision(row: PeerRow) -> int:
+    return row.digest.fleet_revision
+
+
+def _ahead(
+    rows: list[PeerRow], revision_of: Callable[[PeerRow], int], known: int
+) -> PeerRow | None:
+    """Return one of those that know the newest revision, if it is newer than what is known.
+
+    Any of them will do: one that all others ask at once answers late.
+    """
+    newest = max(map(revision_of, rows), default=0)
+    if newest <= known:
+        return None
+    return random.choice([row for row in rows if revision_of(row) == newest])
+
+
 def _fetch(address: str) -> bytes:
     conn = EndpointConnection(address, CONNECT_S)
     try:
--- a/dockreach/direct/view.py
+++ b/dockreach/direct/view.py
@@ -19,13 +19,16 @@
         revision: Number of the configuration in force; 0 for none.
         text: The configuration as the platform published it.
         fleet_revision: The platform's revision up to which endpoints were read.
-        endpoints: All that the platform lists.
+        endpoints: All that the platform lists, and those that lapsed lately.
+        lapsed: Ids of endpoints that vanished while the platform was away, and are kept
+            until they should be back.
     """
 
     revision: int
     text: bytes
     fleet_revision: int
     endpoints: list[Published]
+    lapsed: list[str] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/direct/cores.py
+++ b/tests/direct/cores.py
@@ -32,6 +32,8 @@
     fleet_spent: dict[str, int] | None = None,
     known: list[Address] | None = None,
     capacity: float = 1.0,
+    hall: str = "",
+    configuration_age_s: float = 0.0,
 ) -> Digest:
     """Return a digest."""
     return Digest(
@@ -48,6 +50,9 @@
         fleet_spent=fleet_spent or {},
         known=known or [],
         capacity=capacity,
+        hall=hall,
+        configuration_age_s=configuration_age_s,
+        endpoints_age_s=configuration_age_s,
     )
 
 
--- /dev/null
+++ b/tests/platform/test_readers.py
@@ -0,0 +1,94 @@
+"""Few entries of a data hall read the store, and all know each change in time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import eventlet
+import pytest
+
+from dockreach.direct.digest import Address
+from dockreach.direct.entry import Entry
+from dockreach.direct.readers import READERS
+from dockreach_platform.follower import Follower
+from dockreach_platform.headers import PlatformDialect
+from tests.direct.standins import entry_settings
+
+from .store_standin import StoreStandIn
+from .test_follower import config, server
+from .test_freshness import knows, leaves, wait_until
+
+IN_FORCE_S = 4.0
+ENTRIES = 5
+
+
+def start(store: StoreStandIn, seeds: tuple[Address, ...]) -> Entry:
+    settings = replace(entry_settings(), in_force_s=IN_FORCE_S, seeds=seeds)
+    entry = Entry(settings, PlatformDialect())
+    entry.start()
+    Follower(store.address, entry).start()
+    return entry
+
+
+@pytest.fixture(name="store")
+def _store() -> StoreStandIn:
+    store = StoreStandIn()
+    store.put("op/config", config(3))
+    store.put("servers/i-1", server())
+    return store
+
+
+@pytest.fixture(name="entries")
+def _entries(store: StoreStandIn) -> list[Entry]:
+    """Return entries of one hall that have heard each other."""
+    first = start(store, ())
+    entries = [first, *(start(store, (first.settings.gossip,)) for _ in range(ENTRIES - 1))]
+    wait_until(lambda: all(len(entry.peers) == ENTRIES - 1 for entry in entries), 3.0)
+    eventlet.sleep(1.0)
+    return entries
+
+
+def all_so(entries: list[Entry], is_so: Callable[[Entry], bool]) -> Callable[[], bool]:
+    return lambda: all(is_so(entry) for entry in entries)
+
+
+def test_only_the_readers_of_a_hall_hold_calls(
+    store: StoreStandIn, entries: list[Entry]
+) -> None:
+    eventlet.sleep(IN_FORCE_S)
+    before = len(store.calls)
+    eventlet.sleep(IN_FORCE_S)
+    # Each reader asks twice in 1.9 to 2.4 s.
+    assert len(store.calls) - before <= READERS * 2 * 3
+    assert len(entries) == ENTRIES
+
+
+def test_changes_are_known_by_those_that_do_not_read(
+    store: StoreStandIn, entries: list[Entry]
+) -> None:
+    calls = len(store.calls)
+    store.put("op/config", config(4))
+    store.put("servers/i-1", server("draining"))
+    assert wait_until(all_so(entries, lambda entry: knows(entry, 4)), 4.0) < 2.0
+    assert wait_until(all_so(entries, lambda entry: leaves(entry, "i-1")), 4.0) < 1.0
+    assert len(store.calls) - calls <= READERS * 4
+
+
+def test_changes_are_known_where_the_readers_are_deaf(
+    store: StoreStandIn, entries: list[Entry]
+) -> None:
+    # The store takes their calls and says nothing; those of the others it answers.
+    store.mute()
+    store.put("op/config", config(4))
+    assert wait_until(all_so(entries, lambda entry: knows(entry, 4)), 8.0) < IN_FORCE_S
+
+
+def test_after_an_outage_all_are_up_to_date(
+    store: StoreStandIn, entries: list[Entry]
+) -> None:
+    store.failing = "silent"
+    eventlet.sleep(2 * IN_FORCE_S)
+    store.failing = ""
+    store.put("op/config", config(4))
+    assert wait_until(all_so(entries, lambda entry: knows(entry, 4)), 8.0) < IN_FORCE_S
