Endpoints that are gone cost no attempt, and one request finds out whether one works again

Cause: after a crash of a quarter of the engines 143 drafts and chats were refused in 2 s, since another endpoint had the address of the one that they were sent to: the answer that says so was counted as the one attempt that their routes allow. An endpoint that refuses connections was tried by all at once each time that it had been left alone for long enough (744 attempts in 6 s, 55 requests refused after four of them).

Ruled out: that the requests may have run; such an answer is a promise.

The tests fail on the code before.

--- a/dockreach/direct/attempt.py
+++ b/dockreach/direct/attempt.py
@@ -17,6 +17,9 @@
     NOT_SENT = "not_sent"
     """No connection came up."""
 
+    NOT_THERE = "not_there"
+    """Another endpoint has its address, and has not run the request."""
+
     NOT_RUN = "not_run"
     """The endpoint says that it has not run the request."""
 
@@ -27,6 +30,9 @@
     """No whole answer came; the request may have run."""
 
 
+NOTHING_RAN = frozenset((Fate.NOT_SENT, Fate.NOT_THERE, Fate.NOT_RUN))
+
+
 @dataclass(slots=True)
 class Attempt:
     """One attempt's result.
--- a/dockreach/direct/choosing.py
+++ b/dockreach/direct/choosing.py
@@ -110,7 +110,9 @@
 
     def _has_room(self, row: EndpointRow, higher_tiers: int) -> bool:
         """Return whether an endpoint has a place beyond those left to higher tiers."""
-        return row.free + self._extra > _kept_places(row, higher_tiers)
+        # Where all try one that failed, 30 requests a second find that it is still down.
+        room = row.free + self._extra
+        return row.may_be_tried and room > _kept_places(row, higher_tiers)
 
     def _higher_tiers(self, job: Job, now: float) -> int:
         """Return how many higher tiers had streams for the same service lately."""
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -65,6 +65,7 @@
         speed: What is measured of it as an engine.
         suspect_until: Steady time until which it gets nothing, in seconds.
         failures: Failures in a row.
+        is_probed: Whether a request is under way that finds out whether it works again.
     """
 
     published: Published
@@ -76,6 +77,7 @@
     plain_s: float = PLAIN_PRIOR_S
     suspect_until: float = 0.0
     failures: int = 0
+    is_probed: bool = False
     lapsed_until: float | None = None
     prefixes: dict[str, float] = field(default_factory=dict)
     samples: list[Sample] = field(default_factory=list)
@@ -90,6 +92,11 @@
         """Places not taken, as far as this entry knows; may be negative."""
         return self.published.slots - self.taken
 
+    @property
+    def may_be_tried(self) -> bool:
+        """Whether the endpoint takes requests; after a failure one goes first."""
+        return not self.failures or not self.is_probed
+
     @property
     def taken(self) -> int:
         """Requests under way, as far as this entry knows."""
@@ -97,6 +104,7 @@
 
     def count(self, change: int, *, is_peers: bool) -> None:
         """Count requests that begin, or end if the change is negative."""
+        self.is_probed = change > 0 and self.failures > 0
         if is_peers:
             self.granted += change
         else:
@@ -133,6 +141,10 @@
         """
         sample = Sample(self.id, kind, tokens, seconds)
         self.learn(sample)
+        self._keep(sample)
+
+    def _keep(self, sample: Sample) -> None:
+        """Keep a measurement until it is told."""
         if len(self.samples) < MOST_SAMPLES:
             self.samples.append(sample)
 
@@ -147,19 +159,33 @@
 
     def failed(self, now: float) -> None:
         """Leave the endpoint alone for a while, for longer after each failure in a row."""
-        if len(self.samples) < MOST_SAMPLES:
-            self.samples.append(Sample(self.id, SampleKind.FAILED))
+        self._keep(Sample(self.id, SampleKind.FAILED))
         self.suspect(now)
 
     def suspect(self, now: float) -> None:
         """Leave the endpoint alone for a while."""
         wait = min(SUSPECT_FIRST_S * 2**self.failures, SUSPECT_MOST_S)
         self.failures += 1
+        self.is_probed = False
         self.suspect_until = now + wait
 
+    def lose_address(self, now: float) -> None:
+        """Leave the endpoint alone for long: another one answers at its address.
+
+        It does not come back; the platform lists it for some seconds more.
+        """
+        self._keep(Sample(self.id, SampleKind.GONE))
+        self.end(now)
+
+    def end(self, now: float) -> None:
+        """Take the endpoint for one that has ended."""
+        self.suspect(now)
+        self.suspect_until = now + SUSPECT_MOST_S
+
     def succeeded(self) -> None:
         """Trust the endpoint again."""
         self.failures = 0
+        self.is_probed = False
         self.suspect_until = 0.0
 
 
@@ -256,7 +282,9 @@
         if row is None:
             return
         row.learn(sample)
-        if sample.kind is SampleKind.FAILED:
+        if sample.kind is SampleKind.GONE:
+            row.end(now)
+        elif sample.kind is SampleKind.FAILED:
             if row.suspect_until <= now:
                 row.suspect(now)
         elif sample.kind is not SampleKind.GAP:
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -10,7 +10,7 @@
 from ..errors import DockreachError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
-from .attempt import Attempt, Fate, Placement
+from .attempt import NOTHING_RAN, Attempt, Fate, Placement
 from .caller_side import CallerSide
 from .context import Context
 from .endpoint_connection import EndpointConnection
@@ -128,7 +128,7 @@
                 attempt = self._attempt(found)
             finally:
                 self._ctx.scheduler.release(job)
-            if attempt.fate is Fate.NOT_RUN:
+            if attempt.fate in NOTHING_RAN:
                 self.may_have_run = had_run
             self.attempts.append(attempt)
             job.tried.add(found.id)
@@ -156,10 +156,12 @@
 
     def _may_go_on(self, attempt: Attempt) -> bool:
         """Return whether the request may be sent to another endpoint."""
-        self._sent += 1
+        # One that was gone before the request came is none of those that it was sent to:
+        # in a crash of a quarter of the engines 143 requests of 800 were refused for it.
+        self._sent += attempt.fate is not Fate.NOT_THERE
         if attempt.answer is not None:
             self._last_answer = attempt.answer
-        if attempt.fate is not Fate.NOT_RUN and self._route.repeat is Repeat.NEVER:
+        if attempt.fate not in NOTHING_RAN and self._route.repeat is Repeat.NEVER:
             return False
         if self._sent >= self._route.max_attempts:
             return False
@@ -279,8 +281,8 @@
     ) -> Attempt:
         if head.standing is Standing.OTHER_ENDPOINT:
             conn.read_body(BUFFER_BYTES)
-            row.failed(self._ctx.now())
-            return Attempt(Fate.NOT_RUN, row.id, "another endpoint has the address")
+            row.lose_address(self._ctx.now())
+            return Attempt(Fate.NOT_THERE, row.id, "another endpoint has the address")
         if head.standing is Standing.NOT_RUN:
             conn.read_body(BUFFER_BYTES)
             return Attempt(Fate.NOT_RUN, row.id, f"endpoint refused: {head.status}")
--- a/dockreach/direct/placing_messages.py
+++ b/dockreach/direct/placing_messages.py
@@ -28,6 +28,9 @@
     FAILED = 3
     """An attempt failed."""
 
+    GONE = 4
+    """Another endpoint answers at its address."""
+
 
 class Sample(msgspec.Struct, array_like=True, frozen=True):
     """One measurement of an endpoint.
--- a/tests/direct/test_choosing.py
+++ b/tests/direct/test_choosing.py
@@ -69,6 +69,19 @@
     assert core.waiting() == {}
 
 
+def test_after_a_failure_one_request_goes_first() -> None:
+    """Six requests at a time found that a crashed engine still refuses connections."""
+    table = endpoints(6)
+    core = dispatcher(table)
+    (row,) = table
+    row.failed(0.0)
+    core.submit(job("first", arrived=2.0))
+    core.submit(job("second", arrived=2.0))
+    assert placed(core.pump(2.0)) == ["first"]
+    row.succeeded()
+    assert placed(core.pump(2.1)) == ["second"]
+
+
 def test_where_all_are_suspect_all_are_tried() -> None:
     table = endpoints(1, 1)
     for row in table:
--- a/tests/direct/test_forward.py
+++ b/tests/direct/test_forward.py
@@ -229,6 +229,25 @@
         assert status_of(caller.read_answer()) == 200
 
 
+def test_one_whose_address_another_endpoint_has_costs_no_attempt() -> None:
+    """143 drafts and chats were refused in 2 s after a crash of a quarter of the engines.
+
+    Others had got the addresses and said that they are not those that were meant. The one
+    attempt that the routes allow was counted, and the engines were tried again after 0.5 s.
+    """
+
+    def other(dialog: Dialog) -> None:
+        dialog.answer(b"", status=b"421 Misdirected Request")
+
+    gone, live = EndpointStandIn(other), EndpointStandIn(ok)
+    entry = start_entry(gone, live)
+    for number in range(4):
+        caller = Caller(entry)
+        caller.send("/once/a", rid=f"r-{number}")
+        assert status_of(caller.read_answer()) == 200
+    assert len(gone.requests) <= 1
+
+
 def test_a_whole_stream_is_passed_on_event_by_event() -> None:
     caller = Caller(start_entry(EndpointStandIn(full_stream)))
     caller.send("/draft/a", body=b"prompt")
