Digests leave out what only entries that have just started need

Ruled out: fewer digests. How old spending is known decides how much of a limit is set aside.

Change: the sum and eight addresses only while an entry that has started lately is known, else two addresses; no zeros at the end. An entry that has just started assumes the most that may have been spent until an older one has told the sum. Also: answers and jobs to place are lists, since sending may let another greenlet change the tables.

--- a/dockreach/direct/asking.py
+++ b/dockreach/direct/asking.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from ..events import Event, log
@@ -182,8 +181,9 @@
                 decisions.append(Refused(job, _NO_PLACE))
         return decisions
 
-    def unanswered(self, now: float) -> Iterator[Job]:
+    def unanswered(self, now: float) -> list[Job]:
         """Return jobs that this entry has to place itself."""
+        jobs: list[Job] = []
         for service, desk in self._desks.items():
             if desk.coordinator is None or not desk.is_silent(now):
                 continue
@@ -195,7 +195,8 @@
                 peer=desk.coordinator.ip,
                 waiting=len(desk.waiting),
             )
-            yield from self._leave(service, desk)
+            jobs.extend(self._leave(service, desk))
+        return jobs
 
     def _desk(self, service: str, now: float) -> _Desk:
         """Return a service's desk, with the entry that is to be asked now."""
--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -26,7 +26,8 @@
         fleet_revision: The platform's revision up to which endpoints were read.
         under_way: Requests under way, by endpoint.
         spent: Tokens spent by organisation, in steps of time back from now.
-        fleet_spent: Tokens spent by all entries in the window, as the sender sees it.
+        fleet_spent: Tokens spent by all entries in the window, as the sender sees it;
+            ``None`` where nobody has started lately that would need it.
         known: Some other entries.
         capacity: Part of a processor core that the sender may use.
         hall: The sender's data hall.
@@ -45,7 +46,7 @@
     fleet_revision: int
     under_way: dict[str, int]
     spent: dict[str, list[int]]
-    fleet_spent: dict[str, int]
+    fleet_spent: dict[str, int] | None
     known: list[Address]
     capacity: float = 1.0
     hall: str = ""
--- a/dockreach/direct/granting.py
+++ b/dockreach/direct/granting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .digest import Address
@@ -188,12 +188,14 @@
             asking.denied[number] = _denial(number, decision)
         return True
 
-    def answers(self) -> Iterator[tuple[Address, PlacingAnswer]]:
+    def answers(self) -> list[tuple[Address, PlacingAnswer]]:
         """Return what is to be told now, and to whom."""
+        found = []
         for (address, service), asking in self._asking.items():
             if asking.is_owed:
                 asking.is_owed = False
-                yield address, self._answer(asking, service)
+                found.append((address, self._answer(asking, service)))
+        return found
 
     def _answer(self, asking: _Asking, service: str) -> PlacingAnswer:
         return PlacingAnswer(
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -36,6 +36,10 @@
 MOST_TOLD = 8
 """Addresses of others in one digest: enough for a newcomer to find all in a few."""
 
+FEW_TOLD = 2
+"""The same while nobody has started lately: what was missed is told in time. An address is
+a fortieth of a digest."""
+
 YOUNG_S = 10.0
 """Age up to which an entry names all others that it knows in a digest, in seconds. Where
 150 entries start together, limits are else exceeded by up to nine tenths of their bound in
@@ -156,10 +160,16 @@
             age_s: Age of this entry, in seconds; a young one names all.
         """
         rows = list(self._rows)
-        if len(rows) <= MOST_TOLD or age_s < YOUNG_S:
+        most = MOST_TOLD if self.has_young else FEW_TOLD
+        if len(rows) <= most or age_s < YOUNG_S:
             return rows
-        self._turn = (self._turn + MOST_TOLD) % len(rows)
-        return (rows + rows)[self._turn : self._turn + MOST_TOLD]
+        self._turn = (self._turn + most) % len(rows)
+        return (rows + rows)[self._turn : self._turn + most]
+
+    @property
+    def has_young(self) -> bool:
+        """Whether another entry has started lately, as far as it has told."""
+        return any(row.digest.age_s < YOUNG_S for row in self._rows.values())
 
     def under_way(
         self,
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -160,10 +160,16 @@
     def own(self, now: float) -> dict[str, list[int]]:
         """Return this entry's spending, as it is told to others."""
         found = {name: row.back(now, self._span) for name, row in self._own.items()}
-        return {name: amounts for name, amounts in found.items() if any(amounts)}
+        trimmed = {name: _trimmed(amounts) for name, amounts in found.items()}
+        return {name: amounts for name, amounts in trimmed.items() if amounts}
 
-    def fleet(self, now: float) -> dict[str, int]:
-        """Return the spending of all entries in the window, up to a step old."""
+    def fleet(self, now: float) -> dict[str, int] | None:
+        """Return the spending of all entries in the window, up to a step old.
+
+        It is for those that have started lately; where there are none it is left out.
+        """
+        if not self._peers.has_young:
+            return None
         if now - self._summed >= STEP_S:
             self._summed = now
             self._sums = {name: int(self.spent(name, now)) for name in self._names()}
@@ -218,7 +224,11 @@
         return float(max(told, default=0))
 
     def _old_view(self, digest: Digest, name: str) -> int:
-        return digest.fleet_spent.get(name, 0) if digest.age_s > self._span else 0
+        return (digest.fleet_spent or {}).get(name, 0) if self._remembers(digest) else 0
+
+    def _remembers(self, digest: Digest) -> bool:
+        """Return whether a peer has told what was spent in a whole window."""
+        return digest.fleet_spent is not None and digest.age_s > self._span
 
     def admit(
         self, organisation: Organisation, tokens: int, now: float, *, tier: int = 0
@@ -326,11 +336,17 @@
         age_s = now - self._started
         if not self._has_past or age_s > self._span:
             return 0.0
-        if any(row.digest.age_s > self._span for row in self._peers.rows):
+        if any(self._remembers(row.digest) for row in self._peers.rows):
             return 0.0
         return self._aim(organisation, self._span - age_s)
 
 
+def _trimmed(amounts: list[int]) -> list[int]:
+    """Return amounts without the zeros at their end."""
+    last = max((index for index, amount in enumerate(amounts) if amount), default=-1)
+    return amounts[: last + 1]
+
+
 def _add_told(total: list[int], row: PeerRow, name: str, now: float) -> None:
     """Add what a peer told, moved back by the time that has passed since."""
     passed = int((now - row.heard) / STEP_S)
--- a/tests/direct/cores.py
+++ b/tests/direct/cores.py
@@ -47,7 +47,7 @@
         fleet_revision=fleet_revision,
         under_way=under_way or {},
         spent=spent or {},
-        fleet_spent=fleet_spent or {},
+        fleet_spent=fleet_spent,
         known=known or [],
         capacity=capacity,
         hall=hall,
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -6,6 +6,7 @@
 
 from dockreach.direct.datagrams import decode, encode
 from dockreach.direct.peers import (
+    FEW_TOLD,
     FRESH_S,
     MOST_PEERS,
     MOST_TOLD,
@@ -92,6 +93,14 @@
     for number in range(MOST_PEERS + 50):
         table.receive(digest(address(number)), 1.0)
     assert len(table) == MOST_PEERS
+    assert len(table.told(YOUNG_S)) == FEW_TOLD
+
+
+def test_more_are_named_while_somebody_has_just_started() -> None:
+    table = peers()
+    for number in range(50):
+        table.receive(digest(address(number), age_s=60.0), 1.0)
+    table.receive(digest(address(50), age_s=0.1), 1.0)
     assert len(table.told(YOUNG_S)) == MOST_TOLD
 
 
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -143,6 +143,26 @@
     assert spending.admit(organisation(), 600, 1.0) is not None
 
 
+def test_a_fresh_entry_assumes_the_most_until_an_older_peer_has_told() -> None:
+    amounts = []
+    tellings: list[dict[str, int] | None] = [None, {}]
+    for told in tellings:
+        known = peers()
+        known.receive(digest(address(1), fleet_spent=told, age_s=60.0), 0.0)
+        amounts.append(spend_all(table(known, has_past=True), 0.1))
+    assert amounts[0] < OWED * 0.25
+    assert amounts[1] > OWED * 0.35
+
+
+def test_what_older_peers_remember_is_told_while_somebody_has_just_started() -> None:
+    known = peers()
+    known.receive(digest(address(1), age_s=60.0), 60.0)
+    spending = table(known)
+    assert spending.fleet(60.0) is None
+    known.receive(digest(address(2), age_s=0.1), 60.1)
+    assert spending.fleet(60.1) == {}
+
+
 def test_after_a_loss_of_all_memory_the_bound_holds_with_a_full_window_before() -> None:
     before = table()
     spent = {0.5 * step: spend_all(before, 0.5 * step) for step in range(16)}
