--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -31,6 +31,12 @@
         "KEPT_SHARE = 0.12",
         "KEPT_SHARE = 0.0",
     ),
+    Edit(
+        "one entry that gives out places",
+        "direct/entry_settings.py",
+        "    is_coordinated: bool = True\n",
+        "    is_coordinated: bool = False\n",
+    ),
     Edit("one extra request", "direct/choosing.py", "EXTRA = 1\n", "EXTRA = 0\n"),
     Edit(
         "engines that end a stream in time",
--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -162,6 +162,60 @@
         " or age_s < YOUNG_S:",
         ":",
     ),
+    Edit(
+        "a grant that is told twice is taken once",
+        "direct/asking.py",
+        "        del session.waiting[job.number]\n        job.take",
+        "        job.take",
+    ),
+    Edit(
+        "an entry whose coordinator is silent decides itself",
+        "direct/asking.py",
+        "            jobs.extend(self._leave(service, session))\n",
+        "            self._leave(service, session)\n",
+    ),
+    Edit(
+        "a place at an endpoint that leaves is declined",
+        "direct/asking.py",
+        "row is None or row.published.leaving or",
+        "row is None or",
+    ),
+    Edit(
+        "a state that comes late changes nothing",
+        "direct/granting.py",
+        "        if state.number <= asking.number:\n            return False\n",
+        "",
+    ),
+    Edit(
+        "a place that was granted is not granted again",
+        "direct/granting.py",
+        "if granted is None and number not in asking.waiting | asking.denied:",
+        "if number not in asking.waiting | asking.denied:",
+    ),
+    Edit(
+        "places of a silent entry come back",
+        "direct/granting.py",
+        "if now - asking.heard > LEASE_S",
+        "if False",
+    ),
+    Edit(
+        "who does not read the platform trusts no word that is old",
+        "direct/readers.py",
+        "now - row.heard + part.age_of(row.digest) <= trust_s",
+        "True",
+    ),
+    Edit(
+        "after a failure one request goes first",
+        "direct/choosing.py",
+        "row.may_be_tried and room",
+        "room",
+    ),
+    Edit(
+        "an endpoint whose address another has costs no attempt",
+        "direct/forward.py",
+        "attempt.fate is not Fate.NOT_THERE",
+        "True",
+    ),
 )
 
 
--- a/dockreach/direct/asking.py
+++ b/dockreach/direct/asking.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class _Desk:
+class _Session:
     """What goes on between this entry and the coordinator of one service.
 
     Attributes:
@@ -91,8 +91,8 @@
         self._incarnation = incarnation
         self._coordinators = coordinators
         self._endpoints = endpoints
-        self._desks: dict[str, _Desk] = {}
-        self._farewells: list[tuple[Address, PlacingState]] = []
+        self._sessions: dict[str, _Session] = {}
+        self._closing: list[tuple[Address, PlacingState]] = []
         self._state_numbers = itertools.count(1)
         self._job_numbers = itertools.count(1)
         self.fallbacks = 0
@@ -100,151 +100,153 @@
     def waiting(self) -> dict[str, int]:
         """Return how many jobs wait for an answer, by service."""
         return {
-            name: len(desk.waiting) for name, desk in self._desks.items() if desk.waiting
+            name: len(session.waiting)
+            for name, session in self._sessions.items()
+            if session.waiting
         }
 
     def ask(self, job: Job, now: float) -> bool:
         """Ask for a place; return whether there is somebody to ask."""
         job.number = next(self._job_numbers)
-        desk = self._desk(job.service, now)
-        if desk.coordinator is None:
+        session = self._session(job.service, now)
+        if session.coordinator is None:
             return False
-        desk.waiting[job.number] = job
-        desk.has_news = True
+        session.waiting[job.number] = job
+        session.has_news = True
         return True
 
     def hold(self, job: Job) -> None:
         """Note that a job has a place."""
-        desk = self._desks.setdefault(job.service, _Desk())
-        desk.held[job.number] = job
-        desk.has_news = True
+        session = self._sessions.setdefault(job.service, _Session())
+        session.held[job.number] = job
+        session.has_news = True
 
     def note_read(self, job: Job) -> None:
         """Note that a job's prompt is read."""
-        self._desks.setdefault(job.service, _Desk()).has_news = True
+        self._sessions.setdefault(job.service, _Session()).has_news = True
 
     def drop(self, job: Job) -> None:
         """Note that a job neither waits nor holds a place any more."""
-        desk = self._desks.get(job.service)
-        if desk is None:
+        session = self._sessions.get(job.service)
+        if session is None:
             return
-        waited = desk.waiting.pop(job.number, None)
-        held = desk.held.pop(job.number, None)
-        desk.has_news = desk.has_news or waited is not None or held is not None
+        waited = session.waiting.pop(job.number, None)
+        held = session.held.pop(job.number, None)
+        session.has_news = session.has_news or waited is not None or held is not None
 
     def take(self, answer: PlacingAnswer, now: float) -> list[Decision]:
         """Take in what a coordinator decided."""
-        desk = self._desks.get(answer.service)
-        if desk is None or answer.incarnation != self._incarnation:
+        session = self._sessions.get(answer.service)
+        if session is None or answer.incarnation != self._incarnation:
             return []
-        if answer.address != desk.coordinator:
+        if answer.address != session.coordinator:
             return []
-        desk.unanswered = 0
+        session.unanswered = 0
         decisions: list[Decision] = []
         for grant in answer.grants:
-            placed = self._use(desk, grant)
+            placed = self._use(session, grant)
             if placed is not None:
                 decisions.append(placed)
         for denial in answer.denials:
-            job = desk.waiting.pop(denial.number, None)
+            job = session.waiting.pop(denial.number, None)
             if job is not None:
-                desk.has_news = True
+                session.has_news = True
                 decisions.append(Refused(job, _refusal(denial)))
-        for job in desk.waiting.values():
+        for job in session.waiting.values():
             job.was_weighed = True
         return decisions
 
-    def _use(self, desk: _Desk, grant: Grant) -> Placed | None:
+    def _use(self, session: _Session, grant: Grant) -> Placed | None:
         """Take a place; decline one at an endpoint that is gone or leaves."""
-        job = desk.waiting.get(grant.number)
+        job = session.waiting.get(grant.number)
         if job is None:
             return None
-        desk.has_news = True
+        session.has_news = True
         row = self._endpoints.get(grant.endpoint)
         if row is None or row.published.leaving or grant.endpoint in job.tried:
             job.tried.add(grant.endpoint)
             return None
-        del desk.waiting[job.number]
+        del session.waiting[job.number]
         job.take_place(row, read_ahead=grant.read_ahead, met_place=grant.met_place)
         job.start_reading(grant.reading)
-        job.granted_by = desk.coordinator.ip if desk.coordinator else ""
-        desk.held[job.number] = job
+        job.granted_by = session.coordinator.ip if session.coordinator else ""
+        session.held[job.number] = job
         return Placed(job, row)
 
     def expire(self, now: float) -> list[Decision]:
         """Refuse jobs that have waited for long enough."""
         decisions: list[Decision] = []
-        for desk in self._desks.values():
-            for job in [job for job in desk.waiting.values() if now >= job.give_up]:
-                del desk.waiting[job.number]
-                desk.has_news = True
+        for session in self._sessions.values():
+            for job in [job for job in session.waiting.values() if now >= job.give_up]:
+                del session.waiting[job.number]
+                session.has_news = True
                 decisions.append(Refused(job, _NO_PLACE))
         return decisions
 
     def unanswered(self, now: float) -> list[Job]:
         """Return jobs that this entry has to place itself."""
         jobs: list[Job] = []
-        for service, desk in self._desks.items():
-            if desk.coordinator is None or not desk.is_silent(now):
+        for service, session in self._sessions.items():
+            if session.coordinator is None or not session.is_silent(now):
                 continue
-            self._coordinators.suspect(desk.coordinator, now)
-            self.fallbacks += len(desk.waiting)
+            self._coordinators.suspect(session.coordinator, now)
+            self.fallbacks += len(session.waiting)
             log(
                 Event.COORDINATOR_SILENT,
                 service=service,
-                peer=desk.coordinator.ip,
-                waiting=len(desk.waiting),
+                peer=session.coordinator.ip,
+                waiting=len(session.waiting),
             )
-            jobs.extend(self._leave(service, desk))
+            jobs.extend(self._leave(service, session))
         return jobs
 
-    def _desk(self, service: str, now: float) -> _Desk:
-        """Return a service's desk, with the entry that is to be asked now."""
-        desk = self._desks.setdefault(service, _Desk())
+    def _session(self, service: str, now: float) -> _Session:
+        """Return a service's session, with the entry that is to be asked now."""
+        session = self._sessions.setdefault(service, _Session())
         coordinator = self._coordinators.of(service, now)
-        if coordinator != desk.coordinator:
-            self._say_farewell(service, desk)
-            desk.coordinator = coordinator
-            desk.unanswered = 0
-            desk.has_news = True
-        return desk
-
-    def _say_farewell(self, service: str, desk: _Desk) -> None:
+        if coordinator != session.coordinator:
+            self._close(service, session)
+            session.coordinator = coordinator
+            session.unanswered = 0
+            session.has_news = True
+        return session
+
+    def _close(self, service: str, session: _Session) -> None:
         """Tell a coordinator that it need not count this entry's places any longer."""
-        if desk.coordinator is not None:
-            self._farewells.append((desk.coordinator, self._state(service, [], [])))
+        if session.coordinator is not None:
+            self._closing.append((session.coordinator, self._state(service, [], [])))
 
-    def _leave(self, service: str, desk: _Desk) -> list[Job]:
+    def _leave(self, service: str, session: _Session) -> list[Job]:
         """Stop asking a coordinator; return the jobs that waited for it."""
-        self._say_farewell(service, desk)
-        jobs = list(desk.waiting.values())
-        desk.waiting.clear()
-        desk.coordinator = None
-        desk.unanswered = 0
+        self._close(service, session)
+        jobs = list(session.waiting.values())
+        session.waiting.clear()
+        session.coordinator = None
+        session.unanswered = 0
         return jobs
 
     def reconsider(self, now: float) -> list[Job]:
         """Look whom to ask now; return jobs that this entry has to place itself."""
         jobs: list[Job] = []
-        for service in list(self._desks):
-            desk = self._desk(service, now)
-            if desk.coordinator is None and desk.waiting:
-                jobs.extend(desk.waiting.values())
-                desk.waiting.clear()
+        for service in list(self._sessions):
+            session = self._session(service, now)
+            if session.coordinator is None and session.waiting:
+                jobs.extend(session.waiting.values())
+                session.waiting.clear()
         return jobs
 
     def due(self, now: float) -> list[tuple[Address, PlacingState]]:
         """Return the states that are to be sent now, and to whom."""
-        found, self._farewells = self._farewells, []
-        for service, desk in self._desks.items():
-            if desk.coordinator is None or not desk.is_due(now):
+        found, self._closing = self._closing, []
+        for service, session in self._sessions.items():
+            if session.coordinator is None or not session.is_due(now):
                 continue
-            waiting = [_waiting(job, now) for job in desk.waiting.values()]
-            held = [_held(job) for job in desk.held.values() if job.endpoint is not None]
-            desk.has_news = False
-            desk.sent = now
-            desk.unanswered += bool(waiting)
-            found.append((desk.coordinator, self._state(service, waiting, held)))
+            waiting = [_waiting(job, now) for job in session.waiting.values()]
+            held = [_held(job) for job in session.held.values() if job.endpoint is not None]
+            session.has_news = False
+            session.sent = now
+            session.unanswered += bool(waiting)
+            found.append((session.coordinator, self._state(service, waiting, held)))
         return found
 
     def _state(
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -102,10 +102,10 @@
         """Requests under way, as far as this entry knows."""
         return self.own + self.others + self.granted
 
-    def count(self, change: int, *, is_peers: bool) -> None:
+    def count(self, change: int, *, for_peer: bool) -> None:
         """Count requests that begin, or end if the change is negative."""
         self.is_probed = change > 0 and self.failures > 0
-        if is_peers:
+        if for_peer:
             self.granted += change
         else:
             self.own += change
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -306,7 +306,7 @@
             endpoints_age_s=self.feeds.endpoints.age_s(now, -math.inf),
         )
 
-    def may_rest(self, feed: Feed) -> bool:
+    def may_skip_call(self, feed: Feed) -> bool:
         """Return whether the platform need not be asked now, since other entries read it.
 
         Args:
@@ -317,7 +317,9 @@
         knows = self._knowledge()
         revision = knows.revision if is_configuration else knows.fleet_revision
         in_force_s = self.settings.in_force_s
-        return self._readers.may_rest(part, feed, revision, in_force_s, time.monotonic())
+        return self._readers.may_skip_call(
+            part, feed, revision, in_force_s, time.monotonic()
+        )
 
     def _route_named(self, name: str) -> Route | None:
         return self.revision.routes_by_name.get(name) if self.revision else None
--- a/dockreach/direct/granting.py
+++ b/dockreach/direct/granting.py
@@ -167,7 +167,7 @@
             was_weighed=told.was_weighed,
             tried=set(told.tried),
             number=told.number,
-            is_peers=True,
+            for_peer=True,
         )
         asking.waiting[told.number] = job
         self._askers_of[id(job)] = (asking, told.number)
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -59,7 +59,7 @@
         read_ahead: Prompt tokens that the endpoint had still to read before them.
         met_place: Whether the endpoint had a place free for it, as far as was known.
         number: Of the job at its entry, where places are asked for; 0 otherwise.
-        is_peers: Whether it is another entry's.
+        for_peer: Whether it is another entry's.
         granted_by: IP number of the entry that gave the place; empty if this one did.
     """
 
@@ -81,7 +81,7 @@
     read_ahead: int = 0
     met_place: bool = True
     number: int = 0
-    is_peers: bool = False
+    for_peer: bool = False
     granted_by: str = ""
 
     @classmethod
@@ -97,7 +97,7 @@
             prefix=(),
             arrived=arrived,
             give_up=math.inf,
-            is_peers=True,
+            for_peer=True,
         )
 
     def take_place(self, row: EndpointRow, *, read_ahead: int, met_place: bool) -> None:
@@ -111,7 +111,7 @@
         self.endpoint = row
         self.read_ahead = read_ahead
         self.met_place = met_place
-        row.count(1, is_peers=self.is_peers)
+        row.count(1, for_peer=self.for_peer)
 
     def start_reading(self, tokens: int) -> None:
         """Note that the endpoint has to read prompt tokens for this job."""
@@ -125,7 +125,7 @@
         if row is None:
             return
         self.end_reading()
-        row.count(-1, is_peers=self.is_peers)
+        row.count(-1, for_peer=self.for_peer)
         self.endpoint = None
 
     @property
--- a/dockreach/direct/readers.py
+++ b/dockreach/direct/readers.py
@@ -76,7 +76,7 @@
         names = [f"{address.ip}:{address.port}" for address in (self._peers.own, *near)]
         return names[0] in ranked(self._hall, names)[:READERS]
 
-    def may_rest(
+    def may_skip_call(
         self, part: Part, feed: Feed, revision: int, in_force_s: float, now: float
     ) -> bool:
         """Return whether nothing need be asked now, since others read.
--- a/tests/direct/test_asking.py
+++ b/tests/direct/test_asking.py
@@ -163,9 +163,9 @@
     assert core.waiting() == {}
     # The silent one is not asked for the next job, but told to count nothing more.
     assert not core.ask(job("b", arrived=now), now)
-    ((to, farewell),) = core.due(now)
+    ((to, closing),) = core.due(now)
     assert to == OTHER
-    assert (farewell.waiting, farewell.held) == ([], [])
+    assert (closing.waiting, closing.held) == ([], [])
 
 
 def test_a_job_is_refused_in_time_whatever_the_coordinator_does() -> None:
@@ -208,6 +208,6 @@
     asked(core, item)
     known.receive(digest(OTHER, number=2, leaving=True), 100.1)
     assert core.reconsider(100.1) == [item]
-    ((to, farewell),) = core.due(100.1)
+    ((to, closing),) = core.due(100.1)
     assert to == OTHER
-    assert farewell.waiting == []
+    assert closing.waiting == []
