--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,20 +22,29 @@
 @click.option("--first", type=int, help="The first seed; drawn if it is left out.")
 @click.option("--seconds", default=10.0, help="How long faults come in each.")
 @click.option("--entries", default=ENTRIES, help="Entries in each; many run alone.")
+@click.option("--lives", is_flag=True, help="Endpoints start again under their ids.")
 @click.option("--one", type=int, help="Run this seed alone, in this process.")
 def main(
-    seeds: int, first: int | None, seconds: float, entries: int, one: int | None
+    seeds: int,
+    first: int | None,
+    seconds: float,
+    entries: int,
+    *,
+    lives: bool,
+    one: int | None,
 ) -> None:
     """Run soaks with fresh seeds, some side by side; exit with 1 if one broke a promise."""
     if one is not None:
-        sys.exit(_run_one(one, seconds, entries))
+        sys.exit(_run_one(one, seconds, entries, has_lives=lives))
     start = secrets.randbelow(10**6) if first is None else first
     todo = list(range(start, start + seeds))
     failed = []
     while todo:
         count = max(SIDE_BY_SIDE * ENTRIES // entries, 1)
         batch, todo = todo[:count], todo[count:]
-        running = [(seed, _spawn(seed, seconds, entries)) for seed in batch]
+        running = [
+            (seed, _spawn(seed, seconds, entries, has_lives=lives)) for seed in batch
+        ]
         for seed, process in running:
             output, _ = process.communicate()
             click.echo(output.decode(), nl=False)
@@ -47,17 +56,21 @@
     sys.exit(1 if failed else 0)
 
 
-def _spawn(seed: int, seconds: float, entries: int) -> subprocess.Popen[bytes]:
+def _spawn(
+    seed: int, seconds: float, entries: int, *, has_lives: bool
+) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-W", "ignore", "-m", "tests.soak"]
     options = ["--one", str(seed), "--seconds", str(seconds), "--entries", str(entries)]
+    if has_lives:
+        options.append("--lives")
     return subprocess.Popen(
         command + options, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
     )
 
 
-def _run_one(seed: int, seconds: float, entries: int) -> int:
+def _run_one(seed: int, seconds: float, entries: int, *, has_lives: bool) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        result = soak(seed, seconds, Path(folder), entries)
+        result = soak(seed, seconds, Path(folder), entries, has_lives=has_lives)
     late = f", itself late for {result.late_s:.1f} s" if result.late_s else ""
     click.echo(f"seed {seed}: {result.served} of {result.asked} requests served{late}")
     if not result.broken:
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -15,6 +15,8 @@
 
 from dockreach.events import Event
 
+from .promises import COLD_OVER, COLD_SLACK, EMPTY_S
+
 ROOT = Path(__file__).resolve().parents[2]
 GRACE_S = 8.0
 
@@ -110,7 +112,14 @@
             "port_range": [FIRST_PORT, FIRST_PORT + 15],
             "seeds": self._seeds,
             "bootstrap": self._starts == 0,
-            "bounds": {"grace_period_s": GRACE_S, "quota_window_s": 4, "quota_over": 0.25},
+            "bounds": {
+                "grace_period_s": GRACE_S,
+                "quota_window_s": 4,
+                "quota_over": 0.25,
+                "evac_ms": EMPTY_S * 1000,
+                "cold_over": COLD_OVER,
+                "cold_slack": COLD_SLACK,
+            },
             "platform": {"address": self._store},
         }
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,10 +7,12 @@
 
 import eventlet
 
+from tests.platform.store_standin import endpoint_entry
+
 from .clients import WAIT_S
 from .entries import GRACE_S, EntryProcess
 from .proxy import Harm
-from .world import World
+from .world import HALLS, World
 
 Fault = Callable[[World], None]
 
@@ -166,6 +168,21 @@
     world.store.forget()
 
 
+def _restart_worker(world: World) -> None:
+    name = _worker_name(world)
+    world.restart_worker(name, is_dark=world.rng.random() < 0.5)
+
+
+def _empty_hall(world: World) -> None:
+    for_s = world.rng.choice((0.0, 0.5, 4.0))
+    world.empty_hall(world.rng.choice(HALLS), for_s)
+
+
+def _spoil_entry(world: World) -> None:
+    value = world.rng.choice((b"", b"{}", b"\xff", endpoint_entry(slots=0)))
+    world.spoil_entry(_worker_name(world), value, world.rng.uniform(0.3, 1.5))
+
+
 def _any_harm(world: World) -> Harm:
     return world.rng.choice([harm for harm in Harm if harm is not Harm.NONE])
 
@@ -190,3 +207,15 @@
     _mute_all,
     _signals,
 )
+
+LIFE_FAULTS: tuple[Fault, ...] = (
+    _restart_worker,
+    _empty_hall,
+    _spoil_entry,
+    _kill,
+    _kill_all,
+    _crash_worker,
+    _harm_store,
+)
+"""Faults of worlds whose endpoints start again under their ids. Apart from the others, so
+that the seeds of those draw what they drew."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -24,6 +24,15 @@
 TIMEOUT_S = 3.0
 """The routes' timeout, in seconds: an answer that takes longer is ended by it."""
 
+EMPTY_S = 2.0
+"""Time after which a data hall that is to be empty gets nothing more, in seconds."""
+
+COLD_RATE = 6.0
+COLD_OVER = 1.5
+COLD_SLACK = 2.0
+COLD_MOST = COLD_RATE * COLD_OVER + COLD_SLACK
+"""Requests that a cold endpoint may be sent in a second, over all entries."""
+
 CONTACT_S = 3.0
 """Time without trouble at the store after which promises with a time hold, in seconds."""
 
@@ -56,6 +65,9 @@
     Attributes:
         routed: Service of plain requests from each moment on, oldest first.
         leaving: When each worker said that it leaves.
+        emptied: When data halls were to be empty, by hall.
+        cold: When workers were cold, by worker.
+        halls: The data hall of each worker.
         store: When the store was harmed.
         stops: Planned stops, by entry.
         harms: When anything else was harmed that may cut answers, by entry; an empty name
@@ -74,6 +86,9 @@
     window_s: float
     routed: list[tuple[float, str]] = field(default_factory=list)
     leaving: dict[str, float] = field(default_factory=dict)
+    emptied: list[Span] = field(default_factory=list)
+    cold: list[Span] = field(default_factory=list)
+    halls: dict[str, str] = field(default_factory=dict)
     store: list[Span] = field(default_factory=list)
     stops: list[Span] = field(default_factory=list)
     harms: list[Span] = field(default_factory=list)
@@ -93,6 +108,10 @@
         "ran more than once": _twice(seen, by_rid),
         "refused as not run, but ran": _false_refusals(seen, by_rid),
         "an endpoint got work long after it said that it leaves": _late_work(seen),
+        "a hall that is to be empty got work long after it was said": _work_in_emptied(
+            seen
+        ),
+        "a cold endpoint got more than it may": _flooded(seen),
         "ran at a service that no configuration in force names": _misrouted(seen, by_rid),
         "refused by an older configuration": _unknown_routes(seen),
         "cut off by a planned stop": _cut_by_stop(seen, by_rid),
@@ -145,6 +164,37 @@
     return late
 
 
+def _work_in_emptied(seen: Seen) -> list[str]:
+    late = []
+    for span in seen.emptied:
+        for run in seen.record.runs:
+            if seen.halls.get(run.worker) != span.what:
+                continue
+            if not span.start + EMPTY_S < run.began < span.end:
+                continue
+            since = run.began - CONTACT_S
+            if not _harmed(seen.store + seen.harms, since, run.began):
+                late.append(
+                    f"{run.rid} at {run.worker} {run.began - span.start:.1f} s after"
+                )
+    return late
+
+
+def _flooded(seen: Seen) -> list[str]:
+    """Return cold endpoints that got too much in a second; no fault excuses that."""
+    found = []
+    for span in seen.cold:
+        times = sorted(
+            run.began
+            for run in seen.record.runs
+            if run.worker == span.what and span.start <= run.began <= span.end
+        )
+        most = max((sum(at <= t < at + 1.0 for t in times) for at in times), default=0)
+        if most > COLD_MOST:
+            found.append(f"{span.what}: {most} of {COLD_MOST:.0f}")
+    return found
+
+
 def _misrouted(seen: Seen, by_rid: dict[str, list[Run]]) -> list[str]:
     wrong = []
     for row in seen.outcomes:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 import eventlet
 
 from .entries import reserved_net
-from .faults import FAULTS, Fault
+from .faults import FAULTS, LIFE_FAULTS, Fault
 from .promises import broken
 from .world import ENTRIES, World
 
@@ -59,7 +59,14 @@
     late_s: float
 
 
-def soak(seed: int, faults_s: float, folder: Path, entries: int = ENTRIES) -> Result:
+def soak(
+    seed: int,
+    faults_s: float,
+    folder: Path,
+    entries: int = ENTRIES,
+    *,
+    has_lives: bool = False,
+) -> Result:
     """Run one soak.
 
     Args:
@@ -67,9 +74,12 @@
         faults_s: How long faults come, in seconds.
         folder: For settings and logs.
         entries: How many entries there are.
+        has_lives: Whether endpoints are cold after a start, start again under their ids,
+            and stand in halls that may have to be empty.
     """
     with reserved_net() as net:
-        return _soak(World(seed, net, folder, entries), seed, faults_s)
+        world = World(seed, net, folder, entries, has_lives=has_lives)
+        return _soak(world, seed, faults_s)
 
 
 def _soak(world: World, seed: int, faults_s: float) -> Result:
@@ -110,7 +120,10 @@
     names = []
     running = []
     most_s = world.rng.choice(BETWEEN_S)
-    kinds = world.rng.sample(FAULTS, world.rng.randint(*KINDS))
+    if world.has_lives:
+        kinds = list(LIFE_FAULTS)
+    else:
+        kinds = world.rng.sample(FAULTS, world.rng.randint(*KINDS))
     while time.monotonic() < start + faults_s:
         fault = world.rng.choice(kinds)
         times = world.rng.choice(SERIES)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from .clients import Outcome
 from .promises import Seen, Span, broken
 from .workers import Record, Run, answer_of, event_of, length_of
@@ -147,3 +149,25 @@
     found = seen()
     found.faults.append('entry-0: {"event": 731, "message": "ZeroDivisionError()"}')
     assert "a fault of the program" in broken(found)[0]
+
+
+def test_work_in_a_hall_that_is_to_be_empty_is_seen() -> None:
+    found = seen(outcome("once-1"), runs=(run("once-1", began=13.0),))
+    found.halls = {"i-1": "hall1"}
+    found.emptied = [Span("hall1", 10.0, 14.0)]
+    assert "to be empty" in broken(found)[0]
+    found.emptied = [Span("hall1", 11.5, 14.0)]
+    assert broken(found) == []
+    found.emptied = [Span("hall1", 8.0, 12.9)]
+    assert broken(found) == []
+
+
+def test_too_many_requests_at_a_cold_endpoint_are_seen() -> None:
+    runs = tuple(
+        replace(run(f"safe-{number}", began=10 + number / 20), organisation="free")
+        for number in range(12)
+    )
+    found = seen(*(outcome(item.rid) for item in runs), runs=runs)
+    assert broken(found) == []
+    found.cold = [Span("i-1", 9.0, 12.0)]
+    assert "cold" in broken(found)[0]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,3 +37,12 @@
     result = soak(seed, faults_s, tmp_path)
     assert result.broken == [], "\n".join([*result.faults, *result.logs])
     assert result.served > 100
+
+
+@pytest.mark.parametrize("seed", [3, 4])
+def test_every_promise_is_kept_while_endpoints_start_again_and_halls_are_emptied(
+    tmp_path: Path, seed: int
+) -> None:
+    result = soak(seed, LONG_S, tmp_path, has_lives=True)
+    assert result.broken == [], "\n".join([*result.faults, *result.logs])
+    assert result.served > 100
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -65,12 +65,25 @@
     """One start of an endpoint, behind a proxy.
 
     Attributes:
+        hall: The data hall that it stands in.
+        born: Time of its start, in milliseconds; 0 if it does not tell.
         failing: Part of its requests that it answers with 500.
         slowness: How many times as long as usual it takes.
     """
 
-    def __init__(self, name: str, service: str, record: Record, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        record: Record,
+        rng: random.Random,
+        *,
+        hall: str = "hall1",
+        born: int = 0,
+    ) -> None:
         self.name = name
+        self.hall = hall
+        self.born = born
         self.service = service
         self.failing = 0.0
         self.slowness = 1.0
@@ -86,6 +99,11 @@
         for dialog in self._stand_in.dialogs:
             dialog.reset()
 
+    def go_dark(self) -> None:
+        """Say nothing more on any connection, and take no new one."""
+        self._stand_in.close()
+        self.proxy.mute()
+
     def _serve(self, dialog: Dialog) -> None:
         expected = header_of(dialog.request, b"expected-instance")
         if expected != self.name.encode():
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,7 @@
 
 from .clients import Callers
 from .entries import FRONT_PORT, EntryProcess
-from .promises import CONFIG_S, Seen, Span
+from .promises import COLD_RATE, CONFIG_S, Seen, Span
 from .proxy import Harm, Proxy
 from .workers import Record, Worker
 
@@ -47,6 +47,17 @@
 ENDING_S = 2.5
 """How long an endpoint that leaves serves on, in seconds."""
 
+HALLS = ("hall1", "hall2")
+
+FIRST_BORN = 1_700_000_000_000
+"""When the first endpoints started, in milliseconds."""
+
+DOWN_S = 0.5
+"""How long an endpoint that starts again is down, in seconds."""
+
+COLD_S = 2.0
+"""How long an endpoint is cold after a start, in seconds."""
+
 
 class World:
     """Everything that the soak started, and what it saw.
@@ -56,15 +67,21 @@
         net: Second part of the entries' loopback numbers; apart for soaks side by side.
         folder: For settings and logs.
         entries: How many there are.
+        has_lives: Whether endpoints stand in two halls, are cold after a start, and tell
+            when they started.
     """
 
-    def __init__(self, seed: int, net: int, folder: Path, entries: int) -> None:
+    def __init__(
+        self, seed: int, net: int, folder: Path, entries: int, *, has_lives: bool = False
+    ) -> None:
+        self.has_lives = has_lives
         self.rng = random.Random(seed)
         self.store = StoreStandIn()
         self.store.page_items = 50
         self._record = Record()
         self._version = 0
         self._workers_made = 0
+        self._entries_written = 0
         self.workers: dict[str, Worker] = {}
         limit = (LIMIT_RATE * WINDOW_S + LIMIT_BURST) * (1 + LIMIT_OVER)
         self.seen = Seen([], self._record, limit, WINDOW_S)
@@ -129,7 +146,8 @@
         """Publish the next configuration; it moves the plain route to another service."""
         self._version += 1
         service = SERVICES[self._version % len(SERVICES)]
-        text = json.dumps(_configuration(self._version, service)).encode()
+        content = _configuration(self._version, service, has_lives=self.has_lives)
+        text = json.dumps(content).encode()
         self.store.put("op/config", text)
         self.seen.routed.append((time.monotonic(), service))
 
@@ -153,17 +171,37 @@
         """Start an endpoint and publish it."""
         self._workers_made += 1
         name = f"i-{self._workers_made}"
-        worker = Worker(name, service, self._record, self.rng)
-        self.workers[name] = worker
-        self._publish(worker, "ready")
+        number = self._workers_made if self.has_lives else 0
+        self._start_worker(
+            Worker(
+                name,
+                service,
+                self._record,
+                self.rng,
+                hall=HALLS[number % len(HALLS)],
+                born=FIRST_BORN if self.has_lives else 0,
+            )
+        )
 
-    def _publish(self, worker: Worker, state: str) -> None:
+    def _start_worker(self, worker: Worker, *, cold_s: float = 0.0) -> None:
+        self.workers[worker.name] = worker
+        self.seen.halls[worker.name] = worker.hall
+        if cold_s:
+            now = time.monotonic()
+            self.seen.cold.append(Span(worker.name, now, now + cold_s))
+        self._publish(worker, "ready", cold_s=cold_s)
+
+    def _publish(self, worker: Worker, state: str, *, cold_s: float = 0.0) -> None:
+        self._entries_written += 1
         entry = endpoint_entry(
             service=worker.service,
             address=worker.proxy.address,
-            zone="hall1",
+            zone=worker.hall,
             slots=6,
             state=state,
+            born=worker.born,
+            sequence=self._entries_written,
+            cold_remaining_ms=cold_s * 1000,
         )
         self.store.put(f"servers/{worker.name}", entry)
 
@@ -185,6 +223,39 @@
         self.store.delete(f"servers/{name}")
         self.add_worker(worker.service)
 
+    def restart_worker(self, name: str, *, is_dark: bool) -> None:
+        """Let an endpoint end and start again under its id, cold."""
+        old = self.workers[name]
+        self.harmed("", 1.0)
+        if is_dark:
+            old.go_dark()
+        else:
+            old.crash()
+        eventlet.sleep(DOWN_S)
+        new = Worker(
+            name, old.service, self._record, self.rng, hall=old.hall, born=old.born + 1000
+        )
+        self._start_worker(new, cold_s=COLD_S)
+        eventlet.sleep(COLD_S)
+        if self.workers.get(name) is new:
+            self._publish(new, "ready")
+
+    def empty_hall(self, hall: str, for_s: float) -> None:
+        """Give the order to empty a hall, and withdraw it after a while."""
+        start = time.monotonic()
+        self.store.put(f"op/evacuate/{hall}", b"{}")
+        eventlet.sleep(for_s)
+        self.seen.emptied.append(Span(hall, start, time.monotonic()))
+        self.store.delete(f"op/evacuate/{hall}")
+
+    def spoil_entry(self, name: str, value: bytes, for_s: float) -> None:
+        """Let another writer replace an endpoint's entry for a while."""
+        worker = self.workers[name]
+        self.store.put(f"servers/{name}", value)
+        eventlet.sleep(for_s)
+        if self.workers.get(name) is worker:
+            self._publish(worker, "ready")
+
     # What is noted for the promises.
 
     def harmed(self, entry: str, for_s: float) -> None:
@@ -213,7 +284,7 @@
         self.store.failing = ""
 
 
-def _configuration(version: int, service: str) -> dict[str, object]:
+def _configuration(version: int, service: str, *, has_lives: bool) -> dict[str, object]:
     routes = [
         _route("once", "unsafe", service),
         _route("safe", "safe", SERVICES[0], max_attempts=2),
@@ -231,7 +302,8 @@
             "burst": LIMIT_BURST,
         },
     ]
-    services = [{"name": name, "max_connections": 200} for name in SERVICES]
+    cold = {"cold_start_s": COLD_S, "cold_per_s": COLD_RATE} if has_lives else {}
+    services = [{"name": name, "max_connections": 200, **cold} for name in SERVICES]
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
 
 
