Whether an endpoint has room is looked up once for each job, not twice

Cause: found by reading the change. The choice asked for each endpoint whether any has room, and then again which of them has. Since the bound on cold endpoints belongs to that question, each job asked it twice, on the coordinator's hot path.

Change: one look, kept by id; the same endpoints are left for the same moment.

Found as well and not mended: the standing in which an entry decides is found anew at each round by a look through all peers, the likeliest reason for the cost at size.

--- a/dockreach/direct/choosing.py
+++ b/dockreach/direct/choosing.py
@@ -105,10 +105,11 @@
         if self._choice is Choice.PLAIN:
             return min(fresh or usable, key=_own_load, default=None)
         higher = self._higher_tiers(job, now)
-        if not any(self._has_room(row, higher, now) for row in fresh):
+        roomy = {row.id for row in fresh if self._has_room(row, higher, now)}
+        if not roomy:
             return None
         in_time = _in_time(job, _undisturbed(job, fresh), now)
-        free = [row for row in in_time if self._has_room(row, higher, now)]
+        free = [row for row in in_time if row.id in roomy]
         return min(free, key=lambda row: self._cost_s(job, row, now), default=None)
 
     def has_room(self, job: Job, now: float) -> bool:
