Logs tell which requests are the same one, come again under another id

Each try has a new id, so that nothing told nine chats under which engines ended from one chat that came nine times.

--- a/dockreach/direct/call.py
+++ b/dockreach/direct/call.py
@@ -16,6 +16,7 @@
         tokens: What it counts against the organisation's limit.
         ends: Steady time at which the caller or the route gives it up, in seconds.
         tried_at: Steady time of its caller's first try, in seconds.
+        fingerprint: The same for each try of one request.
         regions: Where it may be run; ``None`` for anywhere.
     """
 
@@ -25,4 +26,5 @@
     tokens: int
     ends: float
     tried_at: float
+    fingerprint: bytes
     regions: frozenset[str] | None = None
--- a/dockreach/direct/end_record.py
+++ b/dockreach/direct/end_record.py
@@ -84,11 +84,12 @@
         """Return what the configuration says of the request, for its log line."""
         call = self._call
         if call is None:
-            return {"route": "none", "organisation": ""}
+            return {"route": "none", "organisation": "", "fingerprint": ""}
         return {
             "route": call.route.name,
             "tier": call.route.tier,
             "organisation": call.organisation.name if call.organisation else "",
+            "fingerprint": call.fingerprint.hex(),
             "objective_ms": round(call.route.objective_s * 1000),
             "tried_ms": round((self._req.arrived - call.tried_at) * 1000),
         }
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -9,6 +9,7 @@
 from .caller_side import CallerSide
 from .context import Context
 from .end_record import EndRecord
+from .fingerprint import fingerprint_of
 from .fleet import Organisation, Revision, Route
 from .forward import Forward
 from .jobs import Job, patience_s
@@ -100,6 +101,7 @@
             tokens=self._tokens(organisation),
             ends=ends,
             tried_at=req.arrived - tried_s,
+            fingerprint=fingerprint_of(req, organisation.name if organisation else ""),
             regions=_regions(route, organisation),
         )
 
@@ -127,6 +129,7 @@
             self._req,
             self._caller,
             organisation=organisation.name if organisation else "",
+            fingerprint=call.fingerprint,
             most_idle=self._most_idle(call.service),
         )
         self._forwarded = forward
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -68,6 +68,7 @@
         req: The request.
         caller: Where the answer goes.
         organisation: Whose key it carries; empty on a public route.
+        fingerprint: The same for each try of the request.
         most_idle: Idle connections that may be kept to one endpoint.
     """
 
@@ -79,6 +80,7 @@
         caller: CallerSide,
         *,
         organisation: str,
+        fingerprint: bytes,
         most_idle: int,
     ) -> None:
         self._ctx = ctx
@@ -87,6 +89,7 @@
         self._req = req
         self._caller = caller
         self._organisation = organisation
+        self._fingerprint = fingerprint
         self._ends = job.ends
         self._most_idle = most_idle
         self._sent = 0
@@ -370,6 +373,7 @@
         log(
             Event.ATTEMPT_ENDED,
             rid=self._req.rid,
+            fingerprint=self._fingerprint.hex(),
             endpoint=attempt.endpoint,
             fate=attempt.fate.value,
             detail=attempt.detail,
--- /dev/null
+++ b/tests/direct/test_fingerprint.py
@@ -0,0 +1,56 @@
+"""Two tries of one request have the same fingerprint; two requests have not."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from dockreach.direct.fingerprint import FINGERPRINT_BYTES, fingerprint_of
+from dockreach.direct.requests import InboundRequest
+
+REQUEST = InboundRequest(
+    rid="r-1",
+    method=b"POST",
+    target=b"/draft/a?x=1",
+    host="tools.example",
+    headers=[],
+    body=b"text",
+    key="key-1",
+    deadline_s=1.0,
+    prompt_tokens=10,
+    most_tokens=10,
+    hint_tokens=0,
+    has_token_counts=True,
+    prefix=(),
+    last_event_id="",
+    arrived=1.0,
+)
+
+
+def test_an_id_a_deadline_or_a_time_does_not_make_another_request() -> None:
+    again = replace(REQUEST, rid="r-2", deadline_s=0.5, arrived=9.0)
+    assert fingerprint_of(again, "org") == fingerprint_of(REQUEST, "org")
+
+
+@pytest.mark.parametrize(
+    ("other", "organisation"),
+    [
+        (replace(REQUEST, target=b"/draft/a?x=2"), "org"),
+        (replace(REQUEST, target=b"/draft/b?x=1"), "org"),
+        (replace(REQUEST, body=b"texts"), "org"),
+        (REQUEST, "other"),
+        # The same bytes in a row, divided elsewhere.
+        (replace(REQUEST, target=b"/draft/a?x=1t", body=b"ext"), "org"),
+        (replace(REQUEST, target=b"g/draft/a?x=1"), "or"),
+    ],
+)
+def test_a_path_a_query_a_body_or_a_caller_does(
+    other: InboundRequest, organisation: str
+) -> None:
+    assert fingerprint_of(other, organisation) != fingerprint_of(REQUEST, "org")
+
+
+def test_its_size_does_not_grow_with_the_body() -> None:
+    long = replace(REQUEST, body=b"x" * 1_000_000)
+    assert len(fingerprint_of(long, "org")) == FINGERPRINT_BYTES
