--- /dev/null
+++ b/tests/direct/dying_engines.py
@@ -0,0 +1,80 @@
+"""Engines that end as they begin a marked body, and start again, before several entries."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+
+import eventlet
+
+from dockreach.direct.entry import Entry
+
+from .standins import (
+    Caller,
+    Dialog,
+    EndpointStandIn,
+    entry_settings,
+    published,
+    start_entry,
+)
+
+DEADLY = b"a body that ends whatever runs it"
+BEGIN_S = 0.02
+"""Time from a request's arrival to the end of its engine, in seconds."""
+
+NEWS_S = 0.25
+"""Time in which entries on one machine hear from each other, in seconds."""
+
+
+class DyingFleet:
+    """Entries that hear each other, and engines that are replaced when they end.
+
+    Attributes:
+        ended: Ids of the lives that ended, in order.
+        entries: The entries, the first one named by the others as a seed.
+    """
+
+    def __init__(self, *, entries: int, engines: int) -> None:
+        self.ended: list[str] = []
+        self.entries: list[Entry] = []
+        self._numbers = itertools.count()
+        self._rids = itertools.count()
+        for _ in range(entries):
+            self.add_entry()
+        for _ in range(engines):
+            self._start_engine()
+        eventlet.sleep(NEWS_S)
+
+    def add_entry(self) -> Entry:
+        """Start one more entry."""
+        seeds = tuple(entry.settings.gossip for entry in self.entries[:1])
+        entry = start_entry(settings=replace(entry_settings(), seeds=seeds))
+        self.entries.append(entry)
+        return entry
+
+    def _start_engine(self) -> None:
+        name = f"life-{next(self._numbers)}"
+        engine: EndpointStandIn
+
+        def run(dialog: Dialog) -> None:
+            eventlet.sleep(BEGIN_S)
+            if not dialog.request.endswith(DEADLY):
+                dialog.answer(b"fine")
+                return
+            self.ended.append(name)
+            engine.close()
+            for other in engine.dialogs:
+                other.reset()
+            self._start_engine()
+
+        engine = EndpointStandIn(run)
+        for entry in self.entries:
+            entry.take_endpoint(published(name, engine.address))
+
+    def ask(self, entry: Entry, body: bytes, *, path: str = "/once/a") -> bytes:
+        """Send a request with an id of its own; return the answer."""
+        caller = Caller(entry)
+        caller.send(path, rid=f"r-{next(self._rids)}", body=body)
+        answer = caller.read_answer()
+        caller.close()
+        return answer
