A request that ends its engines is known over all entries, and not run any more

Cause: entries knew a request for one try only. One that ends whatever runs it came again under a new id at any entry, and was placed as if it had never been seen.

Ruled out: repeats by the entries themselves (no id was lost at two engines); cold engines that were crowded (four ended with one or two requests under way).

Change: an entry that loses a request which had made no event, or had begun a second ago, looks whether somebody still listens there; if not, the end counts against the request's fingerprint and all entries are told at once, again three times, and with digests. Runs at the same time count once; an answer clears it everywhere; who leaves in order does not count. After two runs it is refused at once, as not run, for as long as it comes, also where it waits for a place. One entry, chosen by rendezvous, tries it again after 60 s, 4 and 16 minutes.

Trials: a hot sound request that was there by chance is not refused for good.

--- a/benchmarks/replays/fleet.py
+++ b/benchmarks/replays/fleet.py
@@ -209,7 +209,7 @@
             for decision in self.asker.take(message, now):
                 self._act_on(decision, now)
             self._send_due(now)
-        else:
+        elif isinstance(message, Digest):
             heard = self.peers.receive(message, now)
             if heard.is_news:
                 old = self._counted(heard.before.digest) if heard.before else {}
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..metrics import Metrics
+from .crash_reports import CrashReports
 from .dialect import Dialect
 from .endpoints import EndpointTable
 from .first_tries import FirstTries
@@ -43,6 +44,7 @@
     retries: RetryBudget
     pool: ConnectionPool
     metrics: Metrics
+    crashes: CrashReports
     counters: Counters = field(default_factory=Counters)
     tally: Tally = field(default_factory=Tally)
     first_tries: FirstTries = field(default_factory=FirstTries)
--- /dev/null
+++ b/dockreach/direct/crash_reports.py
@@ -0,0 +1,144 @@
+"""Finds out whether an engine has ended under a request, and tells the other entries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import eventlet
+
+from ..events import Event, log
+from .crashers import Crashers, Suspect
+from .digest import CrashNews
+from .endpoint_connection import EndpointConnection
+from .endpoints import EndpointRow, EndpointTable
+from .http1 import ConnectError
+from .requests import InboundRequest
+
+CONNECT_S = 0.4
+"""Longest wait for a connection that tells whether an engine has ended, in seconds."""
+
+TELL_AGAIN_S = (0.1, 0.4, 1.2)
+"""After how long news is told again, in seconds: of four datagrams one arrives on a link
+that loses half, before the next try of most callers."""
+
+MOST_GREETED = 16
+"""Requests that are told at once to an entry that has just started."""
+
+
+class _Loss(NamedTuple):
+    """A request without an answer, whose engine may have ended under it."""
+
+    path: str
+    fingerprint: bytes
+    organisation: str
+    row: EndpointRow
+    sent: float
+    at: float
+
+
+class CrashReports:
+    """Reports the ends of engines under requests of this entry.
+
+    Args:
+        crashers: What all entries have seen.
+        endpoints: Where the requests were sent.
+        send_all: Tells all other entries.
+        clock: Returns the steady time, in seconds.
+    """
+
+    def __init__(
+        self,
+        crashers: Crashers,
+        endpoints: EndpointTable,
+        send_all: Callable[[CrashNews], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.crashers = crashers
+        self._endpoints = endpoints
+        self._send_all = send_all
+        self._clock = clock
+
+    def lost(
+        self,
+        req: InboundRequest,
+        fingerprint: bytes,
+        organisation: str,
+        row: EndpointRow,
+        sent: float,
+    ) -> None:
+        """Look whether an engine has ended on which a request was lost.
+
+        Args:
+            req: The request; it had made no event, or had begun a moment ago.
+            fingerprint: The same for each of its tries.
+            organisation: Whose key it carries.
+            row: The engine.
+            sent: Steady time at which the request was sent there, in seconds.
+        """
+        if row.published.leaving or self._endpoints.get(row.id) is None:
+            # It was to end, and what was under way there is cut in the end.
+            return
+        loss = _Loss(req.path, fingerprint, organisation, row, sent, self._clock())
+        eventlet.spawn_n(self._look, loss)
+
+    def _look(self, loss: _Loss) -> None:
+        fingerprint = loss.fingerprint
+        if not self._has_ended(loss.row):
+            return
+        life = loss.row.life
+        if not self.crashers.note_end(fingerprint, life, sent=loss.sent, ended=loss.at):
+            return
+        is_barred = self.crashers.is_barred(fingerprint)
+        log(
+            Event.REQUEST_CRASHED,
+            endpoint=loss.row.id,
+            fingerprint=fingerprint.hex(),
+            organisation=loss.organisation,
+            path=loss.path,
+            is_barred=is_barred,
+        )
+        if is_barred:
+            log(Event.REQUEST_BARRED, fingerprint=fingerprint.hex(), path=loss.path)
+        self._tell(fingerprint)
+
+    def _has_ended(self, row: EndpointRow) -> bool:
+        """Return whether nobody listens where an engine listened.
+
+        Without this a reset of all connections, an answer that breaks off and bytes that
+        are none would count as ends.
+        """
+        if self._endpoints.get(row.id) is not row:
+            # It has started again: the address is that of its next life.
+            return True
+        try:
+            EndpointConnection(row.published.address, CONNECT_S).close()
+        except ConnectError:
+            return True
+        return False
+
+    def answered(self, fingerprint: bytes) -> None:
+        """Note that a request was answered: it crashes nothing."""
+        if self.crashers.note_answered(fingerprint):
+            self._tell(fingerprint)
+
+    def _tell(self, fingerprint: bytes) -> None:
+        self._tell_once(fingerprint)
+        for pause_s in TELL_AGAIN_S:
+            eventlet.spawn_after(pause_s, self._tell_once, fingerprint)
+
+    def _tell_once(self, fingerprint: bytes) -> None:
+        suspects = self.crashers.tell(fingerprint)
+        if suspects:
+            self._send_all(CrashNews(suspects))
+
+    def greeting(self) -> CrashNews | None:
+        """Return what an entry that has just started is told; ``None`` for nothing."""
+        suspects = self.crashers.tell_barred(MOST_GREETED)
+        return CrashNews(suspects) if suspects else None
+
+    def take(self, suspects: list[Suspect]) -> None:
+        """Take in what another entry tells."""
+        for suspect in suspects:
+            if self.crashers.take(suspect):
+                log(Event.REQUEST_BARRED, fingerprint=suspect.fingerprint.hex(), path="")
--- /dev/null
+++ b/dockreach/direct/crashers.py
@@ -0,0 +1,336 @@
+"""Requests that crash whatever runs them, as all entries together have seen.
+
+Load pattern: one request comes again each second, with another id and at another entry, and
+each engine that begins it ends; others are under way there, and engines end for other
+reasons too.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+from cachetools import TLRUCache, TTLCache
+
+MOST_RUNS = 2
+"""Runs one after the other under which engines ended, after which a request is not run any
+more. Where one that ends each engine came each 1.1 s beside a sound load on six engines
+(cores alone, 40 days of 200 s, no trials), two runs cost 6.2 sound tries a day and three
+14.2, and 0.03 sound tries were refused. Without a bound 181 engines ended, with 754 tries.
+"""
+
+TRIAL_S = 60.0
+"""Time after the last end at which one entry tries a barred request again, in seconds: a
+sound one that is asked for all the time may be there at two ends by chance, and would be
+refused for good."""
+
+TRIAL_FACTOR = 4.0
+"""How many times as long the wait is after each trial that ended an engine."""
+
+MOST_TRIALS = 3
+"""Trials that may end an engine, over all entries."""
+
+SOUND_RUN_S = 1.0
+"""A stream that has made events for longer when its engine ends is not suspected, in
+seconds: what crashes an engine does so as it is read, or at its first tokens."""
+
+SOUND_S = 5.0
+"""How long a request that was answered is not suspected at this entry, in seconds: one that
+is asked for all the time is under way at most ends of engines."""
+
+KEPT_S = 600.0
+"""How long a request is remembered after it came last, in seconds. As long as it comes it
+is not run; an engine that is replaced by a sound version gets it ten minutes later."""
+
+MOST_KEPT = 1024
+"""Requests that are remembered, some 0.6 MB; those that came longest ago are forgotten."""
+
+MOST_ANSWERED = 1024
+"""Answered requests that are remembered, some 0.2 MB: 200 a second at one entry."""
+
+MOST_ENDS = 6
+"""Ends of engines that are kept for one request."""
+
+SPREAD_S = 10.0
+"""How long others are told what is new with each digest, in seconds: in this time an entry
+that was cut off or stood still is heard again."""
+
+MOST_TOLD = 4
+"""Requests in one digest, each some 60 bytes. All are told in turn."""
+
+
+class Admission(enum.Enum):
+    """Whether a request that has come may be run."""
+
+    FREE = enum.auto()
+    """It may."""
+
+    TRIAL = enum.auto()
+    """It may once, at this entry alone: if it is answered, it is free again."""
+
+    BARRED = enum.auto()
+    """It may not."""
+
+
+class ToldEnd(msgspec.Struct, array_like=True):
+    """What one entry tells of the end of an engine under a request.
+
+    Attributes:
+        life: Of the engine.
+        sent_s: How long ago the request was sent to it, in seconds.
+        ended_s: How long ago it ended, in seconds.
+    """
+
+    life: str
+    sent_s: float
+    ended_s: float
+
+
+class Suspect(msgspec.Struct, array_like=True):
+    """What one entry tells of a request under which engines ended.
+
+    Attributes:
+        fingerprint: Of the request.
+        ends: Engines that ended under it.
+        cleared: Those of them that ended for another reason: it was answered since.
+        came_s: How long ago it came last, in seconds.
+    """
+
+    fingerprint: bytes
+    ends: list[ToldEnd]
+    cleared: list[str]
+    came_s: float
+
+
+class _Run(NamedTuple):
+    """A run under which an engine ended, in steady time, in seconds."""
+
+    sent: float
+    ended: float
+
+
+@dataclass(slots=True)
+class _Record:
+    """What is known of one request.
+
+    Attributes:
+        ends: Its runs under which an engine ended, by the engine's life.
+        cleared: Ends that it did not bring about.
+        came: Steady time at which it came last, in seconds.
+        changed: Steady time at which something new became known, in seconds.
+        tried: Steady time of the last trial here, in seconds.
+    """
+
+    came: float
+    changed: float
+    tried: float = -math.inf
+    ends: dict[str, _Run] = field(default_factory=dict)
+    cleared: set[str] = field(default_factory=set)
+
+    @property
+    def runs(self) -> int:
+        """How many runs, one after the other, engines ended under.
+
+        Runs at the same time count once: a whole service is killed at a moment, with the
+        same sound request under way at several engines.
+        """
+        counted = 0
+        last = -math.inf
+        ends = [run for life, run in self.ends.items() if life not in self.cleared]
+        for run in sorted(ends, key=lambda run: run.ended):
+            if run.sent >= last:
+                counted += 1
+                last = run.ended
+        return counted
+
+    def add(self, life: str, run: _Run) -> bool:
+        """Add an end; return whether it is news."""
+        known = self.ends.get(life)
+        if known is not None:
+            # A message that was held up tells of an end as later than it was.
+            self.ends[life] = min(known, run, key=lambda run: run.ended)
+            return False
+        if len(self.ends) >= MOST_ENDS and not self._make_room():
+            return False
+        self.ends[life] = run
+        return True
+
+    def _make_room(self) -> bool:
+        """Forget an end that it did not bring about; return whether there was one."""
+        for life in self.ends:
+            if life in self.cleared:
+                del self.ends[life]
+                self.cleared.remove(life)
+                return True
+        return False
+
+    def clear(self, lives: Iterable[str]) -> bool:
+        """Take ends off it; return whether that is news."""
+        found = set(lives) & self.ends.keys() - self.cleared
+        self.cleared |= found
+        return bool(found)
+
+
+def _forget_at(_: bytes, record: _Record, now: float) -> float:
+    """Return when a record is forgotten."""
+    return min(record.came, now) + KEPT_S
+
+
+class Crashers:
+    """Says which requests are not to be run.
+
+    Args:
+        clock: Returns the steady time, in seconds.
+        is_trier: Returns whether this entry is the one that tries a request again.
+        most_runs: Runs with an end after which a request is not run any more.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        is_trier: Callable[[bytes], bool],
+        *,
+        most_runs: int = MOST_RUNS,
+    ) -> None:
+        self._clock = clock
+        self._is_trier = is_trier
+        self._most_runs = most_runs
+        self._records: TLRUCache[bytes, _Record] = TLRUCache(
+            MOST_KEPT, ttu=_forget_at, timer=clock
+        )
+        self._answered: TTLCache[bytes, bool] = TTLCache(
+            MOST_ANSWERED, ttl=SOUND_S, timer=clock
+        )
+        self._turn = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def _bars(self, record: _Record) -> bool:
+        return record.runs >= self._most_runs
+
+    def count(self) -> int:
+        """Return how many requests are not run."""
+        return sum(self._bars(record) for record in self._records.values())
+
+    def admit(self, fingerprint: bytes) -> Admission:
+        """Decide on a request that has come."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            return Admission.FREE
+        now = self._clock()
+        record.came = now
+        self._records[fingerprint] = record
+        if not self._bars(record):
+            return Admission.FREE
+        if now < self._trial_at(record) or not self._is_trier(fingerprint):
+            return Admission.BARRED
+        record.tried = now
+        return Admission.TRIAL
+
+    def _trial_at(self, record: _Record) -> float:
+        """Return when a barred request may be tried again, in seconds."""
+        failed = record.runs - self._most_runs
+        if failed >= MOST_TRIALS:
+            return math.inf
+        last = max(record.tried, *(run.ended for run in record.ends.values()))
+        return last + TRIAL_S * TRIAL_FACTOR**failed
+
+    def is_barred(self, fingerprint: bytes) -> bool:
+        """Return whether a request is not to be run."""
+        record = self._records.get(fingerprint)
+        return record is not None and self._bars(record)
+
+    def note_end(self, fingerprint: bytes, life: str, *, sent: float, ended: float) -> bool:
+        """Note that an engine ended under a request; return whether others should hear.
+
+        Args:
+            fingerprint: Of the request.
+            life: Of the engine; it counts once.
+            sent: Steady time at which the request was sent to the engine, in seconds.
+            ended: Steady time of the end, in seconds.
+        """
+        if fingerprint in self._answered:
+            return False
+        run = _Run(sent, ended)
+        return self._change(fingerprint, ended, lambda record: record.add(life, run))
+
+    def note_answered(self, fingerprint: bytes) -> bool:
+        """Note that a request was answered; return whether others should hear."""
+        self._answered[fingerprint] = True
+        record = self._records.get(fingerprint)
+        if record is None or not record.clear(record.ends):
+            return False
+        record.changed = self._clock()
+        return True
+
+    def take(self, suspect: Suspect) -> bool:
+        """Take in what another entry tells; return whether the request is barred by it."""
+        now = self._clock()
+        before = self._records.get(suspect.fingerprint)
+        was_barred = before is not None and self._bars(before)
+
+        def change(record: _Record) -> bool:
+            news = [
+                record.add(end.life, _Run(now - end.sent_s, now - end.ended_s))
+                for end in suspect.ends
+            ]
+            news.append(record.clear(suspect.cleared))
+            return any(news)
+
+        self._change(suspect.fingerprint, now - suspect.came_s, change)
+        record = self._records.get(suspect.fingerprint)
+        return record is not None and self._bars(record) and not was_barred
+
+    def _change(
+        self, fingerprint: bytes, came: float, change: Callable[[_Record], bool]
+    ) -> bool:
+        now = self._clock()
+        record = self._records.get(fingerprint) or _Record(came, now)
+        is_news = change(record)
+        if is_news:
+            record.changed = now
+        record.came = max(record.came, came)
+        self._records[fingerprint] = record
+        return is_news
+
+    def tell(self, fingerprint: bytes) -> list[Suspect]:
+        """Return what others are told of one request; empty if nothing is known."""
+        record = self._records.get(fingerprint)
+        return [] if record is None else [self._told(fingerprint, record)]
+
+    def tell_barred(self, most: int) -> list[Suspect]:
+        """Return what an entry that has just started is told."""
+        barred = [item for item in self._records.items() if self._bars(item[1])]
+        return [self._told(*item) for item in barred[-most:]]
+
+    def tell_some(self) -> list[Suspect]:
+        """Return what goes with a digest: what is barred or new, in turn."""
+        if not self._records:
+            return []
+        now = self._clock()
+        found = [
+            (fingerprint, record)
+            for fingerprint, record in self._records.items()
+            if self._bars(record) or now - record.changed < SPREAD_S
+        ]
+        if len(found) > MOST_TOLD:
+            self._turn = (self._turn + MOST_TOLD) % len(found)
+            found = (found + found)[self._turn : self._turn + MOST_TOLD]
+        return [self._told(fingerprint, record) for fingerprint, record in found]
+
+    def _told(self, fingerprint: bytes, record: _Record) -> Suspect:
+        now = self._clock()
+        return Suspect(
+            fingerprint,
+            [
+                ToldEnd(life, now - run.sent, now - run.ended)
+                for life, run in record.ends.items()
+            ],
+            sorted(record.cleared),
+            now - record.came,
+        )
--- a/dockreach/direct/datagrams.py
+++ b/dockreach/direct/datagrams.py
@@ -6,13 +6,13 @@
 
 from .. import _decoding
 from ..errors import WireError
-from .digest import Digest
+from .digest import CrashNews, Digest
 from .placing_messages import PlacingAnswer, PlacingState
 
 MAX_DATAGRAM_BYTES = 60_000
 """Largest message that is sent: a UDP datagram holds 65,507 bytes."""
 
-Message = Digest | PlacingState | PlacingAnswer
+Message = Digest | PlacingState | PlacingAnswer | CrashNews
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from .crashers import Suspect
+
 
 class Address(msgspec.Struct, frozen=True, array_like=True):
     """Where an entry listens for digests, over UDP, and for questions, over TCP."""
@@ -36,6 +38,7 @@
         endpoints_age_s: The same on endpoints.
         orders_revision: The platform's revision of the operator's last order, be that a
             configuration or a data hall to be emptied; 0 for none.
+        suspects: Some requests under which engines ended.
     """
 
     name: str
@@ -55,3 +58,10 @@
     configuration_age_s: float = math.inf
     endpoints_age_s: float = math.inf
     orders_revision: int = 0
+    suspects: list[Suspect] = []
+
+
+class CrashNews(msgspec.Struct, array_like=True, tag=4):
+    """Requests under which engines have just ended, or that were answered since."""
+
+    suspects: list[Suspect]
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -137,6 +137,12 @@
         """The endpoint's id."""
         return self.published.id
 
+    @property
+    def life(self) -> str:
+        """Names this start of the endpoint, apart from others under its id."""
+        born = self.published.born
+        return f"{self.id}/{born}" if born else self.id
+
     @property
     def free(self) -> int:
         """Places not taken, as far as this entry knows; may be negative."""
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -16,14 +16,17 @@
 from ..errors import RevisionError
 from ..events import Event, log
 from ..metrics import Metrics
+from ..rendezvous import choose
 from .asking import Asker
 from .choosing import Choice, Chooser
 from .cold_guard import ColdGuard
 from .context import Context
 from .coordinators import Coordinators
+from .crash_reports import CrashReports
+from .crashers import Crashers
 from .datagrams import Message
 from .dialect import Dialect
-from .digest import Address, Digest
+from .digest import Address, CrashNews, Digest
 from .dispatching import Dispatcher
 from .emptied_halls import EmptiedHalls
 from .endpoints import EndpointRow, EndpointTable, Publication, Published
@@ -138,6 +141,12 @@
             pool=ConnectionPool(CONNECT_S),
             metrics=Metrics(settings.name),
             regions=settings.regions,
+            crashes=CrashReports(
+                Crashers(Context.now, self._is_trier),
+                self.endpoints,
+                self.gossip.send_all,
+                Context.now,
+            ),
         )
         self.callers = CallerServer(self)
 
@@ -354,6 +363,7 @@
             configuration_age_s=self.feeds.configuration.age_s(now, -math.inf),
             endpoints_age_s=self.feeds.endpoints.age_s(now, -math.inf),
             orders_revision=self.emptied.revision,
+            suspects=self.ctx.crashes.crashers.tell_some(),
         )
 
     def may_skip_call(self, feed: Feed) -> bool:
@@ -390,6 +400,10 @@
     def _(self, answer: PlacingAnswer) -> None:
         self.ctx.scheduler.take_answer(answer)
 
+    @_on_message.register
+    def _(self, news: CrashNews) -> None:
+        self.ctx.crashes.take(news.suspects)
+
     @_on_message.register
     def _(self, digest: Digest) -> None:
         now = time.monotonic()
@@ -397,6 +411,9 @@
         if not heard.is_news:
             return
         before = heard.before
+        self.ctx.crashes.take(digest.suspects)
+        if before is None or before.digest.incarnation != digest.incarnation:
+            self._greet(digest.address)
         if before is None:
             log(Event.PEER_UP, peer=digest.name)
         elif before.digest.incarnation != digest.incarnation:
@@ -407,6 +424,19 @@
         if self.endpoints.change_others(old, self._counted(digest)):
             self.ctx.scheduler.pump()
 
+    def _is_trier(self, fingerprint: bytes) -> bool:
+        """Return whether this entry, of all that are heard, tries a barred request."""
+        own = self.settings.gossip
+        heard = [row.digest.address for row in self.peers.fresh(Context.now())]
+        names = [f"{row.ip}:{row.port}" for row in (own, *heard)]
+        return choose(fingerprint.hex(), names) == names[0]
+
+    def _greet(self, peer: Address) -> None:
+        """Tell an entry that has just started what must not be run."""
+        greeting = self.ctx.crashes.greeting()
+        if greeting is not None:
+            self.gossip.send(greeting, peer)
+
     def _counted(self, digest: Digest) -> dict[str, int]:
         """Return what a peer has under way besides the places that it has from here."""
         return {
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -90,6 +90,8 @@
             "revision": entry.revision.number if entry.revision else 0,
             "under_way": sum(row.own for row in entry.endpoints),
             "cold_endpoints": sum(entry.guard.is_cold(row, now) for row in entry.endpoints),
+            "suspects": len(entry.ctx.crashes.crashers),
+            "requests_barred": entry.ctx.crashes.crashers.count(),
             "halls_emptied": len(entry.emptied.since),
             "orders_revision": entry.emptied.revision,
             "waiting": sum(entry.dispatcher.waiting().values()),
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -8,10 +8,11 @@
 from .call import Call
 from .caller_side import CallerSide
 from .context import Context
+from .crashers import Admission
 from .end_record import EndRecord
 from .fingerprint import fingerprint_of
 from .fleet import Organisation, Revision, Route
-from .forward import Forward
+from .forward import BARRED, Forward
 from .jobs import Job, patience_s
 from .outcomes import Outcome, judge_answer
 from .pool import idle_share
@@ -83,9 +84,14 @@
         if call.regions is not None and not self._ctx.halls_in(call.regions):
             return Refusal(Verdict.NOT_RUN, Reason.NO_REGION, "no region may run it")
         self._ctx.retries.count_request(call.service, self._ctx.now())
+        admission = self._ctx.crashes.crashers.admit(call.fingerprint)
+        if admission is Admission.BARRED:
+            return BARRED
         refusal = self._over_limit(call)
         # A refusal is falsy, so that it never passes for an answer.
-        return refusal if refusal is not None else self._forward(call)
+        if refusal is not None:
+            return refusal
+        return self._forward(call, is_trial=admission is Admission.TRIAL)
 
     def _declared(self, route: Route, organisation: Organisation | None) -> Call:
         """Return what the configuration says of the request."""
@@ -121,7 +127,7 @@
             return None
         return Refusal(Verdict.NOT_RUN, Reason.LIMIT, str(over), retry_after_s=over.wait_s)
 
-    def _forward(self, call: Call) -> Refusal | None:
+    def _forward(self, call: Call, *, is_trial: bool) -> Refusal | None:
         organisation = call.organisation
         forward = Forward(
             self._ctx,
@@ -130,6 +136,7 @@
             self._caller,
             organisation=organisation.name if organisation else "",
             fingerprint=call.fingerprint,
+            is_trial=is_trial,
             most_idle=self._most_idle(call.service),
         )
         self._forwarded = forward
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -13,6 +13,7 @@
 from .attempt import NOTHING_RAN, Attempt, Fate, Placement
 from .caller_side import CallerSide
 from .context import Context
+from .crashers import KEPT_S, SOUND_RUN_S
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, Pace
 from .event_stream import CONTENT_TYPE, EventSplitter
@@ -51,6 +52,11 @@
 """Time after which a caller is told to come back where nothing better is known."""
 
 
+BARRED = Refusal(Verdict.NOT_RUN, Reason.CRASHES_ENGINES, retry_after_s=KEPT_S)
+"""Answer to a request under which engines ended; it is kept from them as long as it
+comes."""
+
+
 class _TimeIsUpError(DockreachError):
     """The caller's deadline, or the route's timeout, has passed."""
 
@@ -69,6 +75,8 @@
         caller: Where the answer goes.
         organisation: Whose key it carries; empty on a public route.
         fingerprint: The same for each try of the request.
+        is_trial: Whether it finds out if its engines ended for other reasons; it is sent
+            once then.
         most_idle: Idle connections that may be kept to one endpoint.
     """
 
@@ -81,6 +89,7 @@
         *,
         organisation: str,
         fingerprint: bytes,
+        is_trial: bool,
         most_idle: int,
     ) -> None:
         self._ctx = ctx
@@ -90,6 +99,7 @@
         self._caller = caller
         self._organisation = organisation
         self._fingerprint = fingerprint
+        self._is_trial = is_trial
         self._ends = job.ends
         self._most_idle = most_idle
         self._sent = 0
@@ -98,6 +108,7 @@
         self.attempts: list[Attempt] = []
         self.progress = Progress()
         self.placement: Placement | None = None
+        self._began: float | None = None
         self.may_have_run = False
 
     def run(self) -> Refusal | None:
@@ -125,6 +136,11 @@
             found = self._ctx.scheduler.place(job)
             if isinstance(found, Refusal):
                 return self._final(found)
+            if self._is_barred:
+                # Engines ended under it at other entries while it waited, or under the
+                # try before.
+                self._ctx.scheduler.release(job)
+                return self._final(BARRED)
             self.placement = self._note_place(found)
             had_run = self.may_have_run
             try:
@@ -136,6 +152,8 @@
             self.attempts.append(attempt)
             job.tried.add(found.id)
             if attempt.fate is Fate.DELIVERED:
+                if not self.progress.is_failure:
+                    self._ctx.crashes.answered(self._fingerprint)
                 return None
             self._log_attempt(attempt)
             if attempt.fate is Fate.NOT_SENT:
@@ -205,6 +223,7 @@
             return Attempt(Fate.NOT_SENT, row.id, str(exc))
         kept_s: float | None = 0.0
         sent = self._ctx.now()
+        self._began = None
         row.conns.add(conn)
         try:
             answer = self._send(conn, row, sent)
@@ -212,6 +231,10 @@
             kept_s = answer.kept_s
         except (AnswerError, _SilentError) as exc:
             row.failed(self._ctx.now())
+            if isinstance(exc, AnswerError) and self._is_suspect:
+                self._ctx.crashes.lost(
+                    self._req, self._fingerprint, self._organisation, row, sent
+                )
             if conn.was_kept and isinstance(exc, _SilentError):
                 # Connections fall silent together, as when a device between loses its
                 # state: without this each would cost one more request.
@@ -253,6 +276,17 @@
             self._ctx.counters.late_answers += 1
             conn.skip_answer()
 
+    @property
+    def _is_barred(self) -> bool:
+        if self._is_trial and not self.attempts:
+            return False
+        return self._ctx.crashes.crashers.is_barred(self._fingerprint)
+
+    @property
+    def _is_suspect(self) -> bool:
+        """Whether the attempt under way may be what ends its engine."""
+        return self._began is None or self._ctx.now() - self._began < SOUND_RUN_S
+
     @property
     def _has_another_attempt(self) -> bool:
         """Whether the request may be sent again if the attempt under way fails."""
@@ -334,6 +368,7 @@
                 continue
             now = self._ctx.now()
             if not events:
+                self._began = now
                 row.succeeded(now)
                 self._end_reading(row, sent, now)
                 limit_s = self._gap_limit_s()
--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -59,7 +59,11 @@
 
     def send_now(self) -> None:
         """Send a digest to all known entries."""
-        data = encode(self._make_digest())
+        self.send_all(self._make_digest())
+
+    def send_all(self, message: Message) -> None:
+        """Send a message to all known entries; it may be lost on the way to some."""
+        data = encode(message)
         for address in self._peers.targets():
             self._send(data, address)
 
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -53,6 +53,8 @@
     ATTEMPT_ENDED = 704
     BAD_REQUEST = 705
     CALLER_LEFT = 706
+    REQUEST_CRASHED = 707
+    REQUEST_BARRED = 708
     DIGEST_REFUSED = 720
     DIGEST_TOO_LARGE = 721
     PEER_SILENT = 722
@@ -77,6 +79,8 @@
     Event.ENDPOINT_REFUSED: logging.WARNING,
     Event.REQUEST_LOST: logging.WARNING,
     Event.REQUEST_CUT: logging.WARNING,
+    Event.REQUEST_CRASHED: logging.WARNING,
+    Event.REQUEST_BARRED: logging.ERROR,
     Event.DIGEST_REFUSED: logging.WARNING,
     Event.DIGEST_TOO_LARGE: logging.ERROR,
     Event.PEER_SILENT: logging.WARNING,
--- a/dockreach/verdict.py
+++ b/dockreach/verdict.py
@@ -51,6 +51,8 @@
     CLAIM_UNCERTAIN = "claim_uncertain"
     ANSWER_DROPPED = "answer_dropped"
     RETRY_BUDGET = "retry_budget"
+    CRASHES_ENGINES = "crashes_engines"
+    """Engines ended as they began to run it, time after time; it is not run any more."""
 
 
 class Refusal(NamedTuple):
@@ -88,6 +90,7 @@
     Reason.HOPELESS: 503,
     Reason.NO_ENDPOINT: 503,
     Reason.NO_REGION: 503,
+    Reason.CRASHES_ENGINES: 503,
     Reason.NOT_READY: 503,
     Reason.STOPPING: 503,
     Reason.CALLER_STALLED: 408,
--- /dev/null
+++ b/tests/direct/test_crashers.py
@@ -0,0 +1,240 @@
+"""Which requests are not to be run, by what all entries together have seen."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dockreach.direct.crashers import (
+    KEPT_S,
+    MOST_ENDS,
+    MOST_KEPT,
+    MOST_RUNS,
+    MOST_TOLD,
+    MOST_TRIALS,
+    SOUND_S,
+    SPREAD_S,
+    TRIAL_FACTOR,
+    TRIAL_S,
+    Admission,
+    Crashers,
+    Suspect,
+)
+
+BODY = b"request1"
+
+
+class Clock:
+    """Time that passes when it is told to."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+def table(clock: Clock, *, is_trier: bool = False) -> Crashers:
+    return Crashers(clock, lambda _: is_trier)
+
+
+def note_ends(crashers: Crashers, clock: Clock, count: int, body: bytes = BODY) -> None:
+    for number in range(count):
+        clock.sleep(1.0)
+        life = f"life-{clock.now}-{number}"
+        crashers.note_end(body, life, sent=clock.now - 0.1, ended=clock.now)
+
+
+def test_it_takes_several_runs() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    note_ends(crashers, clock, MOST_RUNS - 1)
+    assert not crashers.is_barred(BODY)
+    note_ends(crashers, clock, 1)
+    assert crashers.is_barred(BODY)
+    assert not crashers.is_barred(b"another1")
+
+
+def test_a_life_ends_once() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    for _ in range(4):
+        clock.sleep(1.0)
+        crashers.note_end(BODY, "life-1", sent=clock.now, ended=clock.now)
+    assert not crashers.is_barred(BODY)
+
+
+def test_a_service_that_is_killed_at_a_moment_bars_nothing() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    sent = clock.now
+    for number in range(5):
+        clock.sleep(0.1)
+        crashers.note_end(BODY, f"life-{number}", sent=sent, ended=clock.now)
+    assert not crashers.is_barred(BODY)
+    crashers.note_end(BODY, "life-5", sent=clock.now, ended=clock.now + 0.01)
+    assert crashers.is_barred(BODY)
+
+
+def test_who_was_answered_lately_is_no_suspect() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    for _ in range(4):
+        crashers.note_answered(BODY)
+        note_ends(crashers, clock, 1)
+    assert not crashers.is_barred(BODY)
+    clock.sleep(SOUND_S)
+    note_ends(crashers, clock, MOST_RUNS)
+    assert crashers.is_barred(BODY)
+
+
+def test_an_answer_clears_what_was_seen_before_it_at_all_entries() -> None:
+    clock = Clock()
+    first, second = table(clock), table(clock)
+    note_ends(first, clock, MOST_RUNS)
+    for suspect in first.tell_some():
+        assert second.take(suspect)
+    assert second.note_answered(BODY)
+    for suspect in second.tell_some():
+        first.take(suspect)
+    assert not first.is_barred(BODY)
+    # What was told before the answer, and arrives after it, changes nothing.
+    clock.sleep(SOUND_S)
+    note_ends(first, clock, MOST_RUNS - 1)
+    assert not first.is_barred(BODY)
+
+
+def test_ends_at_three_entries_add_up() -> None:
+    clock = Clock()
+    tables = [table(clock) for _ in range(MOST_RUNS)]
+    for crashers in tables:
+        note_ends(crashers, clock, 1)
+    newcomer = table(clock)
+    barred = [newcomer.take(row) for crashers in tables for row in crashers.tell_some()]
+    assert barred == [False] * (MOST_RUNS - 1) + [True]
+
+
+def test_it_is_remembered_as_long_as_it_comes_and_a_while_longer() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    note_ends(crashers, clock, MOST_RUNS)
+    for _ in range(20):
+        clock.sleep(KEPT_S * 0.9)
+        assert crashers.admit(BODY) is Admission.BARRED
+    clock.sleep(KEPT_S * 1.1)
+    assert not crashers.is_barred(BODY)
+
+
+def test_entries_do_not_keep_it_alive_by_telling_each_other() -> None:
+    clock = Clock()
+    first, second = table(clock), table(clock)
+    note_ends(first, clock, MOST_RUNS)
+    for _ in range(20):
+        clock.sleep(KEPT_S / 10)
+        for suspect in first.tell_some():
+            second.take(suspect)
+        for suspect in second.tell_some():
+            first.take(suspect)
+    assert not first.is_barred(BODY)
+    assert not second.is_barred(BODY)
+
+
+def test_a_flood_of_unlike_bodies_is_bounded_in_memory_and_in_digests() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    for number in range(3 * MOST_KEPT):
+        crashers.note_end(number.to_bytes(8), "life-1", sent=0.0, ended=clock.now)
+    assert len(crashers) == MOST_KEPT
+    assert len(crashers.tell_some()) == MOST_TOLD
+    clock.sleep(SPREAD_S + 1.0)
+    assert crashers.tell_some() == []
+
+
+def test_all_that_is_barred_is_told_in_turn() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    bodies = {number.to_bytes(8) for number in range(3 * MOST_TOLD)}
+    for body in bodies:
+        note_ends(crashers, clock, MOST_RUNS, body)
+    clock.sleep(SPREAD_S + 1.0)
+    told = {row.fingerprint for _ in range(4) for row in crashers.tell_some()}
+    assert told == bodies
+
+
+def test_a_request_that_was_cleared_often_can_still_be_barred() -> None:
+    clock = Clock()
+    crashers = table(clock)
+    for _ in range(2 * MOST_ENDS):
+        note_ends(crashers, clock, 1)
+        crashers.note_answered(BODY)
+        clock.sleep(SOUND_S)
+    note_ends(crashers, clock, MOST_RUNS)
+    assert crashers.is_barred(BODY)
+
+
+@settings(deadline=None)
+@given(seed=st.integers(0, 10**6), entries=st.integers(2, 5))
+def test_news_in_any_order_lost_and_told_again_leads_to_the_same(
+    seed: int, entries: int
+) -> None:
+    rng = random.Random(seed)
+    clock = Clock()
+    tables = [table(clock) for _ in range(entries)]
+    mail: list[tuple[int, Suspect]] = []
+    for _ in range(rng.randint(1, 12)):
+        clock.sleep(rng.uniform(0.0, 1.0))
+        crashers = rng.choice(tables)
+        if rng.random() < 0.2:
+            crashers.note_answered(BODY)
+        else:
+            life = f"life-{rng.randint(0, 4)}"
+            sent = clock.now - rng.uniform(0.0, 0.5)
+            crashers.note_end(BODY, life, sent=sent, ended=clock.now)
+        for suspect in crashers.tell(BODY):
+            mail += [(to, suspect) for to in range(entries) if rng.random() < 0.7]
+        rng.shuffle(mail)
+        for to, suspect in [mail.pop() for _ in range(rng.randint(0, len(mail)))]:
+            tables[to].take(suspect)
+    # Digests tell it again: two rounds reach all.
+    for _ in range(2):
+        for crashers in tables:
+            for suspect in crashers.tell(BODY):
+                for other in tables:
+                    other.take(suspect)
+    assert len({crashers.is_barred(BODY) for crashers in tables}) == 1
+
+
+def test_one_entry_tries_it_again_after_a_while_and_others_do_not() -> None:
+    clock = Clock()
+    trier, other = table(clock, is_trier=True), table(clock)
+    note_ends(trier, clock, MOST_RUNS)
+    for suspect in trier.tell_some():
+        other.take(suspect)
+    assert trier.admit(BODY) is Admission.BARRED
+    clock.sleep(TRIAL_S)
+    assert other.admit(BODY) is Admission.BARRED
+    assert [trier.admit(BODY) for _ in range(3)] == [
+        Admission.TRIAL,
+        Admission.BARRED,
+        Admission.BARRED,
+    ]
+    trier.note_answered(BODY)
+    assert trier.admit(BODY) is Admission.FREE
+
+
+def test_trials_end_so_many_engines_at_most_however_long_it_comes() -> None:
+    clock = Clock()
+    crashers = table(clock, is_trier=True)
+    note_ends(crashers, clock, MOST_RUNS)
+    trials = 0
+    for _ in range(int(20 * TRIAL_S * TRIAL_FACTOR**MOST_TRIALS)):
+        clock.sleep(1.0)
+        if crashers.admit(BODY) is not Admission.BARRED:
+            trials += 1
+            note_ends(crashers, clock, 1)
+    assert trials == MOST_TRIALS
