--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -273,8 +273,50 @@
     Edit(
         "others are told that the operator gave an order",
         "direct/entry.py",
-        "            orders_revision=self.emptied.revision,\n        )\n",
-        "        )\n",
+        "            orders_revision=self.emptied.revision,\n",
+        "",
+    ),
+    Edit(
+        "a request that ended its engines is not run",
+        "direct/exchange.py",
+        "if admission is Admission.BARRED:",
+        "if False:",
+    ),
+    Edit(
+        "nor is one that waits when the news comes",
+        "direct/forward.py",
+        "            if self._is_barred:\n",
+        "            if False:\n",
+    ),
+    Edit(
+        "an end at another entry counts",
+        "direct/crash_reports.py",
+        "            if self.crashers.take(suspect):",
+        "            if False:",
+    ),
+    Edit(
+        "runs at the same time count once",
+        "direct/crashers.py",
+        "            if run.sent >= last:\n",
+        "            if True:\n",
+    ),
+    Edit(
+        "an answer clears what was seen before it",
+        "direct/crashers.py",
+        "        if record is None or not record.clear(record.ends):",
+        "        if record is None or True:",
+    ),
+    Edit(
+        "a connection that breaks is no end while somebody listens",
+        "direct/crash_reports.py",
+        "        if not self._has_ended(loss.row):\n            return\n",
+        "",
+    ),
+    Edit(
+        "an entry that has just started hears what is barred",
+        "direct/crashers.py",
+        "if self._bars(record) or now",
+        "if now",
     ),
     Edit(
         "an entry of an older life changes nothing",
