One clock for all that ages, and it counts the time in which a machine was suspended

Cause: all of the product and the timers of its greenlets went by the steady clock, which stands still while a machine is suspended: on waking nothing had aged.

--- a/dockreach/agent.py
+++ b/dockreach/agent.py
@@ -71,7 +71,7 @@
     Args:
         world: The agent's tables.
         inbox: All messages that came since the last tick.
-        now: The monotonic clock, in seconds.
+        now: The clock, in seconds.
 
     Returns:
         Messages and engine actions, in the order they were decided.
--- a/dockreach/agent_node.py
+++ b/dockreach/agent_node.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 
-from . import _green, claims, endpoints
+from . import _green, claims, clock, endpoints
 from .agent import next_wake, tick
 from .agent_tables import (
     AgentPolicy,
@@ -126,7 +125,7 @@
         self.world.model.slots = declared.slots
         self.world.prefix.capacity = declared.cache_blocks
         self._declared_drained = declared.drained
-        self._orders.declare(declarations, time.monotonic())
+        self._orders.declare(declarations, clock.now())
         gaps = [tier.between_ms / 1000 for tier in declarations.tiers.values()]
         self.world.model.objective_gap = min(gaps, default=DEFAULT_GAP_S)
         self.ticker.put("", declared)
@@ -195,7 +194,7 @@
         run = self.world.runs.get(rid)
         if run is None or run.end is not None:
             return
-        if time.monotonic() > run.accepted + self.world.policy.strict_dispatch_s:
+        if clock.now() > run.accepted + self.world.policy.strict_dispatch_s:
             self._sink(EngineNotRun(rid))
             return
         endpoints.dispatch(endpoint, start)
@@ -252,7 +251,7 @@
             # Checked right before the call: the endpoint itself may not check.
             if state is None or not self.is_ready():
                 continue
-            order = self._orders.next_order(state, time.monotonic())
+            order = self._orders.next_order(state, clock.now())
             if order is not None:
                 taken = endpoints.give(endpoint, order)
                 event = Event.ORDER_GIVEN if taken else Event.ORDER_REFUSED
--- a/dockreach/agent_tables.py
+++ b/dockreach/agent_tables.py
@@ -1,7 +1,7 @@
 """The tables of an agent, and what its systems tell the outside to do.
 
 The tables hold all state of the agent's decisions. Systems change them; they read no
-clock and do no input or output. Times are seconds on the agent's monotonic clock.
+clock and do no input or output. Times are seconds on the agent's clock.
 """
 
 from __future__ import annotations
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from .. import clock
 from ..metrics import Metrics
 from .crash_reports import CrashReports
 from .dialect import Dialect
@@ -60,7 +60,7 @@
     @staticmethod
     def now() -> float:
         """Return the steady time, in seconds."""
-        return time.monotonic()
+        return clock.now()
 
     def take_retry(self, service: str) -> bool:
         """Take one repeat from the budget; return whether there was one left."""
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -5,7 +5,6 @@
 import math
 import secrets
 import socket
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial, singledispatchmethod
@@ -13,6 +12,7 @@
 
 import eventlet
 
+from .. import clock
 from ..errors import RevisionError
 from ..events import Event, log
 from ..metrics import Metrics
@@ -87,8 +87,9 @@
         listener: socket.socket | None = None,
     ) -> None:
         self.settings = settings
+        clock.steer_timers()
         self._listener = listener
-        self.started = time.monotonic()
+        self.started = clock.now()
         self.revision: Revision | None = None
         self.stopping_since: float | None = None
         self._fleet_revision = 0
@@ -172,7 +173,7 @@
     def _accept_callers(self, listener: socket.socket) -> None:
         """Serve callers as soon as it is known how, or else refuse them after a while."""
         until = self.started + KNOW_S
-        while not self.is_ready and time.monotonic() < until:
+        while not self.is_ready and clock.now() < until:
             eventlet.sleep(KNOW_CHECK_S)
         accept_all(listener, self.callers.serve)
 
@@ -216,7 +217,7 @@
         """Add an endpoint, or replace what is known of it."""
         row = self.endpoints.last_life(published.id)
         was_leaving = row is not None and row.published.leaving
-        found = self.endpoints.publish(published, time.monotonic())
+        found = self.endpoints.publish(published, clock.now())
         if found is Publication.STALE:
             return
         if found is Publication.NEW_LIFE and row is not None:
@@ -248,7 +249,7 @@
             halls: All data halls that the operator wants to be empty.
             orders_revision: The platform's revision up to which orders were read.
         """
-        if self.emptied.take(halls, orders_revision, time.monotonic()):
+        if self.emptied.take(halls, orders_revision, clock.now()):
             self.gossip.changed()
         self.ctx.scheduler.pump()
 
@@ -264,7 +265,7 @@
         if row is None:
             return
         if after_outage and not row.published.leaving:
-            row.lapsed_until = row.lapsed_until or time.monotonic() + LAPSE_S
+            row.lapsed_until = row.lapsed_until or clock.now() + LAPSE_S
             return
         if self.endpoints.remove(endpoint):
             self.ctx.pool.drop(row.published.address)
@@ -290,7 +291,7 @@
 
     def _knowledge(self) -> Knowledge:
         revision = self.revision.number if self.revision else 0
-        now = time.monotonic()
+        now = clock.now()
         age_s = self.feeds.endpoints.age_s(now, self.started)
         is_cut_off = age_s > AWAY_PART * self.settings.in_force_s
         reads = self._readers.is_reader(now)
@@ -342,7 +343,7 @@
     # Other entries.
 
     def _make_digest(self) -> Digest:
-        now = time.monotonic()
+        now = clock.now()
         self._number += 1
         under_way = {row.id: row.own for row in self.endpoints if row.own}
         return Digest(
@@ -377,7 +378,7 @@
             parts = {CONFIGURATION: knows.revision, EMPTIED: knows.orders_revision}
         else:
             parts = {ENDPOINTS: knows.fleet_revision}
-        now = time.monotonic()
+        now = clock.now()
         in_force_s = self.settings.in_force_s
         return all(
             self._readers.may_skip_call(part, feed, revision, in_force_s, now)
@@ -406,7 +407,7 @@
 
     @_on_message.register
     def _(self, digest: Digest) -> None:
-        now = time.monotonic()
+        now = clock.now()
         heard = self.peers.receive(digest, now)
         if not heard.is_news:
             return
@@ -460,7 +461,7 @@
 
     def _round(self) -> None:
         eventlet.sleep(ROUND_S)
-        now = time.monotonic()
+        now = clock.now()
         gone = self.peers.expire(now)
         self.ctx.spending.keep_ended(gone)
         for row in gone:
@@ -482,7 +483,7 @@
         """
         if self.stopping_since is not None:
             return False
-        self.stopping_since = time.monotonic()
+        self.stopping_since = clock.now()
         self._coordinators.is_leaving = True
         log(Event.STOPPING, connections=len(self.callers))
         self.gossip.send_now()
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from typing import Protocol
 
+from .. import clock
 from ..metrics import Sample, counter_samples, process_samples
 from . import view as views
 from .asking import Asker
@@ -82,7 +82,7 @@
         yield from process_samples(entry.started)
         yield from counter_samples("direct", entry.ctx.counters)
         yield from entry.ctx.tally.samples()
-        now = time.monotonic()
+        now = clock.now()
         yield from entry.feeds.samples(now, entry.started)
         gauges = {
             "peers": len(entry.peers),
@@ -110,7 +110,7 @@
     def _hall_samples(self) -> Iterator[Sample]:
         """Return since when each data hall is to be empty, and by which revision."""
         entry = self._entry
-        now = time.monotonic()
+        now = clock.now()
         for hall, since in entry.emptied.since.items():
             yield Sample(
                 "dockreach_direct_hall_emptied_seconds",
--- a/dockreach/direct/helping.py
+++ b/dockreach/direct/helping.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
 
+from .. import clock
 from ..errors import WireError
 from ..events import Event, log
 from . import view as views
@@ -83,7 +83,7 @@
 
     def _look(self) -> None:
         eventlet.sleep(ROUND_S)
-        peer = self.peer_to_ask(time.monotonic())
+        peer = self.peer_to_ask(clock.now())
         if peer is not None:
             self._ask(peer)
 
--- a/dockreach/direct/pool.py
+++ b/dockreach/direct/pool.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import NamedTuple
 
+from .. import clock
 from .endpoint_connection import EndpointConnection
 
 DEFAULT_KEPT_S = 2.0
@@ -68,7 +68,7 @@
             ConnectError: A new one did not come up.
         """
         kept = self._idle.get(address, [])
-        now = time.monotonic()
+        now = clock.now()
         while kept:
             if most_rested_s is not None and now - kept[-1].since > most_rested_s:
                 # The last one was used last: the others rested for longer.
@@ -96,12 +96,12 @@
         if for_s <= 0 or len(kept) >= most_idle or not conn.make_reusable():
             conn.close()
             return
-        now = time.monotonic()
+        now = clock.now()
         kept.append(_Idle(conn, now, now + for_s))
 
     def expire(self) -> None:
         """Close connections that will not be reused."""
-        now = time.monotonic()
+        now = clock.now()
         for address, kept in list(self._idle.items()):
             for idle in [item for item in kept if item.until <= now]:
                 idle.conn.close()
--- a/dockreach/direct/scheduling.py
+++ b/dockreach/direct/scheduling.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 
 import eventlet
 from eventlet.event import Event as Waiter
 
+from .. import clock
 from ..verdict import Refusal
 from .asking import ANSWER_S, Asker
 from .digest import Address
@@ -66,12 +66,12 @@
         waiter = Waiter()
         self._waiters[id(job)] = waiter
         job.granted_by = ""
-        if not self._asker.ask(job, time.monotonic()):
+        if not self._asker.ask(job, clock.now()):
             self._dispatcher.submit(job)
         try:
             self.pump()
             while not waiter.ready():
-                with eventlet.Timeout(_wait_s(job, time.monotonic()), False):
+                with eventlet.Timeout(_wait_s(job, clock.now()), False):
                     waiter.wait()
                 self.pump()
             found: EndpointRow | Refusal = waiter.wait()
@@ -98,16 +98,16 @@
         """Note that an endpoint has read a job's prompt: its first event has come."""
         job.end_reading()
         self._asker.note_read(job)
-        self._send_due(time.monotonic())
+        self._send_due(clock.now())
 
     def pump(self) -> None:
         """Decide what can be decided, now or in a moment, and tell it."""
-        now = time.monotonic()
+        now = clock.now()
         if now < self._next_round:
             self._plan(self._next_round - now)
             return
         self._decide(now)
-        took_s = time.monotonic() - now
+        took_s = clock.now() - now
         if took_s > LONG_ROUND_S:
             self._next_round = now + (1 + PAUSE_FACTOR) * took_s
 
@@ -138,7 +138,7 @@
 
     def reconsider(self) -> None:
         """Look whom to ask now, and take back what silent entries hold."""
-        now = time.monotonic()
+        now = clock.now()
         for job in self._asker.reconsider(now):
             self._dispatcher.submit(job)
         self._granter.expire(now)
@@ -146,12 +146,12 @@
 
     def take_state(self, state: PlacingState) -> None:
         """Take in what another entry waits for and holds."""
-        if self._granter.take(state, time.monotonic()):
+        if self._granter.take(state, clock.now()):
             self.pump()
 
     def take_answer(self, answer: PlacingAnswer) -> None:
         """Take in what another entry decided."""
-        now = time.monotonic()
+        now = clock.now()
         self._tell_all(self._asker.take(answer, now))
         self._send_due(now)
 
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import time
 import traceback
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -11,6 +10,7 @@
 import eventlet
 from eventlet.greenio import GreenSocket
 
+from .. import clock
 from ..errors import CallerGoneError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
@@ -150,7 +150,7 @@
         server.kill(CallerGoneError("caller closed its connection"))
 
     def _serve_request(self, conn: CallerConnection, raw: RawRequest) -> None:
-        req = self._owner.ctx.dialect.read_request(raw, time.monotonic())
+        req = self._owner.ctx.dialect.read_request(raw, clock.now())
         revision = self._owner.revision
         if revision is None or self._is_too_late():
             reason = Reason.STOPPING if revision else Reason.NOT_READY
@@ -163,7 +163,7 @@
     def _is_too_late(self) -> bool:
         """Return whether what is taken now might not be finished before the end."""
         since = self._owner.stopping_since
-        return since is not None and time.monotonic() > since + NOTICE_S
+        return since is not None and clock.now() > since + NOTICE_S
 
     def _refuse_bad(self, conn: CallerConnection, exc: BadRequestError) -> None:
         log(Event.BAD_REQUEST, str(exc), status=exc.status)
@@ -181,8 +181,8 @@
         """
         for conn in self._connections:
             conn.is_closing = True
-        while time.monotonic() < since + grace_s - END_EARLY_S:
-            if time.monotonic() >= since + NOTICE_S:
+        while clock.now() < since + grace_s - END_EARLY_S:
+            if clock.now() >= since + NOTICE_S:
                 self._close_idle()
                 if not self._connections:
                     return
--- a/dockreach/endpoints.py
+++ b/dockreach/endpoints.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import singledispatch
@@ -17,7 +16,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from . import _green
+from . import _green, clock
 from .agent_tables import (
     CacheEvent,
     EngineChunk,
@@ -340,7 +339,7 @@
     body = msgspec.json.encode(
         {"model": "probe", "prompt": "probe", "max_tokens": PROBE_TOKENS, "stream": True}
     )
-    started = time.monotonic()
+    started = clock.now()
     try:
         answer = endpoint.conn.pool.request(
             "POST",
@@ -353,7 +352,7 @@
         return ProbeSample(None, None)
     if answer.status != 200:
         return ProbeSample(None, None)
-    gap = (time.monotonic() - started) / PROBE_TOKENS
+    gap = (clock.now() - started) / PROBE_TOKENS
     return ProbeSample(None, gap)
 
 
--- a/dockreach/entry.py
+++ b/dockreach/entry.py
@@ -54,7 +54,7 @@
     Args:
         world: The entry's tables.
         inbox: All messages that came since the last tick.
-        now: The monotonic clock, in seconds.
+        now: The clock, in seconds.
 
     Returns:
         Messages to send, and requests whose callers are to be woken.
--- a/dockreach/entry_node.py
+++ b/dockreach/entry_node.py
@@ -4,12 +4,11 @@
 
 import itertools
 import random
-import time
 from collections.abc import Iterator
 
 import msgspec
 
-from . import _green
+from . import _green, clock
 from .callers import CallerApp
 from .declarations import Declarations, Fleet
 from .direct.feeds import Feed
@@ -191,7 +190,7 @@
         tokens = 0
         if isinstance(message, Admit):
             tokens = message.prompt_tokens + message.output_tokens
-        retry = limits.admit(message.organisation, tokens, time.monotonic())
+        retry = limits.admit(message.organisation, tokens, clock.now())
         if retry is None:
             return None
         detail = f"the limit of organisation {message.organisation} is used up"
--- a/dockreach/entry_tables.py
+++ b/dockreach/entry_tables.py
@@ -1,7 +1,7 @@
 """The tables of an entry.
 
 They hold all state of the entry's decisions. Systems change them; they read no clock
-and do no input or output. Times are seconds on the entry's monotonic clock.
+and do no input or output. Times are seconds on the entry's clock.
 """
 
 from __future__ import annotations
@@ -46,7 +46,7 @@
     """One decision about a request, kept for the operators' ``why``.
 
     Attributes:
-        at: Seconds on the entry's monotonic clock.
+        at: Seconds on the entry's clock.
         event: What was decided.
         peer: The agent concerned; empty if none.
         detail: The figures that spoke for it.
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -4,11 +4,11 @@
 
 import enum
 import logging
-import time
 from dataclasses import dataclass
 
 from pythonjsonlogger.json import JsonFormatter
 
+from . import clock
 from ._log_output import BoundedHandler
 
 _LOGGER = logging.getLogger("dockreach")
@@ -154,7 +154,7 @@
     if not _LOGGER.isEnabledFor(level):
         return
     rate = _rates.setdefault(event, _Rate())
-    if not rate.allows(time.monotonic()):
+    if not rate.allows(clock.now()):
         return
     if rate.left_out:
         fields["left_out"] = rate.left_out
--- a/dockreach/link.py
+++ b/dockreach/link.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple, Protocol
 
 import grpc
 import grpc.aio
 
+from . import clock
 from .errors import WireError
 from .messages import AnyMessage, Heartbeat, Hello, decode, encode
 
@@ -82,7 +82,7 @@
         self.name = ""
         self.dialled = dialled
         self.incarnation = 0
-        self.heard = time.monotonic()
+        self.heard = clock.now()
         self.pending: list[AnyMessage] = []
         self.ready = asyncio.Event()
         self.closed = False
@@ -239,7 +239,7 @@
         """Handle one batch; return whether the link goes on."""
         if link.closed:
             return False
-        link.heard = time.monotonic()
+        link.heard = clock.now()
         self.received_bytes += len(data)
         try:
             messages = decode(data)
@@ -286,7 +286,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             beat = self._events.heartbeat()
-            now = time.monotonic()
+            now = clock.now()
             for link in list(self._links.values()):
                 if now - link.heard > LEASE_S:
                     self._lost(link)
--- a/dockreach/metrics.py
+++ b/dockreach/metrics.py
@@ -9,6 +9,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from . import clock
+
 ACCEPT = ("text/plain",)
 
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
@@ -93,7 +95,7 @@
     yield Sample(
         "dockreach_uptime_seconds",
         "Seconds since the start",
-        time.monotonic() - started,
+        clock.now() - started,
         {},
         counter=False,
     )
--- a/dockreach/node.py
+++ b/dockreach/node.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Iterator
 
-from . import _green
+from . import _green, clock
 from .agent_tables import AgentWorld
 from .declarations import Declarations
 from .entry_tables import EntryWorld
@@ -58,7 +58,7 @@
         self.settings = settings
         self.name = settings.daemon.name
         self.incarnation = new_incarnation()
-        self.started = time.monotonic()
+        self.started = clock.now()
         self.config = ConfigStore()
         self.links = Links(self)
         self.vms = VmRows(version=0, rows=())
@@ -109,13 +109,13 @@
         """
         if self.vms.version and len(self.heard) >= self._peers_to_hear:
             return True
-        return time.monotonic() - self.listening_since > LISTEN_S
+        return clock.now() - self.listening_since > LISTEN_S
 
     def on_pause(self, seconds: float) -> None:
         """The process was stopped for a time: trust nothing learned before."""
         self.pauses += 1
         self.heard.clear()
-        self.listening_since = time.monotonic()
+        self.listening_since = clock.now()
         log(Event.PAUSED, seconds=round(seconds, 1))
         self.links.drop_all()
 
@@ -126,7 +126,7 @@
             role=self.settings.daemon.role,
             incarnation=self.incarnation,
             hall=self.settings.daemon.hall,
-            age_ms=int((time.monotonic() - self.started) * 1000),
+            age_ms=int((clock.now() - self.started) * 1000),
         )
 
     def heartbeat(self) -> Heartbeat:
--- a/dockreach/queueing.py
+++ b/dockreach/queueing.py
@@ -24,7 +24,7 @@
 class Hold:
     """A request that waits at an entry, as its agent sees it.
 
-    Times are seconds on the agent's monotonic clock.
+    Times are seconds on the agent's clock.
     """
 
     rid: str
--- a/dockreach/ticker.py
+++ b/dockreach/ticker.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
+from . import clock
+
 IDLE_S = 0.5
 """Longest wait between two ticks."""
 
@@ -64,9 +65,9 @@
         """Tick until stopped."""
         wake_in = 0.0
         while not self._stopped:
-            before = time.monotonic()
+            before = clock.now()
             await self._wait(wake_in)
-            now = time.monotonic()
+            now = clock.now()
             if now - before > wake_in + PAUSE_S:
                 self._paused(now - before)
             inbox = self._inbox
--- a/tests/direct/test_scheduling.py
+++ b/tests/direct/test_scheduling.py
@@ -48,8 +48,8 @@
 
 
 def scheduler(world: World, monkeypatch: pytest.MonkeyPatch) -> Scheduler:
-    clock = SimpleNamespace(monotonic=lambda: world.now)
-    monkeypatch.setattr(scheduling, "time", clock)
+    clock = SimpleNamespace(now=lambda: world.now)
+    monkeypatch.setattr(scheduling, "clock", clock)
     monkeypatch.setattr(scheduling, "eventlet", world)
     table = endpoints(1)
     coordinators = Coordinators(peers(), capacity=1.0, started=0.0)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import json
-import time
 from dataclasses import replace
 
 import eventlet
 import pytest
 
+from dockreach import clock
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import CallLimits
 from dockreach.direct.fleet import Revision
@@ -190,7 +190,7 @@
     store.failing = 503
     store.cut()
     eventlet.sleep(0.5)
-    samples = list(entry.feeds.samples(time.monotonic(), entry.started))
+    samples = list(entry.feeds.samples(clock.now(), entry.started))
     ages = [row for row in samples if row.name == "dockreach_direct_feed_age_seconds"]
     assert [row.labels["feed"] for row in ages] == ["configuration", "endpoints"]
     assert all(0.4 < row.value < 2.0 for row in ages)
@@ -309,13 +309,13 @@
     store.put("op/config", config(9))
     eventlet.sleep(0.4)
     assert entry.endpoints.emptied == {"z"}
-    assert entry.endpoints.usable("s", time.monotonic()) == []
+    assert entry.endpoints.usable("s", clock.now()) == []
     assert entry.revision is not None
     assert entry.revision.number == 9
     store.delete("op/evacuate/z")
     eventlet.sleep(0.6)
     assert entry.endpoints.emptied == frozenset()
-    assert len(entry.endpoints.usable("s", time.monotonic())) == 5
+    assert len(entry.endpoints.usable("s", clock.now())) == 5
 
 
 def test_an_order_given_and_withdrawn_at_once_empties_nothing(
