Soak: requests that end their endpoints, beside kills, pauses, stops and silent links

Two bodies, one after the other, are asked for again and again at any entry; an endpoint ends 20 ms after it began one, and is replaced. A promise of its own: after three ends, and contact_ms later, entries in contact send it three times more at most.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
 @click.option("--seconds", default=10.0, help="How long faults come in each.")
 @click.option("--entries", default=ENTRIES, help="Entries in each; many run alone.")
 @click.option("--lives", is_flag=True, help="Endpoints start again under their ids.")
+@click.option("--deadly", is_flag=True, help="Some requests end their endpoints.")
 @click.option("--one", type=int, help="Run this seed alone, in this process.")
 def main(
     seeds: int,
@@ -31,11 +32,12 @@
     entries: int,
     *,
     lives: bool,
+    deadly: bool,
     one: int | None,
 ) -> None:
     """Run soaks with fresh seeds, some side by side; exit with 1 if one broke a promise."""
     if one is not None:
-        sys.exit(_run_one(one, seconds, entries, has_lives=lives))
+        sys.exit(_run_one(one, seconds, entries, has_lives=lives, has_deadly=deadly))
     start = secrets.randbelow(10**6) if first is None else first
     todo = list(range(start, start + seeds))
     failed = []
@@ -43,7 +45,8 @@
         count = max(SIDE_BY_SIDE * ENTRIES // entries, 1)
         batch, todo = todo[:count], todo[count:]
         running = [
-            (seed, _spawn(seed, seconds, entries, has_lives=lives)) for seed in batch
+            (seed, _spawn(seed, seconds, entries, has_lives=lives, has_deadly=deadly))
+            for seed in batch
         ]
         for seed, process in running:
             output, _ = process.communicate()
@@ -57,20 +60,26 @@
 
 
 def _spawn(
-    seed: int, seconds: float, entries: int, *, has_lives: bool
+    seed: int, seconds: float, entries: int, *, has_lives: bool, has_deadly: bool
 ) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-W", "ignore", "-m", "tests.soak"]
     options = ["--one", str(seed), "--seconds", str(seconds), "--entries", str(entries)]
     if has_lives:
         options.append("--lives")
+    if has_deadly:
+        options.append("--deadly")
     return subprocess.Popen(
         command + options, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
     )
 
 
-def _run_one(seed: int, seconds: float, entries: int, *, has_lives: bool) -> int:
+def _run_one(
+    seed: int, seconds: float, entries: int, *, has_lives: bool, has_deadly: bool
+) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        result = soak(seed, seconds, Path(folder), entries, has_lives=has_lives)
+        result = soak(
+            seed, seconds, Path(folder), entries, has_lives=has_lives, has_deadly=has_deadly
+        )
     late = f", itself late for {result.late_s:.1f} s" if result.late_s else ""
     click.echo(f"seed {seed}: {result.served} of {result.asked} requests served{late}")
     if not result.broken:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -24,6 +24,16 @@
 LEAVE_S = 0.3
 """Longest time after which such a caller closes its connection, in seconds."""
 
+HOT_PART = 0.2
+"""Part of the requests that are the same ones, where others differ by their bodies."""
+
+DEADLY = b"deadly "
+"""How a body begins that ends each endpoint that begins to work on it."""
+
+DEADLY_BODIES = 2
+DEADLY_GAP_S = (0.1, 0.8)
+"""Shortest and longest time between tries of such a body, in seconds."""
+
 KINDS = ("once", "safe", "draft", "brief", "new")
 """Routes; ``new`` stands for one that a configuration added a moment ago."""
 
@@ -40,6 +50,8 @@
         path: Where it is sent, if not to the route of its kind.
         patience_s: How long its caller waits, in seconds.
         left: Steady time at which its caller gave it up, in seconds; 0 if it did not.
+        sent_body: Its body.
+        is_deadly: Whether the body ends each endpoint that begins it.
     """
 
     rid: str
@@ -55,6 +67,8 @@
     path: str = ""
     patience_s: float = WAIT_S
     left: float = 0.0
+    sent_body: bytes = b""
+    is_deadly: bool = False
 
     @property
     def left_early(self) -> bool:
@@ -72,6 +86,8 @@
     pause_s: float = PAUSE_S
     outcomes: list[Outcome] = field(default_factory=list)
     is_over: bool = False
+    has_bodies: bool = False
+    """Whether most requests differ from each other by their bodies."""
     _count: int = 0
 
     def run_one(self, key: str) -> None:
@@ -89,12 +105,36 @@
             outcome.ended = time.monotonic()
             self.outcomes.append(outcome)
 
+    def run_deadly(self, key: str, for_s: float) -> None:
+        """Ask for requests that end their endpoints, one body after the other."""
+        until = time.monotonic() + for_s
+        bodies = [DEADLY + str(number).encode() for number in range(DEADLY_BODIES)]
+        for number, body in enumerate(bodies, start=1):
+            while time.monotonic() < until - for_s * (1 - number / DEADLY_BODIES):
+                self._ask_deadly(body, key)
+                eventlet.sleep(self.rng.uniform(*DEADLY_GAP_S))
+
+    def _ask_deadly(self, body: bytes, key: str) -> None:
+        entry, address = self.rng.choice(self.addresses())
+        self._count += 1
+        outcome = Outcome(f"deadly-{self._count}", "draft", entry, time.monotonic())
+        outcome.path = "/draft/x"
+        outcome.sent_body = body
+        outcome.is_deadly = True
+        conn = _Connection(entry, address)
+        conn.ask(outcome, key)
+        conn.close()
+        outcome.ended = time.monotonic()
+        self.outcomes.append(outcome)
+
     def _next(self, entry: str) -> Outcome:
         self._count += 1
         kind = self.rng.choice(KINDS)
         outcome = Outcome(f"{kind}-{self._count}", kind, entry, time.monotonic())
         if kind == "new":
             outcome.path = f"/new-{self.added()}/x"
+        if self.has_bodies and self.rng.random() > HOT_PART:
+            outcome.sent_body = outcome.rid.encode()
         if self.rng.random() < LEAVING:
             outcome.patience_s = self.rng.uniform(0.0, LEAVE_S)
         return outcome
@@ -133,10 +173,12 @@
                 ("Request-Deadline-Ms", str(int(WAIT_S * 1000) - 500)),
                 ("X-Api-Key", key),
                 ("Token-Counts", "16,4"),
-                ("Content-Length", "0"),
+                ("Content-Length", str(len(outcome.sent_body))),
             ],
         )
         data = self._http.send(head) or b""
+        if outcome.sent_body:
+            data += self._http.send(h11.Data(data=outcome.sent_body)) or b""
         self._sock.sendall(data + (self._http.send(h11.EndOfMessage()) or b""))
         self._read(outcome)
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -219,3 +219,16 @@
 )
 """Faults of worlds whose endpoints start again under their ids. Apart from the others, so
 that the seeds of those draw what they drew."""
+
+DEADLY_FAULTS: tuple[Fault, ...] = (
+    _kill,
+    _kill_all,
+    _pause,
+    _stop,
+    _crash_worker,
+    _replace_worker,
+    _harm_callers,
+    _harm_store,
+    _signals,
+)
+"""Faults beside requests that end their endpoints, apart for the same reason."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -46,6 +46,12 @@
 """Time after a caller has left in which an endpoint may still work for it, in seconds: an
 endpoint that is slow notices at its next event."""
 
+ENDS_TO_LEARN = 3
+"""Engines that may end under a request before it counts what else is sent of it."""
+
+MOST_DEADLY = 3
+"""Sends of such a request later than `CONTACT_S` after that, for as long as it comes."""
+
 MOST_SHOWN = 5
 
 
@@ -56,6 +62,8 @@
     what: str
     start: float
     end: float
+    of_engines: bool = False
+    """Whether entries themselves were well meanwhile."""
 
 
 @dataclass(slots=True)
@@ -119,6 +127,7 @@
         "worked on long after its caller had left": _worked_for_nobody(seen, by_rid),
         "an organisation got more than its limit": _over_limit(seen),
         "not served although nothing is wrong any more": _not_recovered(seen),
+        "a request that ends its engines was sent on and on": _deadly(seen, by_rid),
         "an entry ended by itself": seen.unplanned,
         "a fault of the program": seen.faults,
     }
@@ -287,11 +296,42 @@
     return over
 
 
+def _deadly(seen: Seen, by_rid: dict[str, list[Run]]) -> list[str]:
+    """Return requests that entries in contact sent on after they had ended engines."""
+    by_body: dict[bytes, list[tuple[Outcome, Run]]] = {}
+    for row in seen.outcomes:
+        for run in by_rid.get(row.rid, []) if row.is_deadly else []:
+            by_body.setdefault(row.sent_body, []).append((row, run))
+    found = []
+    for body, runs in by_body.items():
+        ends = sorted({run.worker: run.ended for _, run in runs}.values())
+        if len(ends) <= ENDS_TO_LEARN:
+            continue
+        since = ends[ENDS_TO_LEARN - 1] + CONTACT_S
+        late = [row for row, run in runs if run.began > since and _in_contact(seen, row)]
+        if len(late) > MOST_DEADLY:
+            found.append(f"{body.decode()}: {len(late)} sends, {len(ends)} ends")
+    return found
+
+
+def _in_contact(seen: Seen, row: Outcome) -> bool:
+    """Return whether the entry that a caller asked had been well for a while."""
+    harms = [
+        span
+        for span in seen.harms + seen.stops
+        if span.what in ("", row.entry) and not span.of_engines
+    ]
+    return not _harmed(harms, row.sent - CONTACT_S, row.ended)
+
+
 def _not_recovered(seen: Seen) -> list[str]:
     rows = [
         row
         for row in seen.outcomes
-        if row.sent > seen.calm_from and row.status != 429 and not row.left_early
+        if row.sent > seen.calm_from
+        and row.status != 429
+        and not row.left_early
+        and not row.is_deadly
     ]
     unserved = [row for row in rows if row.status != 200 or not row.is_whole]
     if not rows:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 import eventlet
 
 from .entries import reserved_net
-from .faults import FAULTS, LIFE_FAULTS, Fault
+from .faults import DEADLY_FAULTS, FAULTS, LIFE_FAULTS, Fault
 from .promises import broken
 from .world import ENTRIES, World
 
@@ -66,6 +66,7 @@
     entries: int = ENTRIES,
     *,
     has_lives: bool = False,
+    has_deadly: bool = False,
 ) -> Result:
     """Run one soak.
 
@@ -76,18 +77,23 @@
         entries: How many entries there are.
         has_lives: Whether endpoints are cold after a start, start again under their ids,
             and stand in halls that may have to be empty.
+        has_deadly: Whether some requests end each endpoint that begins them.
     """
     with reserved_net() as net:
-        world = World(seed, net, folder, entries, has_lives=has_lives)
-        return _soak(world, seed, faults_s)
+        world = World(
+            seed, net, folder, entries, has_lives=has_lives, has_deadly=has_deadly
+        )
+        return _soak(world, seed, faults_s, has_deadly=has_deadly)
 
 
-def _soak(world: World, seed: int, faults_s: float) -> Result:
+def _soak(world: World, seed: int, faults_s: float, *, has_deadly: bool) -> Result:
     faults: list[str] = []
     try:
         world.start()
         _wait_until_served(world)
         world.call()
+        if has_deadly:
+            eventlet.spawn(world.callers.run_deadly, "key-free", faults_s)
         faults = _inject(world, faults_s)
         world.seen.calm_from = time.monotonic() + RECOVER_S
         eventlet.sleep(RECOVER_S + CALM_S)
@@ -122,6 +128,8 @@
     most_s = world.rng.choice(BETWEEN_S)
     if world.has_lives:
         kinds = list(LIFE_FAULTS)
+    elif world.has_deadly:
+        kinds = list(DEADLY_FAULTS)
     else:
         kinds = world.rng.sample(FAULTS, world.rng.randint(*KINDS))
     while time.monotonic() < start + faults_s:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -171,3 +171,35 @@
     assert broken(found) == []
     found.cold = [Span("i-1", 9.0, 12.0)]
     assert "cold" in broken(found)[0]
+
+
+def deadly_tries(count: int, *, gap_s: float) -> tuple[list[Outcome], tuple[Run, ...]]:
+    rows, runs = [], []
+    for number in range(count):
+        rid = f"draft-{number}"
+        at = 10.0 + number * gap_s
+        row = outcome(rid, status=502, is_whole=False, sent=at)
+        row.is_deadly, row.sent_body, row.ended = True, b"deadly 0", at + 0.1
+        rows.append(row)
+        ended = replace(run(rid, worker=f"i-{number}", began=at + 0.01), organisation="")
+        ended.ended = at + 0.05
+        runs.append(ended)
+    return rows, tuple(runs)
+
+
+def test_a_request_that_is_sent_on_after_it_has_ended_its_engines_is_seen() -> None:
+    rows, runs = deadly_tries(12, gap_s=1.0)
+    assert "sent on and on: 1 (deadly 0: 6 sends" in broken(seen(*rows, runs=runs))[0]
+
+
+def test_while_the_news_spreads_and_for_three_tries_more_it_is_not() -> None:
+    rows, runs = deadly_tries(20, gap_s=0.1)
+    assert not broken(seen(*rows, runs=runs))
+    rows, runs = deadly_tries(9, gap_s=1.0)
+    assert not broken(seen(*rows, runs=runs))
+    rows, runs = deadly_tries(12, gap_s=1.0)
+    out_of_contact = seen(*rows, runs=runs)
+    out_of_contact.harms.append(Span("entry-0", 9.0, 60.0))
+    assert not broken(out_of_contact)
+    out_of_contact.harms[0].of_engines = True
+    assert broken(out_of_contact)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -46,3 +46,12 @@
     result = soak(seed, LONG_S, tmp_path, has_lives=True)
     assert result.broken == [], "\n".join([*result.faults, *result.logs])
     assert result.served > 100
+
+
+@pytest.mark.parametrize("seed", [7, 8])
+def test_every_promise_is_kept_while_requests_end_their_endpoints(
+    tmp_path: Path, seed: int
+) -> None:
+    result = soak(seed, LONG_S, tmp_path, has_deadly=True)
+    assert result.broken == [], "\n".join([*result.faults, *result.logs])
+    assert result.served > 100
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -11,10 +11,14 @@
 
 from tests.direct.standins import Dialog, EndpointStandIn, header_of
 
+from .clients import DEADLY
 from .proxy import Proxy
 
 SLOTS = 6
 WORK_S = 0.03
+DEADLY_S = 0.02
+"""How long an endpoint works on a request that ends it, in seconds."""
+
 GAP_S = 0.02
 LATE_SLOTS = 6
 """Requests beyond its places that an endpoint lets wait before it refuses."""
@@ -89,6 +93,7 @@
         self.slowness = 1.0
         self._record = record
         self._rng = rng
+        self.on_deadly: Callable[[str], None] | None = None
         self._running = 0
         self._stand_in = EndpointStandIn(self._serve)
         self.proxy = Proxy(self._stand_in.address)
@@ -126,6 +131,11 @@
             run.ended = time.monotonic()
 
     def _serve_run(self, dialog: Dialog) -> None:
+        if self.on_deadly is not None and DEADLY in dialog.request:
+            eventlet.sleep(DEADLY_S)
+            eventlet.spawn_n(self.on_deadly, self.name)
+            eventlet.sleep(WORK_S)
+            return
         path = dialog.request.split(b" ", 2)[1].decode()
         if self._rng.random() < self.failing:
             dialog.answer(b"failed", b"500 Internal Server Error")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -69,12 +69,21 @@
         entries: How many there are.
         has_lives: Whether endpoints stand in two halls, are cold after a start, and tell
             when they started.
+        has_deadly: Whether some requests end each endpoint that begins them.
     """
 
     def __init__(
-        self, seed: int, net: int, folder: Path, entries: int, *, has_lives: bool = False
+        self,
+        seed: int,
+        net: int,
+        folder: Path,
+        entries: int,
+        *,
+        has_lives: bool = False,
+        has_deadly: bool = False,
     ) -> None:
         self.has_lives = has_lives
+        self.has_deadly = has_deadly
         self.rng = random.Random(seed)
         self.store = StoreStandIn()
         self.store.page_items = 50
@@ -93,6 +102,7 @@
         ]
         self.callers_proxies = [Proxy(f"{entry.ip}:{FRONT_PORT}") for entry in self.entries]
         self.callers = Callers(self._addresses, self._added, random.Random(seed + 1))
+        self.callers.has_bodies = has_deadly
         self.seen.outcomes = self.callers.outcomes
 
     def start(self) -> None:
@@ -185,6 +195,8 @@
         )
 
     def _start_worker(self, worker: Worker, *, cold_s: float = 0.0) -> None:
+        if self.has_deadly:
+            worker.on_deadly = self._end_under
         self.workers[worker.name] = worker
         self.seen.halls[worker.name] = worker.hall
         if cold_s:
@@ -215,10 +227,15 @@
         eventlet.sleep(ENDING_S)
         self.store.delete(f"servers/{name}")
 
+    def _end_under(self, name: str) -> None:
+        """Let an endpoint end under a request, unless it ends already."""
+        if name in self.workers:
+            self.crash_worker(name)
+
     def crash_worker(self, name: str) -> None:
         """Let an endpoint crash; it is published for a while longer, then replaced."""
         worker = self.workers.pop(name)
-        self.harmed("", 1.0)
+        self.harmed("", 1.0, of_engines=True)
         worker.crash()
         eventlet.sleep(HEARTBEATS_S)
         self.store.delete(f"servers/{name}")
@@ -263,10 +280,10 @@
 
     # What is noted for the promises.
 
-    def harmed(self, entry: str, for_s: float) -> None:
+    def harmed(self, entry: str, for_s: float, *, of_engines: bool = False) -> None:
         """Note that answers may be cut at an entry; at all if its name is empty."""
         now = time.monotonic()
-        self.seen.harms.append(Span(entry, now, now + for_s))
+        self.seen.harms.append(Span(entry, now, now + for_s, of_engines))
 
     def harm_store(self, for_s: float) -> None:
         """Note that the store is harmed."""
