--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -108,11 +108,16 @@
         self.scripts = list(scripts)
         self.requests: list[bytes] = []
         self.dialogs: list[Dialog] = []
+        self.closes_at_once = False
+        """Whether it takes connections and closes them, as a proxy before a dead engine."""
         self._listener = listen_locally()
         self.address = address_of(self._listener)
         eventlet.spawn(accept_all, self._listener, self._serve)
 
     def _serve(self, sock: Any) -> None:  # noqa: ANN401
+        if self.closes_at_once:
+            sock.close()
+            return
         dialog = Dialog(sock)
         self.dialogs.append(dialog)
         try:
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -170,3 +170,42 @@
     }
     assert [row["is_barred"] for row in crashed] == [False, True]
     assert DEADLY.decode() not in caplog.text
+
+
+@pytest.mark.parametrize("is_back_at_once", [False, True])
+def test_an_end_is_found_out_where_something_goes_on_to_listen_at_the_address(
+    is_back_at_once: bool,
+) -> None:
+    """Seventeen engines ended under one body, behind proxies that went on to listen.
+
+    Whether an engine had ended was told by a connection that was refused. A proxy before a
+    dead engine takes connections and closes them, and an engine that is back at once takes
+    them like the old one: at 17 of 17 ends somebody listened, and none was counted.
+    """
+    ended: list[str] = []
+
+    def serve(dialog: Dialog) -> None:
+        if not dialog.request.endswith(DEADLY):
+            dialog.answer(b"fine")
+            return
+        name = f"e-{len(ended)}"
+        ended.append(name)
+        dialog.reset()
+        if not is_back_at_once:
+            engines[int(name[2:])].closes_at_once = True
+        # What the platform says of it, some moments later.
+        eventlet.spawn_after(0.1, replace_it, name)
+
+    def replace_it(name: str) -> None:
+        entry.lose_endpoint(name)
+        number = int(name[2:]) + 1
+        entry.take_endpoint(published(f"e-{number}", engines[number].address))
+
+    engines = [EndpointStandIn(serve) for _ in range(6)]
+    entry = start_entry(engines[0])
+    for number in range(5):
+        caller = Caller(entry)
+        caller.send("/once/a", rid=f"r-{number}", body=DEADLY)
+        caller.read_answer()
+        eventlet.sleep(NEWS_S)
+    assert ended == ["e-0", "e-1"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -93,7 +93,8 @@
         _wait_until_served(world)
         world.call()
         if has_deadly:
-            eventlet.spawn(world.callers.run_deadly, "key-free", faults_s)
+            # They come on when all else is well again: nothing excuses what is sent then.
+            eventlet.spawn(world.callers.run_deadly, "key-free", faults_s + RECOVER_S)
         faults = _inject(world, faults_s)
         world.seen.calm_from = time.monotonic() + RECOVER_S
         eventlet.sleep(RECOVER_S + CALM_S)
