An engine has ended too where a proxy closes at once, or the platform says so later

A connection that comes up is closed within 50 ms by something that only listens for a dead engine; where an engine is back at once, the end is counted when the platform takes it off within 6 s without its having said that it leaves, or tells of a new start. What answers meanwhile has not ended.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -309,8 +309,8 @@
     Edit(
         "a connection that breaks is no end while somebody listens",
         "direct/crash_reports.py",
-        "        if not self._has_ended(loss.row):\n            return\n",
-        "",
+        "        if self._has_ended(loss.row):",
+        "        if True:",
     ),
     Edit(
         "an entry that has just started hears what is barred",
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import eventlet
+from cachetools import TTLCache
 
 from ..events import Event, log
 from .crashers import Crashers, Suspect
@@ -18,6 +19,17 @@
 CONNECT_S = 0.4
 """Longest wait for a connection that tells whether an engine has ended, in seconds."""
 
+CLOSED_S = 0.05
+"""Time in which something that goes on to listen for an ended engine closes a connection,
+in seconds: a proxy before it. One that lives waits for a request."""
+
+AWAITED_S = 6.0
+"""How long it is awaited that the platform tells of the end, in seconds, where an engine
+that is back at once takes connections like the old one: three heartbeats of silence."""
+
+MOST_AWAITED = 64
+"""Engines of which an end is awaited."""
+
 TELL_AGAIN_S = (0.1, 0.4, 1.2)
 """After how long news is told again, in seconds: of four datagrams one arrives on a link
 that loses half, before the next try of most callers."""
@@ -58,6 +70,9 @@
         self._endpoints = endpoints
         self._send_all = send_all
         self._clock = clock
+        self._awaited: TTLCache[str, list[_Loss]] = TTLCache(
+            MOST_AWAITED, ttl=AWAITED_S, timer=clock
+        )
 
     def lost(
         self,
@@ -83,10 +98,27 @@
         eventlet.spawn_n(self._look, loss)
 
     def _look(self, loss: _Loss) -> None:
-        fingerprint = loss.fingerprint
-        if not self._has_ended(loss.row):
-            return
-        life = loss.row.life
+        if self._has_ended(loss.row):
+            self._note_end(loss)
+        elif loss.row.life in self._awaited:
+            self._awaited[loss.row.life].append(loss)
+        else:
+            self._awaited[loss.row.life] = [loss]
+
+    def ended(self, row: EndpointRow) -> None:
+        """Note that an engine has gone or started again, by the platform's word."""
+        losses = self._awaited.pop(row.life, [])
+        if not row.published.leaving:
+            for loss in losses:
+                self._note_end(loss)
+
+    def lives(self, row: EndpointRow) -> None:
+        """Note that an engine answers: what was lost there before did not end it."""
+        if self._awaited:
+            self._awaited.pop(row.life, None)
+
+    def _note_end(self, loss: _Loss) -> None:
+        fingerprint, life = loss.fingerprint, loss.row.life
         if not self.crashers.note_end(fingerprint, life, sent=loss.sent, ended=loss.at):
             return
         is_barred = self.crashers.is_barred(fingerprint)
@@ -103,7 +135,7 @@
         self._tell(fingerprint)
 
     def _has_ended(self, row: EndpointRow) -> bool:
-        """Return whether nobody listens where an engine listened.
+        """Return whether no engine listens where one listened.
 
         Without this a reset of all connections, an answer that breaks off and bytes that
         are none would count as ends.
@@ -112,10 +144,13 @@
             # It has started again: the address is that of its next life.
             return True
         try:
-            EndpointConnection(row.published.address, CONNECT_S).close()
+            conn = EndpointConnection(row.published.address, CONNECT_S)
         except ConnectError:
             return True
-        return False
+        eventlet.sleep(CLOSED_S)
+        is_open = conn.is_quiet()
+        conn.close()
+        return not is_open
 
     def answered(self, fingerprint: bytes) -> None:
         """Note that a request was answered: it crashes nothing."""
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -238,6 +238,7 @@
         Else each of its callers is held to its deadline, or until it gives up.
         """
         log(Event.ENDPOINT_REBORN, endpoint=row.id, under_way=len(row.conns))
+        self.ctx.crashes.ended(row)
         for conn in list(row.conns):
             conn.abort()
         self.ctx.pool.drop(row.published.address)
@@ -270,6 +271,7 @@
         if self.endpoints.remove(endpoint):
             self.ctx.pool.drop(row.published.address)
             log(Event.ENDPOINT_GONE, endpoint=endpoint, under_way=row.own)
+            self.ctx.crashes.ended(row)
 
     def take_all(
         self, published: list[Published], fleet_revision: int, *, after_outage: bool = False
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -329,7 +329,7 @@
         if self._is_event_stream(head):
             return self._pass_stream(conn, row, raw, sent)
         body = conn.read_body(BUFFER_BYTES)
-        row.succeeded(self._ctx.now())
+        self._note_success(row, self._ctx.now())
         if head.status in SERVER_ERRORS:
             return Attempt(Fate.FAILED, row.id, f"status {head.status}", (raw, body))
         if self._caller.head_sent:
@@ -369,7 +369,7 @@
             now = self._ctx.now()
             if not events:
                 self._began = now
-                row.succeeded(now)
+                self._note_success(row, now)
                 self._end_reading(row, sent, now)
                 limit_s = self._gap_limit_s()
             pace.count(len(found), now)
@@ -386,6 +386,10 @@
         self._caller.end()
         return Attempt(Fate.DELIVERED, row.id)
 
+    def _note_success(self, row: EndpointRow, now: float) -> None:
+        row.succeeded(now)
+        self._ctx.crashes.lives(row)
+
     def _start_stream(self, head: RawHead) -> None:
         """Send the head before the first event; a resumed stream keeps its first head."""
         if not self._caller.head_sent:
