--- a/tests/direct/test_crashers.py
+++ b/tests/direct/test_crashers.py
@@ -238,3 +238,23 @@
             trials += 1
             note_ends(crashers, clock, 1)
     assert trials == MOST_TRIALS
+
+
+def test_an_answer_elsewhere_clears_ends_of_which_the_news_comes_later() -> None:
+    """A sound request that is asked for all the time was refused at all entries.
+
+    It was under way at two ends of engines at one entry, and answered at another one in
+    between, which had not heard of them yet: when the news came it told nobody that it
+    knows better. In a soak 8 sound requests were refused for it, 10 s after the last fault.
+    """
+    clock = Clock()
+    first, second = table(clock), table(clock)
+    note_ends(first, clock, MOST_RUNS - 1)
+    second.note_answered(BODY)
+    note_ends(first, clock, 1)
+    for suspect in first.tell_some():
+        assert not second.take(suspect)
+    assert second.vouch(BODY)
+    for suspect in second.tell_some():
+        first.take(suspect)
+    assert not first.is_barred(BODY)
