--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -177,3 +177,5 @@
         for suspect in suspects:
             if self.crashers.take(suspect):
                 log(Event.REQUEST_BARRED, fingerprint=suspect.fingerprint.hex(), path="")
+            if self.crashers.vouch(suspect.fingerprint):
+                self._tell(suspect.fingerprint)
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -268,6 +268,16 @@
         record.changed = self._clock()
         return True
 
+    def vouch(self, fingerprint: bytes) -> bool:
+        """Clear a request that was answered here lately; return whether others must hear.
+
+        The answer may be older than the news of the ends.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or fingerprint not in self._answered:
+            return False
+        return record.clear(record.ends)
+
     def take(self, suspect: Suspect) -> bool:
         """Take in what another entry tells; return whether the request is barred by it."""
         now = self._clock()
@@ -284,7 +294,9 @@
 
         self._change(suspect.fingerprint, now - suspect.came_s, change)
         record = self._records.get(suspect.fingerprint)
-        return record is not None and self._bars(record) and not was_barred
+        if record is None or suspect.fingerprint in self._answered:
+            return False
+        return self._bars(record) and not was_barred
 
     def _change(
         self, fingerprint: bytes, came: float, change: Callable[[_Record], bool]
