--- a/tests/direct/test_crashers.py
+++ b/tests/direct/test_crashers.py
@@ -258,3 +258,36 @@
     for suspect in second.tell_some():
         first.take(suspect)
     assert not first.is_barred(BODY)
+
+
+def test_what_was_sent_after_the_end_did_not_bring_it_about() -> None:
+    """Three sound requests were refused for the end of engines that were dead already.
+
+    A proxy before a dead engine takes connections and resets them, so that requests which
+    were sent there after the end were lost like that under which it came:
+
+        23:37,965 entry-1 345b2bd187529ac1 i-1 lost
+        23:38,176 entry-0 345b2bd187529ac1 i-2 lost
+        23:38,282 entry-2 e7e93ec8311a37e4 i-2 lost, connection reset by peer
+        23:38,314 entry-1 e7e93ec8311a37e4 i-1 lost, connection reset by peer
+    """
+    clock = Clock()
+    first, second = table(clock), table(clock)
+    for life in ("i-1", "i-2"):
+        first.note_end(BODY, life, sent=clock.now, ended=clock.now + 0.05)
+        clock.sleep(0.2)
+        # This entry has not heard of the end yet.
+        second.note_end(b"sound123", life, sent=clock.now, ended=clock.now + 0.01)
+        clock.sleep(0.2)
+    assert second.is_barred(b"sound123")
+    for suspect in first.tell_some():
+        second.take(suspect)
+    assert second.is_barred(BODY)
+    assert not second.is_barred(b"sound123")
+    # An entry that hears of both in the other order knows the same.
+    third = table(clock)
+    for crashers in (second, first):
+        for suspect in crashers.tell_some():
+            third.take(suspect)
+    assert third.is_barred(BODY)
+    assert not third.is_barred(b"sound123")
