What was sent to an engine after its end is not suspected of it

Each entry keeps the first sign of an engine's end that it saw or heard of; a run counts only if it was sent before.

--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -9,7 +9,7 @@
 
 import enum
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -52,6 +52,9 @@
 MOST_ANSWERED = 1024
 """Answered requests that are remembered, some 0.2 MB: 200 a second at one entry."""
 
+MOST_LIVES = 1024
+"""Ended lives of engines whose end is remembered, as long as one is told of it."""
+
 MOST_ENDS = 6
 """Ends of engines that are kept for one request."""
 
@@ -131,16 +134,23 @@
     ends: dict[str, _Run] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
 
-    @property
-    def runs(self) -> int:
-        """How many runs, one after the other, engines ended under.
+    def runs(self, ended: Mapping[str, float]) -> int:
+        """Return how many runs, one after the other, engines ended under.
 
         Runs at the same time count once: a whole service is killed at a moment, with the
-        same sound request under way at several engines.
+        same sound request under way at several engines. What was sent to an engine after
+        its end was lost there, and did not end it.
+
+        Args:
+            ended: Steady time of the first sign of each engine's end, in seconds.
         """
         counted = 0
         last = -math.inf
-        ends = [run for life, run in self.ends.items() if life not in self.cleared]
+        ends = [
+            run
+            for life, run in self.ends.items()
+            if life not in self.cleared and run.sent < ended.get(life, run.ended)
+        ]
         for run in sorted(ends, key=lambda run: run.ended):
             if run.sent >= last:
                 counted += 1
@@ -205,13 +215,14 @@
         self._answered: TTLCache[bytes, bool] = TTLCache(
             MOST_ANSWERED, ttl=SOUND_S, timer=clock
         )
+        self._ended: TTLCache[str, float] = TTLCache(MOST_LIVES, ttl=KEPT_S, timer=clock)
         self._turn = 0
 
     def __len__(self) -> int:
         return len(self._records)
 
     def _bars(self, record: _Record) -> bool:
-        return record.runs >= self._most_runs
+        return record.runs(self._ended) >= self._most_runs
 
     def count(self) -> int:
         """Return how many requests are not run."""
@@ -234,7 +245,7 @@
 
     def _trial_at(self, record: _Record) -> float:
         """Return when a barred request may be tried again, in seconds."""
-        failed = record.runs - self._most_runs
+        failed = record.runs(self._ended) - self._most_runs
         if failed >= MOST_TRIALS:
             return math.inf
         last = max(record.tried, *(run.ended for run in record.ends.values()))
@@ -256,6 +267,7 @@
         """
         if fingerprint in self._answered:
             return False
+        self._note_life(life, ended)
         run = _Run(sent, ended)
         return self._change(fingerprint, ended, lambda record: record.add(life, run))
 
@@ -292,12 +304,18 @@
             news.append(record.clear(suspect.cleared))
             return any(news)
 
+        for end in suspect.ends:
+            self._note_life(end.life, now - end.ended_s)
         self._change(suspect.fingerprint, now - suspect.came_s, change)
         record = self._records.get(suspect.fingerprint)
         if record is None or suspect.fingerprint in self._answered:
             return False
         return self._bars(record) and not was_barred
 
+    def _note_life(self, life: str, ended: float) -> None:
+        """Keep the first sign of an engine's end."""
+        self._ended[life] = min(ended, self._ended.get(life, ended))
+
     def _change(
         self, fingerprint: bytes, came: float, change: Callable[[_Record], bool]
     ) -> bool:
