--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -138,6 +138,7 @@
 
     def close(self) -> None:
         """Stop to listen."""
+        let_go(self._listener)
         self._listener.close()
 
 
@@ -163,9 +164,16 @@
     """Reset a connection."""
     linger = struct.pack("ii", 1, 0)
     sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
+    let_go(sock)
     sock.close()
 
 
+def let_go(sock: Any) -> None:  # noqa: ANN401
+    """Wake whoever waits on a socket that is closed next; another file gets its number."""
+    if sock.fileno() >= 0:
+        eventlet.hubs.notify_opened(sock.fileno())
+
+
 def address_of(sock: Any) -> str:  # noqa: ANN401
     """Return a socket's own address, IP number and port."""
     ip, port = sock.getsockname()
