The wait for a connection to an engine is named once

Cause: looking whether an engine has ended opened connections with a limit of its own, 0.4 s, beside the entry's CONNECT_S of the same value and reason; one that was changed would have left the other behind. The entry also took the time by two names for one clock.

Change: the entry hands its CONNECT_S and its clock to the reports, and the three branches that keep a loss until its engine's end is told are two. No decision, bound or message changes, and no test.

--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -16,9 +16,6 @@
 from .http1 import ConnectError
 from .requests import InboundRequest
 
-CONNECT_S = 0.4
-"""Longest wait for a connection that tells whether an engine has ended, in seconds."""
-
 CLOSED_S = 0.05
 """Time in which something that goes on to listen for an ended engine closes a connection,
 in seconds: a proxy before it. One that lives waits for a request."""
@@ -58,6 +55,7 @@
         endpoints: Where the requests were sent.
         send_all: Tells all other entries.
         clock: Returns the time, in seconds.
+        connect_s: Longest wait for a connection to an engine, in seconds.
     """
 
     def __init__(
@@ -66,11 +64,13 @@
         endpoints: EndpointTable,
         send_all: Callable[[CrashNews], None],
         clock: Callable[[], float],
+        connect_s: float,
     ) -> None:
         self.crashers = crashers
         self._endpoints = endpoints
         self._send_all = send_all
         self._clock = clock
+        self._connect_s = connect_s
         self._awaited: TTLCache[str, list[_Loss]] = TTLCache(
             MOST_AWAITED, ttl=AWAITED_S, timer=clock
         )
@@ -101,10 +101,8 @@
     def _look(self, loss: _Loss) -> None:
         if self._has_ended(loss.row):
             self._note_end(loss)
-        elif loss.row.life in self._awaited:
-            self._awaited[loss.row.life].append(loss)
         else:
-            self._awaited[loss.row.life] = [loss]
+            self._awaited.setdefault(loss.row.life, []).append(loss)
 
     def ended(self, row: EndpointRow) -> None:
         """Note that an engine has gone or started again, by the platform's word."""
@@ -147,7 +145,7 @@
             # It has started again: the address is that of its next life.
             return True
         try:
-            conn = EndpointConnection(row.published.address, CONNECT_S)
+            conn = EndpointConnection(row.published.address, self._connect_s)
         except ConnectError:
             return True
         eventlet.sleep(CLOSED_S)
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -143,10 +143,11 @@
             metrics=Metrics(settings.name),
             regions=settings.regions,
             crashes=CrashReports(
-                Crashers(Context.now, self._is_trier),
+                Crashers(clock.now, self._is_trier),
                 self.endpoints,
                 self.gossip.send_all,
-                Context.now,
+                clock.now,
+                CONNECT_S,
             ),
         )
         self.callers = CallerServer(self)
@@ -430,7 +431,7 @@
     def _is_trier(self, fingerprint: bytes) -> bool:
         """Return whether this entry, of all that are heard, tries a barred request."""
         own = self.settings.gossip
-        heard = [row.digest.address for row in self.peers.fresh(Context.now())]
+        heard = [row.digest.address for row in self.peers.fresh(clock.now())]
         names = [f"{row.ip}:{row.port}" for row in (own, *heard)]
         return choose(fingerprint.hex(), names) == names[0]
 
