Soak: a fault waits for an endpoint where all are away

Cause: a fault drew from the endpoints that are up; those that crash are away for 1 s and those that start again for 0.5 s, so that overlapping series had taken all six. Leaving the fault out was ruled out: the moment in which the first endpoint is back is worth striking.

Change: it waits for the next endpoint.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,8 @@
 """How long after a fault of an entry its answers may still be cut, in seconds: it is
 started again within 0.2 s and needs up to a second on a busy machine."""
 
+AWAY_S = 0.05
+"""Time between looks for an endpoint while all are away, in seconds."""
 
 SIGNALS = (
     signal.SIGHUP,
@@ -35,6 +37,9 @@
 
 
 def _worker_name(world: World) -> str:
+    """Draw an endpoint; wait for one where crashes in a row have taken all of them."""
+    while not world.workers:
+        eventlet.sleep(AWAY_S)
     return world.rng.choice(sorted(world.workers))
 
 
