Tokens that are given back count from when they were spent

Cause: tokens of a request that was refused after it had waited were given back in the step of the refusal; the step in which they were spent leaves the window before it does, so that for as long as the request had waited its tokens are taken off what others spend. Ruled out: requests that may have run give nothing back, and keep their tokens.

Change: they are taken off the step in which they were spent. The test hands over that time now in place of the time of the refusal, with the same bound.

--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -129,6 +129,7 @@
 
     def _forward(self, call: Call, *, is_trial: bool) -> Refusal | None:
         organisation = call.organisation
+        spent = self._ctx.now()
         forward = Forward(
             self._ctx,
             self._job(call),
@@ -144,7 +145,7 @@
             return forward.run()
         finally:
             if not forward.may_have_run and organisation is not None:
-                self._ctx.spending.refund(organisation, call.tokens, self._ctx.now())
+                self._ctx.spending.refund(organisation, call.tokens, spent)
 
     def _job(self, call: Call) -> Job:
         req = self._req
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -303,10 +303,18 @@
             owed=round(owed),
         )
 
-    def refund(self, organisation: Organisation, tokens: int, now: float) -> None:
-        """Give back what a request did not use, because it was not run."""
+    def refund(self, organisation: Organisation, tokens: int, spent: float) -> None:
+        """Give back what a request did not use, because it was not run.
+
+        Args:
+            organisation: Whose tokens.
+            tokens: How many.
+            spent: Steady time at which they were spent, in seconds. Given back at a later
+                time they would count against what others spend, once they have left the
+                window themselves: up to 1.03 of the bound (cores alone).
+        """
         if organisation.rate > 0 and organisation.name in self._own:
-            self._add(organisation.name, -tokens, now)
+            self._add(organisation.name, -tokens, spent)
 
     def _add(self, name: str, tokens: int, now: float) -> None:
         self._own.setdefault(name, _Steps()).add(tokens, now)
--- a/tests/direct/test_spending.py
+++ b/tests/direct/test_spending.py
@@ -148,7 +148,7 @@
     for step in range(1, 40):
         now = STEP_S * step
         if now == 2.0:
-            spending.refund(organisation(), waited, now)
+            spending.refund(organisation(), waited, 0.0)
         times[now] = spend_all(spending, now)
     assert waited == 4000
     assert _most_in_a_window(times) <= TOLERANCE.most(organisation())
