--- /dev/null
+++ b/tests/direct/test_crash_reports.py
@@ -0,0 +1,62 @@
+"""Ends of engines that no request of this entry is there to see, and who waits meanwhile."""
+
+from __future__ import annotations
+
+import time
+
+import eventlet
+
+from .dying_engines import BEGIN_S, DEADLY, NEWS_S, DyingFleet
+from .standins import Caller, Dialog, EndpointStandIn, published, start_entry, status_of
+
+SOON_S = 0.3
+"""Time in which an answer comes that waits for nothing, in seconds."""
+
+
+def test_a_caller_that_leaves_before_its_request_ends_an_engine_is_no_excuse() -> None:
+    """Six engines ended under one body whose callers gave it up a moment too early.
+
+    Callers that are in a hurry leave within half of their objective, 0.2 s and less; the
+    engine goes on, and ends after 0.1 s. Only a connection that broke under a request was
+    taken for the sign of an end, and this entry had closed it: six of six were not counted.
+    """
+    fleet = DyingFleet(entries=1, engines=6)
+    (entry,) = fleet.entries
+    for number in range(6):
+        caller = Caller(entry)
+        caller.send("/once/a", rid=f"left-{number}", body=DEADLY)
+        eventlet.sleep(BEGIN_S / 4)
+        caller.close()
+        eventlet.sleep(NEWS_S)
+        # What the platform says of it, after some heartbeats without one.
+        for name in fleet.ended:
+            entry.lose_endpoint(name)
+    assert len(fleet.ended) == 2
+
+
+def test_who_waits_when_the_news_comes_is_refused_at_once() -> None:
+    """A request that was not to be run any more waited for as long as any other.
+
+    That it ends engines was looked up when it had a place. Until then it stood among those
+    that wait though its answer was known: 0.38 s here, and up to one and a half objectives.
+    """
+
+    def busy(dialog: Dialog) -> None:
+        eventlet.sleep(2.0)
+        dialog.answer(b"fine")
+
+    fleet = DyingFleet(entries=1, engines=3)
+    for _ in range(2):
+        fleet.ask(fleet.entries[0], DEADLY)
+        eventlet.sleep(NEWS_S)
+    entry = start_entry()
+    entry.take_endpoint(published("e-0", EndpointStandIn(busy).address, slots=1))
+    callers = [Caller(entry) for _ in range(4)]
+    for number, caller in enumerate(callers):
+        body = DEADLY if number == 3 else str(number).encode()
+        caller.send("/draft/a" if number < 3 else "/once/a", rid=f"r-{number}", body=body)
+        eventlet.sleep(BEGIN_S)
+    entry.ctx.crashes.take(fleet.entries[0].ctx.crashes.crashers.tell_some())
+    start = time.monotonic()
+    assert status_of(callers[3].read_answer()) == 503
+    assert time.monotonic() - start < SOON_S
