Ends of engines count though the caller has left, and who waits is refused when news comes

Cause, first: only a connection that broke under a request was looked into. Where the caller left before the engine ended, the entry had closed that connection itself; where a request's time ran out, or an engine fell silent, nobody looked either. Ruled out: a connection to each such engine to look. It costs one a caller that leaves, and callers leave all the time.

Cause, second: whether a request may run was looked up when it came and when it had a place. Change: news that bars a request answers at once what waits of it.

Four more switches of rules for the mutants.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -294,6 +294,30 @@
         "            if self.crashers.take(suspect):",
         "            if False:",
     ),
+    Edit(
+        "an end counts though the caller had left before it",
+        "direct/crash_reports.py",
+        "        if self._may_end(loss.row):\n            self._await(loss)\n",
+        "        return\n",
+    ),
+    Edit(
+        "who waits when the news comes is answered at once",
+        "direct/entry.py",
+        "        self.ctx.scheduler.refuse(fingerprint, BARRED)\n",
+        "        return\n",
+    ),
+    Edit(
+        "entries that start together share the rest of a limit",
+        "direct/spending.py",
+        "        return own * self._peers.unheard + untold * len(self._peers.fresh(now))\n",
+        "        return 0\n",
+    ),
+    Edit(
+        "tokens that are given back count from when they were spent",
+        "direct/spending.py",
+        "            self._add(organisation.name, -tokens, spent)\n",
+        "            self._add(organisation.name, -tokens, spent + 2.0)\n",
+    ),
     Edit(
         "runs at the same time count once",
         "direct/crashers.py",
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -14,7 +15,6 @@
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EndpointTable
 from .http1 import ConnectError
-from .requests import InboundRequest
 
 CLOSED_S = 0.05
 """Time in which something that goes on to listen for an ended engine closes a connection,
@@ -27,6 +27,9 @@
 MOST_AWAITED = 64
 """Engines of which an end is awaited."""
 
+MOST_LOSSES = 16
+"""Requests that are kept for each of them, the latest: as many as run there at a time."""
+
 TELL_AGAIN_S = (0.1, 0.4, 1.2)
 """After how long it is told again that a request is barred, in seconds: of four datagrams
 one arrives on a link that loses half, before the next try of most callers. A first end is
@@ -36,8 +39,19 @@
 """Requests that are told at once to an entry that has just started."""
 
 
-class _Loss(NamedTuple):
-    """A request without an answer, whose engine may have ended under it."""
+class Loss(NamedTuple):
+    """A request without an answer, whose engine may have ended under it.
+
+    It had made no event, or had begun a moment ago.
+
+    Attributes:
+        path: Of the request.
+        fingerprint: The same for each of its tries.
+        organisation: Whose key it carries.
+        row: The engine.
+        sent: Steady time at which it was sent there, in seconds.
+        at: Steady time at which it was given up, in seconds.
+    """
 
     path: str
     fingerprint: bytes
@@ -56,6 +70,7 @@
         send_all: Tells all other entries.
         clock: Returns the time, in seconds.
         connect_s: Longest wait for a connection to an engine, in seconds.
+        refuse: Refuses what waits here of a request that is not to be run any more.
     """
 
     def __init__(
@@ -65,50 +80,63 @@
         send_all: Callable[[CrashNews], None],
         clock: Callable[[], float],
         connect_s: float,
+        refuse: Callable[[bytes], None],
     ) -> None:
         self.crashers = crashers
         self._endpoints = endpoints
         self._send_all = send_all
         self._clock = clock
         self._connect_s = connect_s
-        self._awaited: TTLCache[str, list[_Loss]] = TTLCache(
+        self._refuse = refuse
+        self._awaited: TTLCache[str, deque[Loss]] = TTLCache(
             MOST_AWAITED, ttl=AWAITED_S, timer=clock
         )
 
-    def lost(
-        self,
-        req: InboundRequest,
-        fingerprint: bytes,
-        organisation: str,
-        row: EndpointRow,
-        sent: float,
-    ) -> None:
-        """Look whether an engine has ended on which a request was lost.
-
-        Args:
-            req: The request; it had made no event, or had begun a moment ago.
-            fingerprint: The same for each of its tries.
-            organisation: Whose key it carries.
-            row: The engine.
-            sent: Steady time at which the request was sent there, in seconds.
+    def lost(self, loss: Loss) -> None:
+        """Look whether an engine has ended on which a request was lost."""
+        if self._may_end(loss.row):
+            eventlet.spawn_n(self._look, loss)
+
+    def left(self, loss: Loss) -> None:
+        """Await the end of an engine that still worked on a request when it was given up.
+
+        Else a body whose callers leave before it ends its engine ends one each time.
         """
-        if row.published.leaving or self._endpoints.get(row.id) is None:
-            # It was to end, and what was under way there is cut in the end.
-            return
-        loss = _Loss(req.path, fingerprint, organisation, row, sent, self._clock())
-        eventlet.spawn_n(self._look, loss)
+        if self._may_end(loss.row):
+            self._await(loss)
+
+    def _may_end(self, row: EndpointRow) -> bool:
+        """Return whether an end would say something of what runs at an engine.
+
+        If it leaves it is to end, and what is under way there is cut in the end.
+        """
+        return not row.published.leaving and self._endpoints.get(row.id) is not None
 
-    def _look(self, loss: _Loss) -> None:
+    def _look(self, loss: Loss) -> None:
         if self._has_ended(loss.row):
             self._note_end(loss)
+            self._note_awaited(loss.row)
         else:
-            self._awaited.setdefault(loss.row.life, []).append(loss)
+            self._await(loss)
+
+    def _await(self, loss: Loss) -> None:
+        losses = self._awaited.get(loss.row.life) or deque(maxlen=MOST_LOSSES)
+        losses.append(loss)
+        # Written anew, so that the last loss is kept for as long as the first.
+        self._awaited[loss.row.life] = losses
 
     def ended(self, row: EndpointRow) -> None:
         """Note that an engine has gone or started again, by the platform's word."""
-        losses = self._awaited.pop(row.life, [])
-        if not row.published.leaving:
-            for loss in losses:
+        if row.published.leaving:
+            self._awaited.pop(row.life, None)
+        else:
+            self._note_awaited(row)
+
+    def _note_awaited(self, row: EndpointRow) -> None:
+        """Note the end of an engine under all that was given up there lately."""
+        since = self._clock() - AWAITED_S
+        for loss in self._awaited.pop(row.life, ()):
+            if loss.at >= since:
                 self._note_end(loss)
 
     def lives(self, row: EndpointRow) -> None:
@@ -116,7 +144,7 @@
         if self._awaited:
             self._awaited.pop(row.life, None)
 
-    def _note_end(self, loss: _Loss) -> None:
+    def _note_end(self, loss: Loss) -> None:
         fingerprint, life = loss.fingerprint, loss.row.life
         if not self.crashers.note_end(fingerprint, life, sent=loss.sent, ended=loss.at):
             return
@@ -131,6 +159,7 @@
         )
         if is_barred:
             log(Event.REQUEST_BARRED, fingerprint=fingerprint.hex(), path=loss.path)
+            self._refuse(fingerprint)
             for pause_s in TELL_AGAIN_S:
                 eventlet.spawn_after(pause_s, self._tell, fingerprint)
         self._tell(fingerprint)
@@ -173,5 +202,6 @@
         for suspect in suspects:
             if self.crashers.take(suspect):
                 log(Event.REQUEST_BARRED, fingerprint=suspect.fingerprint.hex(), path="")
+                self._refuse(suspect.fingerprint)
             if self.crashers.vouch(suspect.fingerprint):
                 self._tell(suspect.fingerprint)
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -16,6 +16,8 @@
 import msgspec
 from cachetools import TLRUCache, TTLCache
 
+from ..verdict import Reason, Refusal, Verdict
+
 MOST_RUNS = 2
 """Runs one after the other under which engines ended, after which a request is not run any
 more. Where one that ends each engine came each 1.1 s beside a sound load on six engines
@@ -67,6 +69,10 @@
 """Requests in one digest, each some 90 bytes. All are told in turn."""
 
 
+BARRED = Refusal(Verdict.NOT_RUN, Reason.CRASHES_ENGINES, retry_after_s=KEPT_S)
+"""Answer to a request that is not to be run, however often it comes."""
+
+
 class Admission(enum.Enum):
     """Whether a request that has come may be run."""
 
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -23,7 +23,7 @@
 from .context import Context
 from .coordinators import Coordinators
 from .crash_reports import CrashReports
-from .crashers import Crashers
+from .crashers import BARRED, Crashers
 from .datagrams import Message
 from .dialect import Dialect
 from .digest import Address, CrashNews, Digest
@@ -148,6 +148,7 @@
                 self.gossip.send_all,
                 clock.now,
                 CONNECT_S,
+                self._refuse_barred,
             ),
         )
         self.callers = CallerServer(self)
@@ -440,6 +441,10 @@
         names = [f"{row.ip}:{row.port}" for row in (own, *heard)]
         return choose(fingerprint.hex(), names) == names[0]
 
+    def _refuse_barred(self, fingerprint: bytes) -> None:
+        """Answer at once what waits of a request that is not to be run any more."""
+        self.ctx.scheduler.refuse(fingerprint, BARRED)
+
     def _greet(self, peer: Address) -> None:
         """Tell an entry that has just started what must not be run."""
         greeting = self.ctx.crashes.greeting()
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -8,11 +8,11 @@
 from .call import Call
 from .caller_side import CallerSide
 from .context import Context
-from .crashers import Admission
+from .crashers import BARRED, Admission
 from .end_record import EndRecord
 from .fingerprint import fingerprint_of
 from .fleet import Organisation, Revision, Route
-from .forward import BARRED, Forward
+from .forward import Forward
 from .jobs import Job, patience_s
 from .outcomes import Outcome, judge_answer
 from .pool import idle_share
@@ -166,6 +166,7 @@
             ends=call.ends,
             tried_at=call.tried_at,
             halls=None if call.regions is None else self._ctx.halls_in(call.regions),
+            fingerprint=call.fingerprint,
         )
 
     def _most_idle(self, service: str) -> int:
--- a/dockreach/direct/forward.py
+++ b/dockreach/direct/forward.py
@@ -7,13 +7,14 @@
 
 import eventlet
 
-from ..errors import DockreachError
+from ..errors import CallerGoneError, DockreachError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .attempt import NOTHING_RAN, Attempt, Fate, Placement
 from .caller_side import CallerSide
 from .context import Context
-from .crashers import KEPT_S, SOUND_RUN_S
+from .crash_reports import Loss
+from .crashers import BARRED, SOUND_RUN_S
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, Pace
 from .event_stream import CONTENT_TYPE, EventSplitter
@@ -52,11 +53,6 @@
 """Time after which a caller is told to come back where nothing better is known."""
 
 
-BARRED = Refusal(Verdict.NOT_RUN, Reason.CRASHES_ENGINES, retry_after_s=KEPT_S)
-"""Answer to a request under which engines ended; it is kept from them as long as it
-comes."""
-
-
 class _TimeIsUpError(DockreachError):
     """The caller's deadline, or the route's timeout, has passed."""
 
@@ -231,15 +227,15 @@
             kept_s = answer.kept_s
         except (AnswerError, _SilentError) as exc:
             row.failed(self._ctx.now())
-            if isinstance(exc, AnswerError) and self._is_suspect:
-                self._ctx.crashes.lost(
-                    self._req, self._fingerprint, self._organisation, row, sent
-                )
+            self._suspect(row, sent, is_cut=isinstance(exc, AnswerError))
             if conn.was_kept and isinstance(exc, _SilentError):
                 # Connections fall silent together, as when a device between loses its
                 # state: without this each would cost one more request.
                 self._ctx.pool.drop_all()
             return Attempt(Fate.LOST, row.id, str(exc))
+        except (CallerGoneError, _TimeIsUpError):
+            self._suspect(row, sent, is_cut=False)
+            raise
         finally:
             row.conns.discard(conn)
             self._ctx.pool.put(conn, kept_s, self._most_idle)
@@ -282,10 +278,23 @@
             return False
         return self._ctx.crashes.crashers.is_barred(self._fingerprint)
 
-    @property
-    def _is_suspect(self) -> bool:
-        """Whether the attempt under way may be what ends its engine."""
-        return self._began is None or self._ctx.now() - self._began < SOUND_RUN_S
+    def _suspect(self, row: EndpointRow, sent: float, *, is_cut: bool) -> None:
+        """Let it be found out whether the engine ends under the attempt under way.
+
+        Args:
+            row: The engine.
+            sent: Steady time at which the request was sent to it, in seconds.
+            is_cut: Whether the engine's connection broke.
+        """
+        now = self._ctx.now()
+        if self._began is not None and now - self._began >= SOUND_RUN_S:
+            return
+        crashes = self._ctx.crashes
+        loss = Loss(self._req.path, self._fingerprint, self._organisation, row, sent, now)
+        if is_cut:
+            crashes.lost(loss)
+        else:
+            crashes.left(loss)
 
     @property
     def _has_another_attempt(self) -> bool:
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -62,6 +62,7 @@
         for_peer: Whether it is another entry's.
         granted_by: IP number of the entry that gave the place; empty if this one did.
         halls: Data halls in which it may be run; ``None`` for all.
+        fingerprint: The same for each try of its request; empty if it is another entry's.
     """
 
     rid: str
@@ -85,6 +86,7 @@
     for_peer: bool = False
     granted_by: str = ""
     halls: frozenset[str] | None = None
+    fingerprint: bytes = b""
 
     @classmethod
     def of_peer(cls, service: str, *, arrived: float) -> Job:
--- a/dockreach/direct/scheduling.py
+++ b/dockreach/direct/scheduling.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import eventlet
 from eventlet.event import Event as Waiter
@@ -30,6 +31,13 @@
 """
 
 
+class _Waiting(NamedTuple):
+    """A job of this entry that waits for a decision."""
+
+    job: Job
+    waiter: Waiter
+
+
 class Scheduler:
     """Finds places for this entry's requests, and gives places to others'.
 
@@ -54,7 +62,7 @@
         self._granter = granter
         self._send = send
         self._on_change = on_change
-        self._waiters: dict[int, Waiter] = {}
+        self._waiters: dict[int, _Waiting] = {}
         self._next_round = 0.0
         self._is_planned = False
 
@@ -64,7 +72,7 @@
         The place must be given back with `release`.
         """
         waiter = Waiter()
-        self._waiters[id(job)] = waiter
+        self._waiters[id(job)] = _Waiting(job, waiter)
         job.granted_by = ""
         if not self._asker.ask(job, clock.now()):
             self._dispatcher.submit(job)
@@ -85,6 +93,14 @@
             del self._waiters[id(job)]
         return found
 
+    def refuse(self, fingerprint: bytes, refusal: Refusal) -> None:
+        """Refuse what waits here of a request; what has a place is left to its try."""
+        for job, waiter in list(self._waiters.values()):
+            if job.fingerprint == fingerprint and not waiter.ready():
+                self._dispatcher.withdraw(job)
+                self._asker.drop(job)
+                waiter.send(refusal)
+
     def release(self, job: Job) -> None:
         """Give a place back."""
         if job.endpoint is None:
@@ -169,9 +185,10 @@
             self._on_change()
 
     def _tell(self, decision: Decision) -> None:
-        waiter = self._waiters.get(id(decision.job))
-        if waiter is None or waiter.ready():
+        waiting = self._waiters.get(id(decision.job))
+        if waiting is None or waiting.waiter.ready():
             return
+        waiter = waiting.waiter
         if isinstance(decision, Placed):
             waiter.send(decision.endpoint)
         else:
--- a/tests/direct/test_crash_reports.py
+++ b/tests/direct/test_crash_reports.py
@@ -1,4 +1,4 @@
-"""Ends of engines that no request of this entry is there to see, and who waits meanwhile."""
+"""Ends of engines that no request is there to see, and requests that wait meanwhile."""
 
 from __future__ import annotations
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -34,6 +34,13 @@
 DEADLY_GAP_S = (0.1, 0.8)
 """Shortest and longest time between tries of such a body, in seconds."""
 
+DEADLY_LEAVING = 0.3
+"""Part of those tries whose callers do not wait for the answer."""
+
+DEADLY_LEAVE_S = 0.04
+"""Longest time after which such a caller leaves, in seconds: the endpoint ends after 0.02 s
+of work."""
+
 KINDS = ("once", "safe", "draft", "brief", "new")
 """Routes; ``new`` stands for one that a configuration added a moment ago."""
 
@@ -121,6 +128,8 @@
         outcome.path = "/draft/x"
         outcome.sent_body = body
         outcome.is_deadly = True
+        if self.rng.random() < DEADLY_LEAVING:
+            outcome.patience_s = self.rng.uniform(0.0, DEADLY_LEAVE_S)
         conn = _Connection(entry, address)
         conn.ask(outcome, key)
         conn.close()
