Test: a try that is under way when the news comes is not sent to another engine

A mutant without the look before a send went unnoticed, since who waits is refused by the news itself now. The look still holds back the next engine of a try that is under way: without it two engines end here, and one with it.

--- a/tests/direct/test_crash_reports.py
+++ b/tests/direct/test_crash_reports.py
@@ -60,3 +60,19 @@
     start = time.monotonic()
     assert status_of(callers[3].read_answer()) == 503
     assert time.monotonic() - start < SOON_S
+
+
+def test_a_try_under_way_when_the_news_comes_is_not_sent_to_another_engine() -> None:
+    """Its next engine would be the fourth to end: it neither waits nor comes anew then."""
+    others = DyingFleet(entries=1, engines=3)
+    for _ in range(2):
+        others.ask(others.entries[0], DEADLY, path="/safe/a")
+        eventlet.sleep(NEWS_S)
+    news = others.entries[0].ctx.crashes.crashers.tell_some()
+    fleet = DyingFleet(entries=1, engines=3)
+    caller = Caller(fleet.entries[0])
+    caller.send("/safe/a", body=DEADLY)
+    eventlet.sleep(BEGIN_S / 4)
+    fleet.entries[0].ctx.crashes.take(news)
+    assert status_of(caller.read_answer()) == 502
+    assert len(fleet.ended) == 1
