--- a/dockreach/direct/cold_guard.py
+++ b/dockreach/direct/cold_guard.py
@@ -15,10 +15,6 @@
 """How long it is kept who may send to a cold endpoint, in seconds: entries come and go
 seldom, and hashing all of 300 takes 0.3 ms for each endpoint."""
 
-STANDING_S = 0.1
-"""How long it is kept in which standing this entry decides, in seconds: as long as whom it
-asks for places. To find it among 300 entries takes 0.1 ms, in each round of decisions."""
-
 
 class ColdGuard:
     """Bounds what endpoints are sent in a second.
@@ -84,8 +80,7 @@
         return found
 
     def _standing(self, service: str, now: float) -> Standing:
-        is_known = now - self._known_at < STANDING_S
-        if not is_known or self._coordinators.is_leaving:
+        if now != self._known_at:
             self._known_at = now
             self._standings.clear()
         found = self._standings.get(service)
