--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -297,7 +297,7 @@
     Edit(
         "an end counts though the caller had left before it",
         "direct/crash_reports.py",
-        "        if self._may_end(loss.row):\n            self._await(loss)\n",
+        "        if self._is_to_stay(loss.row):\n            self._await(loss)\n",
         "        return\n",
     ),
     Edit(
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -94,7 +94,7 @@
 
     def lost(self, loss: Loss) -> None:
         """Look whether an engine has ended on which a request was lost."""
-        if self._may_end(loss.row):
+        if self._is_to_stay(loss.row):
             eventlet.spawn_n(self._look, loss)
 
     def left(self, loss: Loss) -> None:
@@ -102,13 +102,13 @@
 
         Else a body whose callers leave before it ends its engine ends one each time.
         """
-        if self._may_end(loss.row):
+        if self._is_to_stay(loss.row):
             self._await(loss)
 
-    def _may_end(self, row: EndpointRow) -> bool:
-        """Return whether an end would say something of what runs at an engine.
+    def _is_to_stay(self, row: EndpointRow) -> bool:
+        """Return whether an engine is to go on: what runs at its end may be why it ends.
 
-        If it leaves it is to end, and what is under way there is cut in the end.
+        One that leaves ends by order, and what is still under way there is cut.
         """
         return not row.published.leaving and self._endpoints.get(row.id) is not None
 
--- a/dockreach/direct/spending.py
+++ b/dockreach/direct/spending.py
@@ -235,8 +235,9 @@
         Entries that start together have callers of the same organisation waiting, and each
         sees the whole rest of its limit. Each of the others is taken to have spent as much
         as this one, since its last digest or, where it is known by name only, since the
-        start. Cores alone, 29 entries else let in 1.3 times the bound. The pace of the
-        busiest step says nothing then: it is that of all who had waited, and 300 entries
+        start. Cores alone, 29 entries else let in 1.3 times the bound.
+
+        The busiest step tells no pace then: it holds all who had waited, and 300 entries
         would let in nothing for 6 of 8 s.
         """
         own = self._since_start.get(name, 0)
@@ -286,10 +287,9 @@
         if organisation.rate <= 0:
             return None
         steps = self._steps(organisation.name, now)
-        if self._has_lost(now):
-            steps[0] += self._unheard(organisation.name, now)
-        else:
-            steps[0] += self._untold(steps, now)
+        lost = self._has_lost(now)
+        unseen = self._unheard(organisation.name, now) if lost else self._untold(steps, now)
+        steps[0] += unseen
         spent = max(float(sum(steps)), self._remembered(organisation.name, now))
         part = 1 - LOWER_TIER * min(max(tier, 0), MOST_TIERS - 1)
         clause = self._refuses(organisation, tokens, spent, steps, now, part=part)
--- a/tests/direct/dying_engines.py
+++ b/tests/direct/dying_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 from dataclasses import replace
 
 import eventlet
@@ -26,6 +27,22 @@
 """Time in which entries on one machine hear from each other, in seconds."""
 
 
+def wait_at_a_full_engine(serve: Callable[[Dialog], None]) -> tuple[Entry, list[Caller]]:
+    """Start an entry with one engine, and callers of whom the last waits for a place.
+
+    Args:
+        serve: What the engine does; three requests have come to it, and one of them runs.
+    """
+    entry = start_entry()
+    entry.take_endpoint(published("e-0", EndpointStandIn(serve).address, slots=1))
+    callers = [Caller(entry) for _ in range(4)]
+    for number, caller in enumerate(callers):
+        body = DEADLY if number == 3 else str(number).encode()
+        caller.send("/draft/a" if number < 3 else "/once/a", rid=f"r-{number}", body=body)
+        eventlet.sleep(BEGIN_S)
+    return entry, callers
+
+
 class DyingFleet:
     """Entries that hear each other, and engines that are replaced when they end.
 
--- a/tests/direct/test_crash_reports.py
+++ b/tests/direct/test_crash_reports.py
@@ -6,8 +6,8 @@
 
 import eventlet
 
-from .dying_engines import BEGIN_S, DEADLY, NEWS_S, DyingFleet
-from .standins import Caller, Dialog, EndpointStandIn, published, start_entry, status_of
+from .dying_engines import BEGIN_S, DEADLY, NEWS_S, DyingFleet, wait_at_a_full_engine
+from .standins import Caller, Dialog, status_of
 
 SOON_S = 0.3
 """Time in which an answer comes that waits for nothing, in seconds."""
@@ -49,16 +49,10 @@
     for _ in range(2):
         fleet.ask(fleet.entries[0], DEADLY)
         eventlet.sleep(NEWS_S)
-    entry = start_entry()
-    entry.take_endpoint(published("e-0", EndpointStandIn(busy).address, slots=1))
-    callers = [Caller(entry) for _ in range(4)]
-    for number, caller in enumerate(callers):
-        body = DEADLY if number == 3 else str(number).encode()
-        caller.send("/draft/a" if number < 3 else "/once/a", rid=f"r-{number}", body=body)
-        eventlet.sleep(BEGIN_S)
+    entry, callers = wait_at_a_full_engine(busy)
     entry.ctx.crashes.take(fleet.entries[0].ctx.crashes.crashers.tell_some())
     start = time.monotonic()
-    assert status_of(callers[3].read_answer()) == 503
+    assert status_of(callers[-1].read_answer()) == 503
     assert time.monotonic() - start < SOON_S
 
 
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -19,7 +19,7 @@
 
 from dockreach.direct.crash_reports import TELL_AGAIN_S
 
-from .dying_engines import DEADLY, NEWS_S, DyingFleet
+from .dying_engines import DEADLY, NEWS_S, DyingFleet, wait_at_a_full_engine
 from .standins import (
     Caller,
     Dialog,
@@ -91,16 +91,10 @@
     for _ in range(2):
         fleet.ask(fleet.entries[0], DEADLY)
         eventlet.sleep(NEWS_S)
-    entry = start_entry()
-    entry.take_endpoint(published("e-0", EndpointStandIn(busy).address, slots=1))
-    callers = [Caller(entry) for _ in range(4)]
-    for number, caller in enumerate(callers):
-        body = DEADLY if number == 3 else str(number).encode()
-        caller.send("/draft/a" if number < 3 else "/once/a", rid=f"r-{number}", body=body)
-        eventlet.sleep(0.02)
+    entry, callers = wait_at_a_full_engine(busy)
     assert "r-3" not in ran
     entry.ctx.crashes.take(fleet.entries[0].ctx.crashes.crashers.tell_some())
-    assert status_of(callers[3].read_answer()) == 503
+    assert status_of(callers[-1].read_answer()) == 503
     assert "r-3" not in ran
 
 
