A connection that breaks at once is half a sign that the engine ended under the request

Cause: where a proxy goes on to listen for a dead engine, a request is taken and broken off within a millisecond. The engine had ended before, and the request was suspected: one try that met two such engines barred a sound stream, after its entries had been killed and remembered no answer. Ruled out: leaving such breaks out (an engine that ends as it begins looks the same, and would end without bound); a bound by the kept connection alone (proxies take new ones too).

Change: a break within 5 ms of the send counts half, so that four bar a request. What a caller left is no break and counts whole.

Measured: 46 of 134 requests that were lost in four soaks were so within 5 ms of their arrival.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -297,8 +297,8 @@
     Edit(
         "an end counts though the caller had left before it",
         "direct/crash_reports.py",
-        "        if self._is_to_stay(loss.row):\n            self._await(loss)\n",
-        "        return\n",
+        "            self._await(loss._replace(at=max(loss.at, loss.sent + SUDDEN_S)))\n",
+        "            pass\n",
     ),
     Edit(
         "who waits when the news comes is answered at once",
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -10,7 +10,7 @@
 from cachetools import TTLCache
 
 from ..events import Event, log
-from .crashers import Crashers, Suspect
+from .crashers import SUDDEN_S, Crashers, Suspect
 from .digest import CrashNews
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EndpointTable
@@ -103,7 +103,8 @@
         Else a body whose callers leave before it ends its engine ends one each time.
         """
         if self._is_to_stay(loss.row):
-            self._await(loss)
+            # It was there for longer than it takes to meet an engine that is dead.
+            self._await(loss._replace(at=max(loss.at, loss.sent + SUDDEN_S)))
 
     def _is_to_stay(self, row: EndpointRow) -> bool:
         """Return whether an engine is to go on: what runs at its end may be why it ends.
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -25,6 +25,15 @@
 15.0, and no sound try was refused. Without a bound 181 engines ended, with 759 tries.
 """
 
+SUDDEN_S = 0.005
+"""A connection that breaks sooner after a send is half a sign of an end under the request,
+in seconds: 46 of 134 requests that were lost in four soaks with crashes in series broke as
+soon, at engines that were dead already, whose proxies still listened. Engines that ended
+under a request took 0.066 s and more; one that ends them at once costs two engines more."""
+
+SUDDEN_PART = 0.5
+"""What such a run counts."""
+
 TRIAL_S = 60.0
 """Time after the last end at which one entry tries a barred request again, in seconds: a
 sound one that is asked for all the time may be there at two ends by chance, and would be
@@ -147,7 +156,7 @@
     ends: dict[str, _Run] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
 
-    def runs(self, ended: Mapping[str, float]) -> int:
+    def runs(self, ended: Mapping[str, float]) -> float:
         """Return how many runs, one after the other, engines ended under.
 
         Runs at the same time count once: a whole service is killed at a moment, with the
@@ -157,7 +166,7 @@
         Args:
             ended: Steady time of the first sign of each engine's end, in seconds.
         """
-        counted = 0
+        counted = 0.0
         last = -math.inf
         ends = [
             run
@@ -166,7 +175,8 @@
         ]
         for run in sorted(ends, key=lambda run: run.ended):
             if run.sent >= last:
-                counted += 1
+                is_sudden = run.ended - run.sent < SUDDEN_S
+                counted += SUDDEN_PART if is_sudden else 1.0
                 last = run.ended
         return counted
 
@@ -260,7 +270,7 @@
 
     def _trial_at(self, record: _Record) -> float:
         """Return when a barred request may be tried again, in seconds."""
-        failed = record.runs(self._ended) - self._most_runs
+        failed = math.floor(record.runs(self._ended) - self._most_runs)
         if failed >= MOST_TRIALS:
             return math.inf
         last = max(record.tried, *(run.ended for run in record.ends.values()))
