--- a/tests/direct/test_crash_reports.py
+++ b/tests/direct/test_crash_reports.py
@@ -7,8 +7,12 @@
 import eventlet
 import pytest
 
+from dockreach.direct.crash_reports import CrashReports, Loss
+from dockreach.direct.crashers import MOST_RUNS, SUDDEN_S, Crashers
+from dockreach.direct.endpoints import EndpointTable
+
 from .dying_engines import BEGIN_S, DEADLY, NEWS_S, DyingFleet, wait_at_a_full_engine
-from .standins import Caller, Dialog, EndpointStandIn, start_entry, status_of
+from .standins import Caller, Dialog, EndpointStandIn, published, start_entry, status_of
 
 SOON_S = 0.3
 """Time in which an answer comes that waits for nothing, in seconds."""
@@ -35,6 +39,31 @@
     assert len(fleet.ended) == 2
 
 
+@pytest.mark.parametrize("began", [100.0, 12345.678, 80001.3])
+def test_a_caller_that_leaves_at_once_hides_nothing(began: float) -> None:
+    """Whether two such ends or four barred a request hung on the last digit of the time.
+
+    An end within 5 ms of the send is half a sign. Where the caller had left sooner, 5 ms
+    were added to the time of the send and the same time was taken off again, which leaves
+    a little less than 5 ms for half of all times, 12345.678 s among them.
+    """
+    now = began
+    crashers = Crashers(lambda: now, lambda _: False)
+    endpoints = EndpointTable()
+    reports = CrashReports(
+        crashers, endpoints, lambda _: None, lambda: now, 1.0, lambda _: None
+    )
+    for number in range(MOST_RUNS):
+        assert not crashers.is_barred(b"request1")
+        now += 1.0
+        endpoints.publish(published(f"e-{number}", "127.0.0.1:1"))
+        row = endpoints.last_life(f"e-{number}")
+        assert row is not None
+        reports.left(Loss("/once/a", b"request1", "", row, now, now + SUDDEN_S / 5))
+        reports.ended(row)
+    assert crashers.is_barred(b"request1")
+
+
 def test_who_waits_when_the_news_comes_is_refused_at_once() -> None:
     """A request that was not to be run any more waited for as long as any other.
 
