Whether an end is a sudden one is noted when it is seen, and told

Cause: it was worked out anew from two times at each count; a loss whose caller had left was set apart by adding 5 ms to one of them, which rounding takes away at about half of all times. Every entry that heard of the end worked it out anew, too.

Ruled out: a larger sum (a wait that is long enough by accident); leaving such losses out (callers that leave early would end engines without bound).

Change: the loss says whether its connection broke, the run whether it was sudden, and others are told.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -297,7 +297,7 @@
     Edit(
         "an end counts though the caller had left before it",
         "direct/crash_reports.py",
-        "            self._await(loss._replace(at=max(loss.at, loss.sent + SUDDEN_S)))\n",
+        "            self._await(loss._replace(is_cut=False))\n",
         "            pass\n",
     ),
     Edit(
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -10,7 +10,7 @@
 from cachetools import TTLCache
 
 from ..events import Event, log
-from .crashers import SUDDEN_S, Crashers, Suspect
+from .crashers import Crashers, Suspect
 from .digest import CrashNews
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EndpointTable
@@ -51,6 +51,7 @@
         row: The engine.
         sent: Steady time at which it was sent there, in seconds.
         at: Steady time at which it was given up, in seconds.
+        is_cut: Whether its connection broke; else the entry gave it up.
     """
 
     path: str
@@ -59,6 +60,7 @@
     row: EndpointRow
     sent: float
     at: float
+    is_cut: bool = True
 
 
 class CrashReports:
@@ -103,8 +105,7 @@
         Else a body whose callers leave before it ends its engine ends one each time.
         """
         if self._is_to_stay(loss.row):
-            # It was there for longer than it takes to meet an engine that is dead.
-            self._await(loss._replace(at=max(loss.at, loss.sent + SUDDEN_S)))
+            self._await(loss._replace(is_cut=False))
 
     def _is_to_stay(self, row: EndpointRow) -> bool:
         """Return whether an engine is to go on: what runs at its end may be why it ends.
@@ -147,7 +148,10 @@
 
     def _note_end(self, loss: Loss) -> None:
         fingerprint, life = loss.fingerprint, loss.row.life
-        if not self.crashers.note_end(fingerprint, life, sent=loss.sent, ended=loss.at):
+        is_news = self.crashers.note_end(
+            fingerprint, life, sent=loss.sent, ended=loss.at, is_cut=loss.is_cut
+        )
+        if not is_news:
             return
         is_barred = self.crashers.is_barred(fingerprint)
         log(
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -108,11 +108,13 @@
         life: Of the engine.
         sent_s: How long ago the request was sent to it, in seconds.
         ended_s: How long ago it ended, in seconds.
+        is_sudden: Whether it may have ended before it was sent the request.
     """
 
     life: str
     sent_s: float
     ended_s: float
+    is_sudden: bool = False
 
 
 class Suspect(msgspec.Struct, array_like=True):
@@ -132,10 +134,17 @@
 
 
 class _Run(NamedTuple):
-    """A run under which an engine ended, in steady time, in seconds."""
+    """A run under which an engine ended.
+
+    Attributes:
+        sent: Steady time at which the request was sent to it, in seconds.
+        ended: Steady time of the end, in seconds.
+        is_sudden: Whether the engine may have ended before.
+    """
 
     sent: float
     ended: float
+    is_sudden: bool = False
 
 
 @dataclass(slots=True)
@@ -175,8 +184,7 @@
         ]
         for run in sorted(ends, key=lambda run: run.ended):
             if run.sent >= last:
-                is_sudden = run.ended - run.sent < SUDDEN_S
-                counted += SUDDEN_PART if is_sudden else 1.0
+                counted += SUDDEN_PART if run.is_sudden else 1.0
                 last = run.ended
         return counted
 
@@ -281,7 +289,15 @@
         record = self._records.get(fingerprint)
         return record is not None and self._bars(record)
 
-    def note_end(self, fingerprint: bytes, life: str, *, sent: float, ended: float) -> bool:
+    def note_end(
+        self,
+        fingerprint: bytes,
+        life: str,
+        *,
+        sent: float,
+        ended: float,
+        is_cut: bool = True,
+    ) -> bool:
         """Note that an engine ended under a request; return whether others should hear.
 
         Args:
@@ -289,13 +305,15 @@
             life: Of the engine; it counts once.
             sent: Steady time at which the request was sent to the engine, in seconds.
             ended: Steady time of the end, in seconds.
+            is_cut: Whether the connection broke then; else the caller left or time was up,
+                at an engine that had taken the request.
         """
         if fingerprint in self._answered:
             # Nobody hears of it, so that it changes nothing here either: all entries are to
             # come to the same.
             return False
         self._note_life(life, ended)
-        run = _Run(sent, ended)
+        run = _Run(sent, ended, is_sudden=is_cut and ended - sent < SUDDEN_S)
         return self._change(fingerprint, ended, lambda record: record.add(life, run))
 
     def note_answered(self, fingerprint: bytes) -> bool:
@@ -324,7 +342,10 @@
 
         def change(record: _Record) -> bool:
             news = [
-                record.add(end.life, _Run(now - end.sent_s, now - end.ended_s))
+                record.add(
+                    end.life,
+                    _Run(now - end.sent_s, now - end.ended_s, is_sudden=end.is_sudden),
+                )
                 for end in suspect.ends
             ]
             news.append(record.clear(suspect.cleared))
@@ -384,7 +405,7 @@
         return Suspect(
             fingerprint,
             [
-                ToldEnd(life, now - run.sent, now - run.ended)
+                ToldEnd(life, now - run.sent, now - run.ended, run.is_sudden)
                 for life, run in record.ends.items()
             ],
             sorted(record.cleared),
