Test, red: two ways in which a request that ends its engines is run without end

Seen by reading. One that ends engines at once counts half, trials count by the same sum, and six ends at most are kept: the sum stays at 3.0 and the next trial is due every 240 s. Six ends at one moment count as one run and leave no room for later ones, so that nothing bars it any more.

--- a/tests/direct/test_crashers.py
+++ b/tests/direct/test_crashers.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -259,6 +260,45 @@
     assert trials == MOST_TRIALS
 
 
+def test_trials_of_one_that_ends_its_engines_at_once_are_bounded_too() -> None:
+    """An engine every four minutes ended under one request, for as long as it came.
+
+    An end at once counts half, and trials were counted by what the ends count: with six
+    ends kept, of 0.5 each, it never came to the three trials after which there are none.
+    """
+    clock = Clock()
+    crashers = table(clock, is_trier=True)
+    ends = 0
+    for _ in range(int(20 * TRIAL_S * TRIAL_FACTOR**MOST_TRIALS)):
+        clock.sleep(1.0)
+        if crashers.admit(BODY) is not Admission.BARRED:
+            ends += 1
+            crashers.note_end(BODY, f"life-{ends}", sent=clock.now, ended=clock.now + 0.001)
+    assert ends == MOST_RUNS + MOST_TRIALS
+
+
+@pytest.mark.parametrize("at_once", [MOST_ENDS, 2 * MOST_ENDS])
+def test_one_that_ends_many_engines_at_a_moment_is_barred_by_the_next(at_once: int) -> None:
+    """A request that ended six engines at a moment was run ever after.
+
+    Runs at the same time count once, and six ends are kept for a request: those six, all
+    of one moment, left no room for any that came later. Of what came after the third end
+    no more than three may be sent, trials among them.
+    """
+    clock = Clock()
+    crashers = table(clock, is_trier=True)
+    for number in range(at_once):
+        assert crashers.admit(BODY) is Admission.FREE
+        crashers.note_end(BODY, f"life-{number}", sent=clock.now, ended=clock.now + 0.1)
+    later = 0
+    for _ in range(int(20 * TRIAL_S * TRIAL_FACTOR**MOST_TRIALS)):
+        clock.sleep(1.0)
+        if crashers.admit(BODY) is not Admission.BARRED:
+            later += 1
+            crashers.note_end(BODY, f"later-{later}", sent=clock.now, ended=clock.now + 0.1)
+    assert later == MOST_TRIALS
+
+
 def test_an_answer_elsewhere_clears_ends_of_which_the_news_comes_later() -> None:
     """A sound request that is asked for all the time was refused at all entries.
 
