Requests that end their engines at once, or several at a moment, are bounded like others

Cause: trials were counted by signs, of which an end at once is half, so that with six ends kept the third trial never came; and ends of one moment, which count as one run, filled the places for ends. With six engines lost at a moment nothing barred the request after.

Ruled out: more ends kept (as many engines may end at a moment); counting ends of one moment one by one (a service that is killed whole would bar the sound request that is asked for all the time).

Change: trials are counted by runs; no run is sent after the third that came later than the third end; where an end must be forgotten it is one that does not count.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -321,9 +321,33 @@
     Edit(
         "runs at the same time count once",
         "direct/crashers.py",
-        "            if run.sent >= last:\n",
+        "            if not found or run.sent >= found[-1].ended:\n",
         "            if True:\n",
     ),
+    Edit(
+        "ends of one moment leave room for later ones",
+        "direct/crashers.py",
+        "            return run.life not in self.cleared, run in counted, -run.ended\n",
+        "            return run.life not in self.cleared, True, -run.ended\n",
+    ),
+    Edit(
+        "trials that end engines at once are bounded",
+        "direct/crashers.py",
+        "        if len(record.runs(self._ended)) >= self._most_runs + MOST_TRIALS:\n",
+        "        if record.signs(self._ended) >= self._most_runs + MOST_TRIALS:\n",
+    ),
+    Edit(
+        "so many runs after the third end, and no more",
+        "direct/crashers.py",
+        "        if record.late_runs(self._ended) >= MOST_LATE_RUNS:\n",
+        "        if False:\n",
+    ),
+    Edit(
+        "what a caller left early counts whole",
+        "direct/crash_reports.py",
+        "            self._await(loss._replace(is_cut=False))\n",
+        "            self._await(loss)\n",
+    ),
     Edit(
         "an answer clears what was seen before it",
         "direct/crashers.py",
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -43,7 +43,15 @@
 """How many times as long the wait is after each trial that ended an engine."""
 
 MOST_TRIALS = 3
-"""Trials that may end an engine, over all entries."""
+"""Trials that may end an engine, over all entries; fewer where more runs were needed to
+bar the request than usual."""
+
+ENDS_ENOUGH = 3
+"""Ends of engines after which it is plain what brings them about."""
+
+MOST_LATE_RUNS = 3
+"""Runs that may be sent after so many ends, over all entries and for as long as the request
+comes: what callers whose engines are lost put up with."""
 
 SOUND_EVENTS = 5
 """A stream that has made as many events when its engine ends is not suspected: what crashes
@@ -137,16 +145,23 @@
     """A run under which an engine ended.
 
     Attributes:
+        life: Of the engine.
         sent: Steady time at which the request was sent to it, in seconds.
         ended: Steady time of the end, in seconds.
         is_sudden: Whether the engine may have ended before.
     """
 
+    life: str
     sent: float
     ended: float
     is_sudden: bool = False
 
 
+def _heard(end: ToldEnd, now: float) -> _Run:
+    """Return the run of which another entry tells."""
+    return _Run(end.life, now - end.sent_s, now - end.ended_s, end.is_sudden)
+
+
 @dataclass(slots=True)
 class _Record:
     """What is known of one request.
@@ -165,49 +180,70 @@
     ends: dict[str, _Run] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
 
-    def runs(self, ended: Mapping[str, float]) -> float:
-        """Return how many runs, one after the other, engines ended under.
+    def runs(self, ended: Mapping[str, float]) -> list[_Run]:
+        """Return the runs, one after the other, under which engines ended.
 
         Runs at the same time count once: a whole service is killed at a moment, with the
-        same sound request under way at several engines. What was sent to an engine after
-        its end was lost there, and did not end it.
+        same sound request under way at several engines.
 
         Args:
             ended: Steady time of the first sign of each engine's end, in seconds.
         """
-        counted = 0.0
-        last = -math.inf
-        ends = [
+        found: list[_Run] = []
+        for run in self._suspected(ended):
+            if not found or run.sent >= found[-1].ended:
+                found.append(run)
+        return found
+
+    def signs(self, ended: Mapping[str, float]) -> float:
+        """Return what the runs count."""
+        return sum(SUDDEN_PART if run.is_sudden else 1.0 for run in self.runs(ended))
+
+    def late_runs(self, ended: Mapping[str, float]) -> int:
+        """Return how many runs were sent after so many ends that no more should be."""
+        suspected = self._suspected(ended)
+        if len(suspected) < ENDS_ENOUGH:
+            return 0
+        since = suspected[ENDS_ENOUGH - 1].ended
+        return sum(run.sent >= since for run in suspected)
+
+    def _suspected(self, ended: Mapping[str, float]) -> list[_Run]:
+        """Return the runs that may have ended their engines, the earliest end first.
+
+        What was sent to an engine after its end was lost there, and did not end it.
+        """
+        found = [
             run
-            for life, run in self.ends.items()
-            if life not in self.cleared and run.sent < ended.get(life, run.ended)
+            for run in self.ends.values()
+            if run.life not in self.cleared and run.sent < ended.get(run.life, run.ended)
         ]
-        for run in sorted(ends, key=lambda run: run.ended):
-            if run.sent >= last:
-                counted += SUDDEN_PART if run.is_sudden else 1.0
-                last = run.ended
-        return counted
+        return sorted(found, key=lambda run: run.ended)
 
-    def add(self, life: str, run: _Run) -> bool:
+    def add(self, run: _Run, ended: Mapping[str, float]) -> bool:
         """Add an end; return whether it is news."""
-        known = self.ends.get(life)
+        known = self.ends.get(run.life)
         if known is not None:
             # A message that was held up tells of an end as later than it was.
-            self.ends[life] = min(known, run, key=lambda run: run.ended)
+            self.ends[run.life] = min(known, run, key=lambda run: run.ended)
             return False
-        if len(self.ends) >= MOST_ENDS and not self._make_room():
-            return False
-        self.ends[life] = run
-        return True
+        self.ends[run.life] = run
+        if len(self.ends) > MOST_ENDS:
+            self._forget_one(ended)
+        return run.life in self.ends
 
-    def _make_room(self) -> bool:
-        """Forget an end that it did not bring about; return whether there was one."""
-        for life in self.ends:
-            if life in self.cleared:
-                del self.ends[life]
-                self.cleared.remove(life)
-                return True
-        return False
+    def _forget_one(self, ended: Mapping[str, float]) -> None:
+        """Forget an end that it did not bring about, else the latest that does not count.
+
+        Six engines that end at a moment would else hide all that end later.
+        """
+        counted = self.runs(ended)
+
+        def worth(run: _Run) -> tuple[bool, bool, float]:
+            return run.life not in self.cleared, run in counted, -run.ended
+
+        life = min(self.ends.values(), key=worth).life
+        del self.ends[life]
+        self.cleared.discard(life)
 
     def clear(self, lives: Iterable[str]) -> bool:
         """Take ends off it; return whether that is news."""
@@ -255,7 +291,7 @@
     def _bars(self, record: _Record) -> bool:
         if len(record.ends) < self._most_runs:
             return False
-        return record.runs(self._ended) >= self._most_runs
+        return record.signs(self._ended) >= self._most_runs
 
     def count(self) -> int:
         """Return how many requests are not run."""
@@ -278,9 +314,12 @@
 
     def _trial_at(self, record: _Record) -> float:
         """Return when a barred request may be tried again, in seconds."""
-        failed = math.floor(record.runs(self._ended) - self._most_runs)
-        if failed >= MOST_TRIALS:
+        if record.late_runs(self._ended) >= MOST_LATE_RUNS:
+            return math.inf
+        # Runs and not signs: of one that ends engines at once each trial is half a sign.
+        if len(record.runs(self._ended)) >= self._most_runs + MOST_TRIALS:
             return math.inf
+        failed = math.floor(record.signs(self._ended) - self._most_runs)
         last = max(record.tried, *(run.ended for run in record.ends.values()))
         return last + TRIAL_S * TRIAL_FACTOR**failed
 
@@ -313,8 +352,8 @@
             # come to the same.
             return False
         self._note_life(life, ended)
-        run = _Run(sent, ended, is_sudden=is_cut and ended - sent < SUDDEN_S)
-        return self._change(fingerprint, ended, lambda record: record.add(life, run))
+        run = _Run(life, sent, ended, is_sudden=is_cut and ended - sent < SUDDEN_S)
+        return self._change(fingerprint, ended, lambda record: record.add(run, self._ended))
 
     def note_answered(self, fingerprint: bytes) -> bool:
         """Note that a request was answered; return whether others should hear."""
@@ -341,13 +380,7 @@
         was_barred = before is not None and self._bars(before)
 
         def change(record: _Record) -> bool:
-            news = [
-                record.add(
-                    end.life,
-                    _Run(now - end.sent_s, now - end.ended_s, is_sudden=end.is_sudden),
-                )
-                for end in suspect.ends
-            ]
+            news = [record.add(_heard(end, now), self._ended) for end in suspect.ends]
             news.append(record.clear(suspect.cleared))
             return any(news)
 
@@ -405,8 +438,8 @@
         return Suspect(
             fingerprint,
             [
-                ToldEnd(life, now - run.sent, now - run.ended, run.is_sudden)
-                for life, run in record.ends.items()
+                ToldEnd(run.life, now - run.sent, now - run.ended, run.is_sudden)
+                for run in record.ends.values()
             ],
             sorted(record.cleared),
             now - record.came,
