Test: an end at once is one by the limit of the test, not by how fast the machine is

Reproduced beside 24 busy processes: 1 of 48 plays of the test failed, in which one of its breaks was seen after 8.6 ms (191 measured, 0.4 ms at the median, one above 5 ms). An end that is counted whole for it bars the request one engine sooner, which is the safe side, so that the product stays as it is.

Ruled out: three or four ends allowed (less strict); a longer limit in the product (10 ms is half of what a soak's engines take to end, and the fault would only be rarer).

--- a/tests/direct/test_crashers.py
+++ b/tests/direct/test_crashers.py
@@ -17,6 +17,7 @@
     MOST_TRIALS,
     SOUND_S,
     SPREAD_S,
+    SUDDEN_S,
     TRIAL_FACTOR,
     TRIAL_S,
     Admission,
@@ -78,6 +79,18 @@
     assert crashers.is_barred(BODY)
 
 
+@pytest.mark.parametrize(("part", "ends"), [(0.9, 4), (1.1, 2)])
+def test_what_is_at_once_is_told_by_one_limit(part: float, ends: int) -> None:
+    clock = Clock()
+    crashers = table(clock)
+    for number in range(ends):
+        assert not crashers.is_barred(BODY)
+        clock.sleep(1.0)
+        ended = clock.now + part * SUDDEN_S
+        crashers.note_end(BODY, f"life-{number}", sent=clock.now, ended=ended)
+    assert crashers.is_barred(BODY)
+
+
 def test_a_life_ends_once() -> None:
     clock = Clock()
     crashers = table(clock)
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -17,10 +17,13 @@
 import eventlet
 import pytest
 
+from dockreach.direct import crashers
 from dockreach.direct.crash_reports import TELL_AGAIN_S
+from dockreach.direct.crashers import SUDDEN_S
 
 from .dying_engines import BEGIN_S, DEADLY, NEWS_S, DyingFleet, wait_at_a_full_engine
 from .standins import (
+    READ_S,
     Caller,
     Dialog,
     EndpointStandIn,
@@ -167,17 +170,26 @@
 
 
 @pytest.mark.parametrize("is_back_at_once", [False, True])
-@pytest.mark.parametrize(("begin_s", "most"), [(BEGIN_S, 2), (0.0, 4)])
+@pytest.mark.parametrize(
+    ("begin_s", "sudden_s", "most"), [(BEGIN_S, SUDDEN_S, 2), (0.0, READ_S, 4)]
+)
 def test_an_end_is_found_out_where_something_goes_on_to_listen_at_the_address(
-    is_back_at_once: bool, begin_s: float, most: int
+    is_back_at_once: bool,
+    begin_s: float,
+    sudden_s: float,
+    most: int,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Seventeen engines ended under one body, behind proxies that went on to listen.
 
     Whether an engine had ended was told by a connection that was refused. A proxy before a
     dead engine takes connections and closes them, and an engine that is back at once takes
     them like the old one: at 17 of 17 ends somebody listened, and none was counted. An end
-    at once counts half, since it looks like an engine that was dead before.
+    at once counts half, since it looks like an engine that was dead before. What is at once
+    for the engine may take this process longer than 5 ms: beside 24 busy processes 1 of
+    191 ends took 8.6 ms, 0.4 ms being usual.
     """
+    monkeypatch.setattr(crashers, "SUDDEN_S", sudden_s)
     ended: list[str] = []
 
     def serve(dialog: Dialog) -> None:
