--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -320,13 +320,13 @@
     ),
     Edit(
         "runs at the same time count once",
-        "direct/crashers.py",
+        "direct/crash_record.py",
         "            if not found or run.sent >= found[-1].ended:\n",
         "            if True:\n",
     ),
     Edit(
         "ends of one moment leave room for later ones",
-        "direct/crashers.py",
+        "direct/crash_record.py",
         "            return run.life not in self.cleared, run in counted, -run.ended\n",
         "            return run.life not in self.cleared, True, -run.ended\n",
     ),
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -10,7 +10,8 @@
 from cachetools import TTLCache
 
 from ..events import Event, log
-from .crashers import Crashers, Suspect
+from .crash_record import Suspect
+from .crashers import Crashers
 from .digest import CrashNews
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EndpointTable
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -9,14 +9,12 @@
 
 import enum
 import math
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
-from typing import NamedTuple
+from collections.abc import Callable
 
-import msgspec
 from cachetools import TLRUCache, TTLCache
 
 from ..verdict import Reason, Refusal, Verdict
+from .crash_record import Record, Run, Suspect, ToldEnd
 
 MOST_RUNS = 2
 """Runs one after the other under which engines ended, after which a request is not run any
@@ -31,9 +29,6 @@
 soon, at engines that were dead already, whose proxies still listened. Engines that ended
 under a request took 0.066 s and more; one that ends them at once costs two engines more."""
 
-SUDDEN_PART = 0.5
-"""What such a run counts."""
-
 TRIAL_S = 60.0
 """Time after the last end at which one entry tries a barred request again, in seconds: a
 sound one that is asked for all the time may be there at two ends by chance, and would be
@@ -46,9 +41,6 @@
 """Trials that may end an engine, over all entries; fewer where more runs were needed to
 bar the request than usual."""
 
-ENDS_ENOUGH = 3
-"""Ends of engines after which it is plain what brings them about."""
-
 MOST_LATE_RUNS = 3
 """Runs that may be sent after so many ends, over all entries and for as long as the request
 comes: what callers whose engines are lost put up with."""
@@ -81,9 +73,6 @@
 MOST_LIVES = 1024
 """Ended lives of engines whose end is remembered, as long as one is told of it."""
 
-MOST_ENDS = 6
-"""Ends of engines that are kept for one request."""
-
 SPREAD_S = 10.0
 """How long others are told what is new with each digest, in seconds: in this time an entry
 that was cut off or stood still is heard again."""
@@ -109,150 +98,7 @@
     """It may not."""
 
 
-class ToldEnd(msgspec.Struct, array_like=True):
-    """What one entry tells of the end of an engine under a request.
-
-    Attributes:
-        life: Of the engine.
-        sent_s: How long ago the request was sent to it, in seconds.
-        ended_s: How long ago it ended, in seconds.
-        is_sudden: Whether it may have ended before it was sent the request.
-    """
-
-    life: str
-    sent_s: float
-    ended_s: float
-    is_sudden: bool = False
-
-
-class Suspect(msgspec.Struct, array_like=True):
-    """What one entry tells of a request under which engines ended.
-
-    Attributes:
-        fingerprint: Of the request.
-        ends: Engines that ended under it.
-        cleared: Those of them that ended for another reason: it was answered since.
-        came_s: How long ago it came last, in seconds.
-    """
-
-    fingerprint: bytes
-    ends: list[ToldEnd]
-    cleared: list[str]
-    came_s: float
-
-
-class _Run(NamedTuple):
-    """A run under which an engine ended.
-
-    Attributes:
-        life: Of the engine.
-        sent: Steady time at which the request was sent to it, in seconds.
-        ended: Steady time of the end, in seconds.
-        is_sudden: Whether the engine may have ended before.
-    """
-
-    life: str
-    sent: float
-    ended: float
-    is_sudden: bool = False
-
-
-def _heard(end: ToldEnd, now: float) -> _Run:
-    """Return the run of which another entry tells."""
-    return _Run(end.life, now - end.sent_s, now - end.ended_s, end.is_sudden)
-
-
-@dataclass(slots=True)
-class _Record:
-    """What is known of one request.
-
-    Attributes:
-        ends: Its runs under which an engine ended, by the engine's life.
-        cleared: Ends that it did not bring about.
-        came: Steady time at which it came last, in seconds.
-        changed: Steady time at which something new became known, in seconds.
-        tried: Steady time of the last trial here, in seconds.
-    """
-
-    came: float
-    changed: float
-    tried: float = -math.inf
-    ends: dict[str, _Run] = field(default_factory=dict)
-    cleared: set[str] = field(default_factory=set)
-
-    def runs(self, ended: Mapping[str, float]) -> list[_Run]:
-        """Return the runs, one after the other, under which engines ended.
-
-        Runs at the same time count once: a whole service is killed at a moment, with the
-        same sound request under way at several engines.
-
-        Args:
-            ended: Steady time of the first sign of each engine's end, in seconds.
-        """
-        found: list[_Run] = []
-        for run in self._suspected(ended):
-            if not found or run.sent >= found[-1].ended:
-                found.append(run)
-        return found
-
-    def signs(self, ended: Mapping[str, float]) -> float:
-        """Return what the runs count."""
-        return sum(SUDDEN_PART if run.is_sudden else 1.0 for run in self.runs(ended))
-
-    def late_runs(self, ended: Mapping[str, float]) -> int:
-        """Return how many runs were sent after so many ends that no more should be."""
-        suspected = self._suspected(ended)
-        if len(suspected) < ENDS_ENOUGH:
-            return 0
-        since = suspected[ENDS_ENOUGH - 1].ended
-        return sum(run.sent >= since for run in suspected)
-
-    def _suspected(self, ended: Mapping[str, float]) -> list[_Run]:
-        """Return the runs that may have ended their engines, the earliest end first.
-
-        What was sent to an engine after its end was lost there, and did not end it.
-        """
-        found = [
-            run
-            for run in self.ends.values()
-            if run.life not in self.cleared and run.sent < ended.get(run.life, run.ended)
-        ]
-        return sorted(found, key=lambda run: run.ended)
-
-    def add(self, run: _Run, ended: Mapping[str, float]) -> bool:
-        """Add an end; return whether it is news."""
-        known = self.ends.get(run.life)
-        if known is not None:
-            # A message that was held up tells of an end as later than it was.
-            self.ends[run.life] = min(known, run, key=lambda run: run.ended)
-            return False
-        self.ends[run.life] = run
-        if len(self.ends) > MOST_ENDS:
-            self._forget_one(ended)
-        return run.life in self.ends
-
-    def _forget_one(self, ended: Mapping[str, float]) -> None:
-        """Forget an end that it did not bring about, else the latest that does not count.
-
-        Six engines that end at a moment would else hide all that end later.
-        """
-        counted = self.runs(ended)
-
-        def worth(run: _Run) -> tuple[bool, bool, float]:
-            return run.life not in self.cleared, run in counted, -run.ended
-
-        life = min(self.ends.values(), key=worth).life
-        del self.ends[life]
-        self.cleared.discard(life)
-
-    def clear(self, lives: Iterable[str]) -> bool:
-        """Take ends off it; return whether that is news."""
-        found = set(lives) & self.ends.keys() - self.cleared
-        self.cleared |= found
-        return bool(found)
-
-
-def _forget_at(_: bytes, record: _Record, now: float) -> float:
+def _forget_at(_: bytes, record: Record, now: float) -> float:
     """Return when a record is forgotten."""
     return min(record.came, now) + KEPT_S
 
@@ -276,7 +122,7 @@
         self._clock = clock
         self._is_trier = is_trier
         self._most_runs = most_runs
-        self._records: TLRUCache[bytes, _Record] = TLRUCache(
+        self._records: TLRUCache[bytes, Record] = TLRUCache(
             MOST_KEPT, ttu=_forget_at, timer=clock
         )
         self._answered: TTLCache[bytes, bool] = TTLCache(
@@ -288,7 +134,7 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def _bars(self, record: _Record) -> bool:
+    def _bars(self, record: Record) -> bool:
         if len(record.ends) < self._most_runs:
             return False
         return record.signs(self._ended) >= self._most_runs
@@ -312,7 +158,7 @@
         record.tried = now
         return Admission.TRIAL
 
-    def _trial_at(self, record: _Record) -> float:
+    def _trial_at(self, record: Record) -> float:
         """Return when a barred request may be tried again, in seconds."""
         if record.late_runs(self._ended) >= MOST_LATE_RUNS:
             return math.inf
@@ -352,7 +198,7 @@
             # come to the same.
             return False
         self._note_life(life, ended)
-        run = _Run(life, sent, ended, is_sudden=is_cut and ended - sent < SUDDEN_S)
+        run = Run(life, sent, ended, is_sudden=is_cut and ended - sent < SUDDEN_S)
         return self._change(fingerprint, ended, lambda record: record.add(run, self._ended))
 
     def note_answered(self, fingerprint: bytes) -> bool:
@@ -379,8 +225,8 @@
         before = self._records.get(suspect.fingerprint)
         was_barred = before is not None and self._bars(before)
 
-        def change(record: _Record) -> bool:
-            news = [record.add(_heard(end, now), self._ended) for end in suspect.ends]
+        def change(record: Record) -> bool:
+            news = [record.add(Run.told(end, now), self._ended) for end in suspect.ends]
             news.append(record.clear(suspect.cleared))
             return any(news)
 
@@ -397,10 +243,10 @@
         self._ended[life] = min(ended, self._ended.get(life, ended))
 
     def _change(
-        self, fingerprint: bytes, came: float, change: Callable[[_Record], bool]
+        self, fingerprint: bytes, came: float, change: Callable[[Record], bool]
     ) -> bool:
         now = self._clock()
-        record = self._records.get(fingerprint) or _Record(came, now)
+        record = self._records.get(fingerprint) or Record(came, now)
         is_news = change(record)
         if is_news:
             record.changed = now
@@ -433,7 +279,7 @@
             found = (found + found)[self._turn : self._turn + MOST_TOLD]
         return [self._told(fingerprint, record) for fingerprint, record in found]
 
-    def _told(self, fingerprint: bytes, record: _Record) -> Suspect:
+    def _told(self, fingerprint: bytes, record: Record) -> Suspect:
         now = self._clock()
         return Suspect(
             fingerprint,
--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .crashers import Suspect
+from .crash_record import Suspect
 
 
 class Address(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/direct/test_crashers.py
+++ b/tests/direct/test_crashers.py
@@ -8,9 +8,9 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from dockreach.direct.crash_record import MOST_ENDS, Suspect
 from dockreach.direct.crashers import (
     KEPT_S,
-    MOST_ENDS,
     MOST_KEPT,
     MOST_RUNS,
     MOST_TOLD,
@@ -22,7 +22,6 @@
     TRIAL_S,
     Admission,
     Crashers,
-    Suspect,
 )
 
 BODY = b"request1"
