What was given up a moment ago may still end its engine, whatever that answers meanwhile

Cause: an answer of the engine took all losses off the list that await its end. That is right for a connection that broke, and wrong for a request that the entry gave up while the engine worked on it.

Ruled out: to keep what was given up until its time is over (6 s): a sound request that was left would be suspected of an end seconds after it had stopped.

Change: for 1 s after it was given up, twice the time in which engines are to stop, such a loss stays. The test failed for an answer after 10 ms and passes; what is answered after 2 s still clears it.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -342,6 +342,12 @@
         "        if record.late_runs(self._ended) >= MOST_LATE_RUNS:\n",
         "        if False:\n",
     ),
+    Edit(
+        "an answer to others does not clear what was given up a moment ago",
+        "direct/crash_reports.py",
+        "            if not loss.is_cut and loss.at >= since:\n",
+        "            if False:\n",
+    ),
     Edit(
         "what a caller left early counts whole",
         "direct/crash_reports.py",
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -25,6 +25,10 @@
 """How long it is awaited that the platform tells of the end, in seconds, where an engine
 that is back at once takes connections like the old one: three heartbeats of silence."""
 
+AT_WORK_S = 1.0
+"""How long an engine may work on when a request is given up, in seconds: twice the time in
+which it is to stop. Else any answer in that time hides that it ends under the request."""
+
 MOST_AWAITED = 64
 """Engines of which an end is awaited."""
 
@@ -143,9 +147,15 @@
                 self._note_end(loss)
 
     def lives(self, row: EndpointRow) -> None:
-        """Note that an engine answers: what was lost there before did not end it."""
-        if self._awaited:
-            self._awaited.pop(row.life, None)
+        """Note that an engine answers: what was lost there before did not end it.
+
+        It may still work on what was given up a moment ago.
+        """
+        losses = self._awaited.pop(row.life, ()) if self._awaited else ()
+        since = self._clock() - AT_WORK_S
+        for loss in losses:
+            if not loss.is_cut and loss.at >= since:
+                self._await(loss)
 
     def _note_end(self, loss: Loss) -> None:
         fingerprint, life = loss.fingerprint, loss.row.life
