What has no sample any more leaves the metrics page

Cause: collectors keep the last value of each set of labels. Ruled out: labels without values of their own (a hall by its number would hide which one). Change: before each page the sampled collectors are emptied; histograms, which add up, are kept apart.

--- a/dockreach/metrics.py
+++ b/dockreach/metrics.py
@@ -36,7 +36,8 @@
 
     def __init__(self, daemon: str) -> None:
         self._registry = Registry()
-        self._collectors: dict[str, Any] = {}
+        self._histograms: dict[str, Any] = {}
+        self._sampled: dict[str, Any] = {}
         self._daemon = daemon
 
     def observe(self, name: str, text: str, value: float, labels: dict[str, str]) -> None:
@@ -48,7 +49,7 @@
             value: The value, in seconds.
             labels: Labels of the value.
         """
-        histogram = self._collectors.get(name)
+        histogram = self._histograms.get(name)
         if histogram is None:
             histogram = Histogram(
                 name,
@@ -57,18 +58,21 @@
                 registry=self._registry,
                 buckets=list(BUCKETS_S),
             )
-            self._collectors[name] = histogram
+            self._histograms[name] = histogram
         histogram.observe(labels, value)
 
     def page(self, samples: Iterable[Sample]) -> tuple[bytes, str]:
         """Return the metrics page and its content type."""
+        # What has no sample any more would stand there with its last value.
+        for collector in self._sampled.values():
+            collector.values.clear()
         for sample in samples:
             self._collector(sample).set(sample.labels, sample.value)
         body, headers = render(self._registry, ACCEPT)
         return body, headers["Content-Type"]
 
     def _collector(self, sample: Sample) -> Any:  # noqa: ANN401
-        collector = self._collectors.get(sample.name)
+        collector = self._sampled.get(sample.name)
         if collector is None:
             kind = Counter if sample.counter else Gauge
             collector = kind(
@@ -77,7 +81,7 @@
                 const_labels={"daemon": self._daemon},
                 registry=self._registry,
             )
-            self._collectors[sample.name] = collector
+            self._sampled[sample.name] = collector
         return collector
 
 
