The metrics page names what is not run any more: path, organisation, fingerprint

Cause: on-call saw how many requests are barred, and had to look for the line of the right entry to learn whose they are. Ruled out: path and organisation told with each digest (90 bytes grow to 150 for every entry). Change: an entry names what it has seen itself; a barred request comes again, so that each entry knows after its next try. Sixteen at most, the body never.

--- a/dockreach/direct/call.py
+++ b/dockreach/direct/call.py
@@ -28,3 +28,8 @@
     tried_at: float
     fingerprint: bytes
     regions: frozenset[str] | None = None
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty on a public route."""
+        return self.organisation.name if self.organisation else ""
--- a/dockreach/direct/crash_reports.py
+++ b/dockreach/direct/crash_reports.py
@@ -11,7 +11,7 @@
 
 from ..events import Event, log
 from .crash_record import Suspect
-from .crashers import Crashers
+from .crashers import KEPT_S, MOST_KEPT, Crashers
 from .digest import CrashNews
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EndpointTable
@@ -44,6 +44,36 @@
 """Requests that are told at once to an entry that has just started."""
 
 
+class Source(NamedTuple):
+    """Where a request comes from, for on-call engineers.
+
+    Attributes:
+        path: That it asks for.
+        organisation: Whose key it carries.
+    """
+
+    path: str
+    organisation: str
+
+
+UNSEEN = Source("", "")
+"""Of a request that has not come here since other entries told of it."""
+
+
+class BarredRequest(NamedTuple):
+    """A request that is not run any more.
+
+    Attributes:
+        fingerprint: The same for each of its tries.
+        source: Where it comes from.
+        ended_s: How long ago an engine ended last under it, in seconds.
+    """
+
+    fingerprint: bytes
+    source: Source
+    ended_s: float
+
+
 class Loss(NamedTuple):
     """A request without an answer, whose engine may have ended under it.
 
@@ -98,6 +128,9 @@
         self._awaited: TTLCache[str, deque[Loss]] = TTLCache(
             MOST_AWAITED, ttl=AWAITED_S, timer=clock
         )
+        self._sources: TTLCache[bytes, Source] = TTLCache(
+            MOST_KEPT, ttl=KEPT_S, timer=clock
+        )
 
     def lost(self, loss: Loss) -> None:
         """Look whether an engine has ended on which a request was lost."""
@@ -165,6 +198,7 @@
         if not is_news:
             return
         is_barred = self.crashers.is_barred(fingerprint)
+        self.came(fingerprint, Source(loss.path, loss.organisation))
         log(
             Event.REQUEST_CRASHED,
             endpoint=loss.row.id,
@@ -198,6 +232,19 @@
         conn.close()
         return not is_open
 
+    def came(self, fingerprint: bytes, source: Source) -> None:
+        """Note where a request comes from under which engines have ended."""
+        self._sources[fingerprint] = source
+
+    def barred(self) -> list[BarredRequest]:
+        """Return what is not run any more; that under which an engine ended last first."""
+        now = self._clock()
+        found = [
+            BarredRequest(fingerprint, self._sources.get(fingerprint, UNSEEN), now - ended)
+            for fingerprint, ended in self.crashers.barred().items()
+        ]
+        return sorted(found, key=lambda request: request.ended_s)
+
     def answered(self, fingerprint: bytes) -> None:
         """Note that a request was answered: it crashes nothing."""
         if self.crashers.note_answered(fingerprint):
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -139,9 +139,13 @@
             return False
         return record.signs(self._ended) >= self._most_runs
 
-    def count(self) -> int:
-        """Return how many requests are not run."""
-        return sum(self._bars(record) for record in self._records.values())
+    def barred(self) -> dict[bytes, float]:
+        """Return what is not run, and the steady time of the last end under each."""
+        return {
+            fingerprint: max(run.ended for run in record.ends.values())
+            for fingerprint, record in self._records.items()
+            if self._bars(record)
+        }
 
     def admit(self, fingerprint: bytes) -> Admission:
         """Decide on a request that has come."""
--- a/dockreach/direct/end_record.py
+++ b/dockreach/direct/end_record.py
@@ -88,7 +88,7 @@
         return {
             "route": call.route.name,
             "tier": call.route.tier,
-            "organisation": call.organisation.name if call.organisation else "",
+            "organisation": call.organisation_name,
             "fingerprint": call.fingerprint.hex(),
             "objective_ms": round(call.route.objective_s * 1000),
             "tried_ms": round((self._req.arrived - call.tried_at) * 1000),
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -23,6 +23,10 @@
 from .peers import PeerTable
 from .status_pages import NOT_FOUND, Page
 
+MOST_BARRED_SHOWN = 16
+"""Requests that are not run any more on the metrics page, the latest ones: each is a series
+of its own for whoever keeps the metrics."""
+
 
 class Shown(Protocol):
     """An entry, as far as its pages show it."""
@@ -91,7 +95,7 @@
             "under_way": sum(row.own for row in entry.endpoints),
             "cold_endpoints": sum(entry.guard.is_cold(row, now) for row in entry.endpoints),
             "suspects": len(entry.ctx.crashes.crashers),
-            "requests_barred": entry.ctx.crashes.crashers.count(),
+            "requests_barred": len(entry.ctx.crashes.crashers.barred()),
             "halls_emptied": len(entry.emptied.since),
             "orders_revision": entry.emptied.revision,
             "waiting": sum(entry.dispatcher.waiting().values()),
@@ -106,6 +110,18 @@
             text = name.replace("_", " ").capitalize()
             yield Sample(f"dockreach_direct_{name}", text, value, {}, counter=False)
         yield from self._hall_samples()
+        yield from self._barred_samples()
+
+    def _barred_samples(self) -> Iterator[Sample]:
+        """Return which requests are not run any more, and where they come from."""
+        for request in self._entry.ctx.crashes.barred()[:MOST_BARRED_SHOWN]:
+            yield Sample(
+                "dockreach_direct_request_barred_seconds",
+                "Seconds since an engine ended last under a request that is not run",
+                request.ended_s,
+                {"fingerprint": request.fingerprint.hex(), **request.source._asdict()},
+                counter=False,
+            )
 
     def _hall_samples(self) -> Iterator[Sample]:
         """Return since when each data hall is to be empty, and by which revision."""
--- a/dockreach/direct/exchange.py
+++ b/dockreach/direct/exchange.py
@@ -8,6 +8,7 @@
 from .call import Call
 from .caller_side import CallerSide
 from .context import Context
+from .crash_reports import Source
 from .crashers import BARRED, Admission
 from .end_record import EndRecord
 from .fingerprint import fingerprint_of
@@ -86,6 +87,9 @@
         self._ctx.retries.count_request(call.service, self._ctx.now())
         admission = self._ctx.crashes.crashers.admit(call.fingerprint)
         if admission is Admission.BARRED:
+            self._ctx.crashes.came(
+                call.fingerprint, Source(req.path, call.organisation_name)
+            )
             return BARRED
         refusal = self._over_limit(call)
         # A refusal is falsy, so that it never passes for an answer.
@@ -135,7 +139,7 @@
             self._job(call),
             self._req,
             self._caller,
-            organisation=organisation.name if organisation else "",
+            organisation=call.organisation_name,
             fingerprint=call.fingerprint,
             is_trial=is_trial,
             most_idle=self._most_idle(call.service),
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -393,6 +393,18 @@
     return body.endswith(b"0\r\n\r\n")
 
 
+def ask_page(address: Address, path: str) -> bytes:
+    """Return the answer of an entry's page, with its head."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.settimeout(READ_S)
+    sock.connect((address.ip, address.port))
+    sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+    data = b""
+    while more := sock.recv(65536):
+        data += more
+    return data
+
+
 def status_of(answer: bytes) -> int:
     """Return an answer's status."""
     return int(answer.split(b" ", 2)[1])
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -7,9 +7,7 @@
 
 import eventlet
 import pytest
-from eventlet.green import socket
 
-from dockreach.direct.digest import Address
 from dockreach.direct.entry import LAPSE_S, Entry
 from dockreach.direct.fleet import Organisation
 from dockreach_platform.declared import read_revision
@@ -19,6 +17,7 @@
     Caller,
     Dialog,
     EndpointStandIn,
+    ask_page,
     entry_settings,
     header_of,
     published,
@@ -37,21 +36,10 @@
     dialog.answer(b"fine")
 
 
-def ask(address: Address, path: str) -> bytes:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.settimeout(2.0)
-    sock.connect((address.ip, address.port))
-    sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-    data = b""
-    while more := sock.recv(65536):
-        data += more
-    return data
-
-
 def test_an_entry_that_knows_no_configuration_is_not_ready_and_says_not_run() -> None:
     entry = Entry(entry_settings(), PlatformDialect())
     entry.start()
-    assert status_of(ask(entry.settings.health, "/ready")) == 503
+    assert status_of(ask_page(entry.settings.health, "/ready")) == 503
     caller = Caller(entry)
     caller.send("/once/a")
     assert status_of(caller.read_answer()) == 503
@@ -62,18 +50,18 @@
     caller = Caller(entry)
     caller.send("/once/a")
     caller.read_answer()
-    assert status_of(ask(entry.settings.health, "/ready")) == 200
+    assert status_of(ask_page(entry.settings.health, "/ready")) == 200
     assert entry.settings.metrics is not None
-    page = ask(entry.settings.metrics, "/metrics")
+    page = ask_page(entry.settings.metrics, "/metrics")
     assert b"dockreach_direct_requests_total" in page
     assert b"dockreach_direct_answer_seconds_bucket" in page
 
 
 def test_a_view_is_not_served_where_the_balancer_asks() -> None:
     entry = start_entry(EndpointStandIn(ok))
-    assert b"assessors" not in ask(entry.settings.health, "/v1/view")
-    assert status_of(ask(entry.settings.gossip, "/v1/view")) == 200
-    assert status_of(ask(entry.settings.gossip, "/other")) == 404
+    assert b"assessors" not in ask_page(entry.settings.health, "/v1/view")
+    assert status_of(ask_page(entry.settings.gossip, "/v1/view")) == 200
+    assert status_of(ask_page(entry.settings.gossip, "/other")) == 404
 
 
 def test_a_stop_finishes_what_was_taken_and_closes_idle_connections() -> None:
@@ -83,7 +71,7 @@
     eventlet.sleep(0.05)
     stopping = eventlet.spawn(entry.stop)
     eventlet.sleep(0.05)
-    assert status_of(ask(entry.settings.health, "/ready")) == 503
+    assert status_of(ask_page(entry.settings.health, "/ready")) == 503
     answer = busy.read_answer()
     assert status_of(answer) == 200
     assert header_of(answer, b"connection") == b"close"
