--- a/tests/direct/test_lives.py
+++ b/tests/direct/test_lives.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -55,6 +56,47 @@
     assert (row.own, row.taken) == (0, 0)
 
 
+@pytest.mark.parametrize(
+    "kind", [SampleKind.FAILED, SampleKind.OUT_OF_REACH, SampleKind.GONE]
+)
+def test_what_another_entry_met_at_the_old_life_says_nothing_of_the_new_one(
+    kind: SampleKind,
+) -> None:
+    """An engine that had just started again was left alone for a failure before its start.
+
+    Entries tell the one that gives out places what they met at an engine by its id alone.
+    Told a moment after the new life was published, the end of the old one made the new one
+    suspect for 0.5 s, and that another engine answers at its address for longer.
+    """
+    teller, table = EndpointTable(), EndpointTable()
+    for known in (teller, table):
+        known.publish(entry(1000), 0.0)
+    old = teller.get("e-0")
+    assert old is not None
+    met = {
+        SampleKind.FAILED: old.failed,
+        SampleKind.OUT_OF_REACH: old.lose_reach,
+        SampleKind.GONE: old.lose_address,
+    }
+    met[kind](9.9)
+    table.publish(entry(2000), 10.0)
+    (told,) = teller.take_samples("work")
+    assert told.kind is kind
+    table.learn(told, 10.0)
+    row = table.get("e-0")
+    assert row is not None
+    assert row.suspect_until <= 10.0
+    assert row.failures == 0
+    # What is met at the new life does count.
+    teller.publish(entry(2000), 10.0)
+    new = teller.get("e-0")
+    assert new is not None
+    new.failed(10.1)
+    for sample in teller.take_samples("work"):
+        table.learn(sample, 10.1)
+    assert row.suspect_until > 10.1
+
+
 def test_its_speed_is_a_prior_of_the_new_one() -> None:
     table = EndpointTable()
     table.publish(entry(1000), 0.0)
