What is told of an engine names the life at which it was met

Cause: failures, lost reach and another engine's answer were told by the engine's id. Told after the new life was published they counted for that one. Ruled out: to take no word for a while after a start (what is met at the new life matters most then). Change: eight bytes more for each measurement that is told; one of another life is left out, one without a life (an entry of the version before) is taken.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -372,6 +372,12 @@
         "if self._bars(record) or now",
         "if now",
     ),
+    Edit(
+        "what was met at the life before says nothing of the new one",
+        "direct/endpoints.py",
+        "        if row is None or sample.born not in (0, row.published.born):\n",
+        "        if row is None:\n",
+    ),
     Edit(
         "an entry of an older life changes nothing",
         "direct/endpoints.py",
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -195,14 +195,14 @@
             seconds: The time; 0 for a failure.
             tokens: Prompt tokens that were read, for a time to a first event.
         """
-        sample = Sample(self.id, kind, tokens, seconds)
-        self.learn(sample)
-        self._keep(sample)
+        self.learn(self._keep(kind, tokens, seconds))
 
-    def _keep(self, sample: Sample) -> None:
-        """Keep a measurement until it is told."""
+    def _keep(self, kind: SampleKind, tokens: int = 0, seconds: float = 0.0) -> Sample:
+        """Keep a measurement until it is told; return it."""
+        sample = Sample(self.id, kind, tokens, seconds, self.published.born)
         if len(self.samples) < MOST_SAMPLES:
             self.samples.append(sample)
+        return sample
 
     def learn(self, sample: Sample) -> None:
         """Take in a measurement, of this entry or another one."""
@@ -215,12 +215,12 @@
 
     def failed(self, now: float) -> None:
         """Leave the endpoint alone for a while, for longer after each failure in a row."""
-        self._keep(Sample(self.id, SampleKind.FAILED))
+        self._keep(SampleKind.FAILED)
         self.suspect(now)
 
     def lose_reach(self, now: float) -> None:
         """Leave the endpoint alone: no connection came up, and it may have crashed."""
-        self._keep(Sample(self.id, SampleKind.OUT_OF_REACH))
+        self._keep(SampleKind.OUT_OF_REACH)
         self.warmth.lose_reach()
         self.suspect(now)
 
@@ -236,7 +236,7 @@
 
         It does not come back; the platform lists it for some seconds more.
         """
-        self._keep(Sample(self.id, SampleKind.GONE))
+        self._keep(SampleKind.GONE)
         self.end(now)
 
     def end(self, now: float) -> None:
@@ -441,7 +441,8 @@
         more. An endpoint that answers is trusted again.
         """
         row = self._rows.get(sample.endpoint)
-        if row is None:
+        # Bad news of a life before would make the new one suspect for 0.5 s and more.
+        if row is None or sample.born not in (0, row.published.born):
             return
         row.learn(sample)
         if sample.kind is SampleKind.GONE:
--- a/dockreach/direct/placing_messages.py
+++ b/dockreach/direct/placing_messages.py
@@ -41,12 +41,14 @@
     Attributes:
         tokens: Prompt tokens that were read, for a time to a first event.
         seconds: The time; 0 for a failure.
+        born: Start of the life at which it was met, in milliseconds; 0 if it is not told.
     """
 
     endpoint: str
     kind: SampleKind
     tokens: int = 0
     seconds: float = 0.0
+    born: int = 0
 
 
 class WaitingJob(msgspec.Struct, array_like=True):
