--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -392,7 +392,7 @@
     ),
     Edit(
         "requests of a life end with it",
-        "direct/entry.py",
+        "direct/listing.py",
         "            conn.abort()\n",
         "            pass\n",
     ),
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -29,7 +29,7 @@
 from .digest import Address, CrashNews, Digest
 from .dispatching import Dispatcher
 from .emptied_halls import EmptiedHalls
-from .endpoints import EndpointRow, EndpointTable, Publication, Published
+from .endpoints import EndpointTable, Published
 from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
 from .feeds import AWAY_PART, Feed, Feeds
@@ -38,6 +38,7 @@
 from .granting import Granter
 from .helping import Helping, Knowledge
 from .listening import listen
+from .listing import Listing
 from .loops import run_forever
 from .peers import PeerTable
 from .placing_messages import PlacingAnswer, PlacingState
@@ -53,10 +54,6 @@
 CONNECT_S = 0.4
 """Longest wait for a connection to an endpoint, in seconds: a hundred round trips."""
 
-LAPSE_S = 2.2
-"""How long endpoints that vanished while the platform was away are kept, in seconds. The
-platform says that those which live are back about two seconds after its return."""
-
 KNOW_S = 0.4
 """How long callers that come at the start wait for a configuration, in seconds. The store
 or a peer gives it within some 20 ms; without one they are refused and told to come back."""
@@ -151,6 +148,7 @@
                 self._refuse_barred,
             ),
         )
+        self._listing = Listing(self.ctx)
         self.callers = CallerServer(self)
 
     def start(self) -> None:
@@ -222,33 +220,7 @@
 
     def take_endpoint(self, published: Published) -> None:
         """Add an endpoint, or replace what is known of it."""
-        row = self.endpoints.last_life(published.id)
-        was_leaving = row is not None and row.published.leaving
-        found = self.endpoints.publish(published, clock.now())
-        if found is Publication.STALE:
-            return
-        if found is Publication.NEW_LIFE and row is not None:
-            self._end_life(row)
-        if found is not Publication.CHANGE or was_leaving != published.leaving:
-            log(
-                Event.ENDPOINT_PUBLISHED,
-                endpoint=published.id,
-                service=published.service,
-                leaving=published.leaving,
-                cold_s=published.cold_s,
-            )
-        self.ctx.scheduler.pump()
-
-    def _end_life(self, row: EndpointRow) -> None:
-        """End what an endpoint worked on before it started again.
-
-        Else each of its callers is held to its deadline, or until it gives up.
-        """
-        log(Event.ENDPOINT_REBORN, endpoint=row.id, under_way=len(row.conns))
-        self.ctx.crashes.ended(row)
-        for conn in list(row.conns):
-            conn.abort()
-        self.ctx.pool.drop(row.published.address)
+        self._listing.take(published)
 
     def take_emptied(self, halls: frozenset[str], orders_revision: int) -> None:
         """Give nothing more to the endpoints of some data halls.
@@ -269,16 +241,7 @@
             after_outage: Whether it may only have lapsed while the platform was away; it
                 is then kept until it should be back.
         """
-        row = self.endpoints.get(endpoint)
-        if row is None:
-            return
-        if after_outage and not row.published.leaving:
-            row.lapsed_until = row.lapsed_until or clock.now() + LAPSE_S
-            return
-        if self.endpoints.remove(endpoint):
-            self.ctx.pool.drop(row.published.address)
-            log(Event.ENDPOINT_GONE, endpoint=endpoint, under_way=row.own)
-            self.ctx.crashes.ended(row)
+        self._listing.lose(endpoint, after_outage=after_outage)
 
     def take_all(
         self, published: list[Published], fleet_revision: int, *, after_outage: bool = False
@@ -290,12 +253,7 @@
             fleet_revision: The platform's revision of the list.
             after_outage: Whether entries of living endpoints may be missing.
         """
-        listed = {item.id for item in published}
-        for item in published:
-            self.take_endpoint(item)
-        for row in self.endpoints:
-            if row.id not in listed:
-                self.lose_endpoint(row.id, after_outage=after_outage)
+        self._listing.take_all(published, after_outage=after_outage)
         self.reached(fleet_revision)
 
     def _knowledge(self) -> Knowledge:
@@ -479,15 +437,10 @@
         self.ctx.spending.keep_ended(gone)
         for row in gone:
             log(Event.PEER_DOWN, peer=row.digest.name)
-        self._end_lapsed(now)
+        self._listing.end_lapsed(now)
         self.ctx.pool.expire()
         self._count_others(now)
 
-    def _end_lapsed(self, now: float) -> None:
-        for row in self.endpoints:
-            if row.lapsed_until is not None and now >= row.lapsed_until:
-                self.lose_endpoint(row.id)
-
     def stop(self) -> bool:
         """Take no new callers, and finish what was taken.
 
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -8,8 +8,9 @@
 import eventlet
 import pytest
 
-from dockreach.direct.entry import LAPSE_S, Entry
+from dockreach.direct.entry import Entry
 from dockreach.direct.fleet import Organisation
+from dockreach.direct.listing import LAPSE_S
 from dockreach_platform.declared import read_revision
 from dockreach_platform.headers import PlatformDialect
 
