--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -34,6 +34,9 @@
 DEADLY_GAP_S = (0.1, 0.8)
 """Shortest and longest time between tries of such a body, in seconds."""
 
+DEADLY_COPIES = (0, 0, 0, 1, 4)
+"""How many more copies of it come at the same moment; one is drawn each time."""
+
 DEADLY_LEAVING = 0.3
 """Part of those tries whose callers do not wait for the answer."""
 
@@ -116,20 +119,24 @@
         """Ask for requests that end their endpoints, one body after the other."""
         until = time.monotonic() + for_s
         bodies = [DEADLY + str(number).encode() for number in range(DEADLY_BODIES)]
+        # Of their own, so that a seed draws all else as without them.
+        copies = random.Random(DEADLY_BODIES)
         for number, body in enumerate(bodies, start=1):
             while time.monotonic() < until - for_s * (1 - number / DEADLY_BODIES):
-                self._ask_deadly(body, key)
+                for _ in range(copies.choice(DEADLY_COPIES)):
+                    eventlet.spawn(self._ask_deadly, body, key, copies)
+                self._ask_deadly(body, key, self.rng)
                 eventlet.sleep(self.rng.uniform(*DEADLY_GAP_S))
 
-    def _ask_deadly(self, body: bytes, key: str) -> None:
-        entry, address = self.rng.choice(self.addresses())
+    def _ask_deadly(self, body: bytes, key: str, rng: random.Random) -> None:
+        entry, address = rng.choice(self.addresses())
         self._count += 1
         outcome = Outcome(f"deadly-{self._count}", "draft", entry, time.monotonic())
         outcome.path = "/draft/x"
         outcome.sent_body = body
         outcome.is_deadly = True
-        if self.rng.random() < DEADLY_LEAVING:
-            outcome.patience_s = self.rng.uniform(0.0, DEADLY_LEAVE_S)
+        if rng.random() < DEADLY_LEAVING:
+            outcome.patience_s = rng.uniform(0.0, DEADLY_LEAVE_S)
         conn = _Connection(entry, address)
         conn.ask(outcome, key)
         conn.close()
