--- a/dockreach/direct/crash_record.py
+++ b/dockreach/direct/crash_record.py
@@ -18,8 +18,8 @@
 count 1."""
 
 ENDS_ENOUGH = 3
-"""Ends of engines under one request after which callers accept few more, as it is plain
-then what brings them about."""
+"""Ends of engines under one request after which it is run with care, if at all: by then it
+is likely to be what brings them about."""
 
 MOST_ENDS = 6
 """Ends of engines that are kept for one request."""
@@ -116,7 +116,7 @@
         return sum(SUDDEN_PART if run.is_sudden else 1.0 for run in self.runs(ended))
 
     def late_runs(self, ended: Mapping[str, float]) -> int:
-        """Return how many runs were sent after so many ends that no more should be."""
+        """Return how many runs were sent after `ENDS_ENOUGH` engines had ended."""
         suspected = self._suspected(ended)
         if len(suspected) < ENDS_ENOUGH:
             return 0
@@ -124,7 +124,7 @@
         return sum(run.sent >= since for run in suspected)
 
     def is_doubted(self, ended: Mapping[str, float]) -> bool:
-        """Return whether so many engines ended under it, be it at a moment."""
+        """Return whether `ENDS_ENOUGH` engines ended under it, be it at a moment."""
         return len(self.ends) >= ENDS_ENOUGH <= len(self._suspected(ended))
 
     def _suspected(self, ended: Mapping[str, float]) -> list[Run]:
--- a/dockreach/direct/crashers.py
+++ b/dockreach/direct/crashers.py
@@ -42,8 +42,8 @@
 bar the request than usual."""
 
 MOST_LATE_RUNS = 3
-"""Runs that may be sent after so many ends, over all entries and for as long as the request
-comes: what callers whose engines are lost put up with."""
+"""Runs that may be sent after the end of the third engine, over all entries and for as long
+as the request comes: each may cost the callers of one more engine their answers."""
 
 SOUND_EVENTS = 5
 """A stream that has made as many events when its engine ends is not suspected: what crashes
