Count a crash that the platform reports while the engine is checked

A request whose connection broke is checked: does its engine still listen? The check waits 0.05 s for a proxy to close the connection. A report of the engine's end in that time found no pending request. The request was added after it, and expired uncounted, so that a body could crash three engines in place of two.

The check now looks again at the end whether the engine is still published, unless it is leaving. The test reports the end during the check; it failed before (0 suspects in place of 1).

--- a/dockreach/direct/crash_reporter.py
+++ b/dockreach/direct/crash_reporter.py
@@ -236,7 +236,7 @@
         Without this check a reset of all connections, a truncated response and an invalid
         one would count as crashes.
         """
-        if self._endpoints.get(row.id) is not row:
+        if not self._is_current(row):
             # It has restarted: the address belongs to its next incarnation.
             return True
         try:
@@ -246,7 +246,13 @@
         eventlet.sleep(PROXY_CLOSE_S)
         is_open = conn.is_open_and_idle()
         conn.close()
-        return not is_open
+        # The platform may report its end during the check. That report found no pending
+        # request, and no second one follows.
+        has_ended = not row.is_leaving and not self._is_current(row)
+        return has_ended or not is_open
+
+    def _is_current(self, row: EndpointRow) -> bool:
+        return self._endpoints.get(row.id) is row
 
     def record_source(self, fingerprint: bytes, source: Source) -> None:
         """Record the source of a request that has crashed engines."""
--- a/tests/direct/test_crash_reporter.py
+++ b/tests/direct/test_crash_reporter.py
@@ -7,7 +7,11 @@
 import eventlet
 import pytest
 
-from dockreach.direct.crash_reporter import CrashReporter, UnansweredRequest
+from dockreach.direct.crash_reporter import (
+    PROXY_CLOSE_S,
+    CrashReporter,
+    UnansweredRequest,
+)
 from dockreach.direct.endpoints import EndpointRow, EndpointTable
 from dockreach.direct.quarantine import MAX_RUNS, SUDDEN_S, RequestQuarantine
 
@@ -124,6 +128,34 @@
     assert reporter.quarantine.is_quarantined(BODY) is is_quarantined
 
 
+@pytest.mark.parametrize(("is_leaving", "suspects"), [(False, 1), (True, 0)])
+def test_an_engine_whose_end_is_reported_during_the_check_has_crashed(
+    is_leaving: bool, suspects: int
+) -> None:
+    """Guards against missing a crash that the platform reports while it is checked.
+
+    The check connects to the address and waits for a proxy to close the connection. A
+    report of the engine's end in that time found no pending request. The request was added
+    after it, and expired: a body crashed three engines in place of two.
+    """
+    listener = eventlet.listen(("127.0.0.1", 0))
+    accepted: list[object] = []
+    eventlet.spawn(lambda: accepted.append(listener.accept()))
+    reporter, endpoints = isolated_reporter(FakeClock(100.0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    endpoints.publish(published("e-0", address))
+    row = endpoints.get("e-0")
+    assert row is not None
+    reporter.record_lost(UnansweredRequest("/once/a", BODY, "", row, 99.0, 100.0))
+    eventlet.sleep(PROXY_CLOSE_S / 2)
+    row.advertised.is_leaving = is_leaving
+    endpoints.remove(row.id)
+    reporter.handle_incarnation_end(row)
+    eventlet.sleep(PROXY_CLOSE_S)
+    assert len(reporter.quarantine) == suspects
+    listener.close()
+
+
 def test_a_queued_request_is_refused_at_once_when_a_report_arrives() -> None:
     """Guards against a quarantined request that waits for a slot as long as any other.
 
