Carry organisation, data hall and fingerprint of requests to the coordinator

The coordinator grants slots to requests of which it knows neither the organisation nor the data hall, cannot recognise a retry, and knows nothing of slots that another entry granted. Waiting and held jobs carry these now, and further message fields are declared for the parts described in docs/design/hard-load.md. New fields stand at the end of their arrays and have defaults. No decision changes.

--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -64,6 +64,8 @@
     first_attempts: FirstAttemptEstimator = field(default_factory=FirstAttemptEstimator)
     entry_count: int = 1
     """Number of entries that may be running, this one included."""
+    hall: str = ""
+    """The data hall of this entry."""
     region_of_hall: Mapping[str, str] = field(default_factory=dict)
     """The region of each data hall."""
 
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -151,6 +151,7 @@
             retry_budget=RetryBudget(settings.retry_policy),
             pool=ConnectionPool(CONNECT_TIMEOUT_S),
             metrics=Metrics(settings.name),
+            hall=settings.hall,
             region_of_hall=settings.region_of_hall,
             crashes=CrashReporter(
                 RequestQuarantine(clock.now, self._is_probe_owner),
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -70,9 +70,16 @@
             assigned it.
         allowed_halls: Data halls in which it may run; ``None`` for all.
         fingerprint: The same for each attempt of its request; empty if it is another
-            entry's.
+            entry's and that entry did not report it.
         blocked_until: Endpoints at which the requesting entry declines slots, each with the
             time until which it does; empty if the job is this entry's own.
+        organisation: Name of the organisation that sent it; empty for none.
+        hall: Data hall of the entry that received it; empty if that entry did not report
+            it.
+        caller_deadline: Time at which the caller itself gives up, without the route's
+            timeout; infinite if the caller sent none.
+        slot_at: Time at which it got its slot, or minus infinity.
+        events: Events of its response that were received so far.
     """
 
     rid: str
@@ -98,10 +105,15 @@
     allowed_halls: frozenset[str] | None = None
     fingerprint: bytes = b""
     blocked_until: dict[str, float] = field(default_factory=dict)
+    organisation: str = ""
+    hall: str = ""
+    caller_deadline: float = math.inf
+    slot_at: float = -math.inf
+    events: int = 0
 
     @classmethod
     def peer_placeholder(cls, service: str, *, arrived_at: float) -> Job:
-        """Return a placeholder for another entry's job of which only the slot is known."""
+        """Return a placeholder for another entry's job that was granted elsewhere."""
         return cls(
             rid="",
             route=_UNKNOWN_ROUTE,
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..errors import CallerGoneError
 from ..events import Event
 from ..verdict import Reason, Refusal, Verdict
@@ -188,6 +190,11 @@
             if plan.permitted_regions is None
             else self._ctx.halls_in(plan.permitted_regions),
             fingerprint=plan.fingerprint,
+            organisation=plan.organisation_name,
+            hall=self._ctx.hall,
+            caller_deadline=math.inf
+            if req.deadline_s is None
+            else req.arrived_at + req.deadline_s,
         )
 
     def _max_idle(self, service: str) -> int:
--- a/dockreach/direct/slot_client.py
+++ b/dockreach/direct/slot_client.py
@@ -210,6 +210,7 @@
         job.acquire_slot(
             row, prefill_ahead=grant.prefill_ahead, found_free_slot=grant.found_free_slot
         )
+        job.slot_at = now
         job.start_prefill(grant.prefill_tokens)
         job.granted_by = session.coordinator.ip if session.coordinator else ""
         session.held[job.number] = job
@@ -303,7 +304,9 @@
                 _waiting_job(job, now, blocked_s) for job in session.waiting.values()
             ]
             held = [
-                _held_job(job) for job in session.held.values() if job.endpoint is not None
+                _held_job(job, now)
+                for job in session.held.values()
+                if job.endpoint is not None
             ]
             session.has_changes = False
             session.last_sent_at = now
@@ -366,12 +369,25 @@
         tried_endpoints=list(job.tried_endpoints),
         allowed_halls=None if job.allowed_halls is None else sorted(job.allowed_halls),
         blocked_s=blocked_s,
+        organisation=job.organisation,
+        hall=job.hall,
+        fingerprint=job.fingerprint,
+        caller_time_left_s=job.caller_deadline - now,
     )
 
 
-def _held_job(job: Job) -> HeldJob:
-    endpoint = job.endpoint.id if job.endpoint is not None else ""
-    return HeldJob(job.number, endpoint, job.prefill_tokens)
+def _held_job(job: Job, now: float) -> HeldJob:
+    return HeldJob(
+        number=job.number,
+        endpoint=job.endpoint.id if job.endpoint is not None else "",
+        prefill_tokens=job.prefill_tokens,
+        organisation=job.organisation,
+        route=job.route.name,
+        prompt_tokens=job.prompt_tokens,
+        expected_events=job.expected_events,
+        events=job.events,
+        age_s=max(now - job.slot_at, 0.0),
+    )
 
 
 def _refusal(denial: Denial) -> Refusal:
--- a/dockreach/direct/slot_messages.py
+++ b/dockreach/direct/slot_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import msgspec
 
@@ -68,6 +69,11 @@
         allowed_halls: Data halls in which it may run; ``None`` for all.
         blocked_s: For how long its entry declines slots of some endpoints, in seconds, by
             endpoint.
+        organisation: Name of the organisation that sent it; empty for none.
+        hall: Data hall of the sending entry.
+        fingerprint: The same for each attempt of the request.
+        caller_time_left_s: Time until the caller itself gives up, in seconds, without the
+            route's timeout; infinite if the caller sent none.
     """
 
     number: int
@@ -84,6 +90,10 @@
     tried_endpoints: list[str]
     allowed_halls: list[str] | None = None
     blocked_s: dict[str, float] = {}
+    organisation: str = ""
+    hall: str = ""
+    fingerprint: bytes = b""
+    caller_time_left_s: float = math.inf
 
 
 class HeldJob(msgspec.Struct, array_like=True):
@@ -91,11 +101,23 @@
 
     Attributes:
         prefill_tokens: Prompt tokens that the endpoint still has to prefill for it.
+        organisation: Name of the organisation that sent it; empty for none.
+        route: Name of its route.
+        prompt_tokens: Tokens of its prompt.
+        expected_events: Number of events that its response is likely to have.
+        events: Events received so far.
+        age_s: Time since it got the slot, in seconds.
     """
 
     number: int
     endpoint: str
     prefill_tokens: int
+    organisation: str = ""
+    route: str = ""
+    prompt_tokens: int = 0
+    expected_events: float = 0.0
+    events: int = 0
+    age_s: float = 0.0
 
 
 class RecentSend(msgspec.Struct, array_like=True):
@@ -109,6 +131,42 @@
     age_s: float
 
 
+class RefusalReport(msgspec.Struct, array_like=True):
+    """A request that an entry refused, and that its caller may send again.
+
+    Times are relative to the sending of the state.
+
+    Attributes:
+        caller_time_left_s: Time until the caller gives up, in seconds; infinite if the
+            caller sent no deadline.
+        first_attempt_age_s: Time since the caller's first attempt, in seconds.
+        retry_in_s: Time until the moment named in Retry-After, in seconds; may be negative.
+        is_promised: Whether a slot is expected for the retry at that moment.
+    """
+
+    fingerprint: bytes
+    caller_time_left_s: float
+    first_attempt_age_s: float
+    retry_in_s: float
+    is_promised: bool
+
+
+class LoadReport(msgspec.Struct, array_like=True):
+    """The load that an endpoint reported in a response.
+
+    Attributes:
+        percent: How long work takes there at the moment, in percent of the usual.
+        age_s: Time from receiving it until sending the state, in seconds.
+    """
+
+    endpoint: str
+    running: int
+    waiting: int
+    slots: int
+    percent: int
+    age_s: float
+
+
 class SlotState(msgspec.Struct, array_like=True, tag=2):
     """All jobs of an entry that wait for slots of one service or hold them.
 
@@ -118,6 +176,8 @@
         samples: What the sender measured since its last state.
         recent_sends: Recent requests of the sender to endpoints, for a coordinator that has
             not replied to it yet.
+        refusals: Requests that the sender refused recently.
+        loads: The latest loads that endpoints reported to the sender.
     """
 
     address: Address
@@ -128,6 +188,8 @@
     held: list[HeldJob]
     samples: list[Sample]
     recent_sends: list[RecentSend] = []
+    refusals: list[RefusalReport] = []
+    loads: list[LoadReport] = []
 
 
 class Grant(msgspec.Struct, array_like=True):
@@ -138,6 +200,8 @@
         prefill_tokens: Prompt tokens that the endpoint has to prefill for the job.
         prefill_ahead: Prompt tokens that it has to prefill before those.
         found_free_slot: Whether a slot was free, as far as was known.
+        first_attempt_age_s: Time since the caller's first attempt, as the coordinator knows
+            it, in seconds; 0 if this is the first one.
     """
 
     number: int
@@ -145,6 +209,7 @@
     prefill_tokens: int
     prefill_ahead: int
     found_free_slot: bool
+    first_attempt_age_s: float = 0.0
 
 
 class Denial(msgspec.Struct, array_like=True):
@@ -154,12 +219,14 @@
         number: Number of the job at its entry.
         reason: Value of a `Reason`.
         retry_after_s: Seconds after which a retry is useful; ``None`` if it is not.
+        first_attempt_age_s: As in `Grant`.
     """
 
     number: int
     reason: str
     detail: str
     retry_after_s: float | None
+    first_attempt_age_s: float = 0.0
 
 
 class SlotReply(msgspec.Struct, array_like=True, tag=3):
--- a/dockreach/direct/slot_server.py
+++ b/dockreach/direct/slot_server.py
@@ -125,6 +125,7 @@
         for number, job in list(client.granted.items()):
             held_job = held.get(number)
             if held_job is not None:
+                job.events = held_job.events
                 _record_prefill_end(job, held_job, now)
             elif number not in waiting:
                 self._end_job(client.granted.pop(number))
@@ -142,7 +143,13 @@
         row = self._endpoints.get(held_job.endpoint)
         if row is None:
             return
-        job = Job.peer_placeholder(service, arrived_at=now)
+        job = Job.peer_placeholder(service, arrived_at=now - held_job.age_s)
+        job.route = self._route_of(held_job.route) or job.route
+        job.organisation = held_job.organisation
+        job.prompt_tokens = held_job.prompt_tokens
+        job.expected_events = held_job.expected_events
+        job.events = held_job.events
+        job.slot_at = now - held_job.age_s
         job.acquire_slot(row, prefill_ahead=0, found_free_slot=False)
         client.granted[held_job.number] = job
 
@@ -190,9 +197,13 @@
             allowed_halls=None
             if waiting_job.allowed_halls is None
             else frozenset(waiting_job.allowed_halls),
+            fingerprint=waiting_job.fingerprint,
             blocked_until=_blocked_until(waiting_job, now),
             number=waiting_job.number,
             for_peer=True,
+            organisation=waiting_job.organisation,
+            hall=waiting_job.hall,
+            caller_deadline=now + waiting_job.caller_time_left_s,
         )
         client.waiting[waiting_job.number] = job
         self._client_of_job[id(job)] = (client, waiting_job.number)
