--- a/dockreach/direct/slot_messages.py
+++ b/dockreach/direct/slot_messages.py
@@ -220,6 +220,7 @@
         reason: Value of a `Reason`.
         retry_after_s: Seconds after which a retry is useful; ``None`` if it is not.
         first_attempt_age_s: As in `Grant`.
+        is_promised: Whether a slot is expected for a retry at that time.
     """
 
     number: int
@@ -227,6 +228,7 @@
     detail: str
     retry_after_s: float | None
     first_attempt_age_s: float = 0.0
+    is_promised: bool = False
 
 
 class SlotReply(msgspec.Struct, array_like=True, tag=3):
