Send most digests without the token usage that peers know already

Nearly half of a digest is each organisation's usage in each half second of the quota window, of which only the latest change.

Change: every fourth digest to a peer covers the window, those between cover the time since it. Peers that do not report that they accept this get full digests, and a partial digest that would hide usage is not taken. What is known of peers' usage is the same, as the test with lost digests shows.

--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -42,6 +42,10 @@
             configuration or the evacuation of a data hall; 0 for none.
         crash_reports: Some requests during which engines crashed.
         notices: Notices of some endpoints, relayed by the sender.
+        usage_bucket: Number of the sender's current time bucket of usage; 0 if it does not
+            report it.
+        usage_span: Number of buckets that `used` covers, back from now; 0 for all.
+        accepts_partial: Whether the sender accepts digests that do not cover all buckets.
     """
 
     name: str
@@ -63,6 +67,9 @@
     orders_revision: int = 0
     crash_reports: list[CrashReport] = []
     notices: list[RelayedNotice] = []
+    usage_bucket: int = 0
+    usage_span: int = 0
+    accepts_partial: bool = False
 
 
 class CrashUpdate(msgspec.Struct, array_like=True, tag=4):
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -365,6 +365,8 @@
             orders_revision=self.evacuated.revision,
             crash_reports=self.ctx.crashes.quarantine.next_reports(),
             notices=self.ctx.notices.next_notices(),
+            usage_bucket=self.ctx.quotas.current_bucket(now),
+            accepts_partial=True,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -13,6 +13,7 @@
 from .datagrams import MAX_DATAGRAM_BYTES, Message, decode, encode
 from .digest import Address, Digest
 from .loops import run_forever
+from .partial_digests import DigestVariants, partial_digest
 from .peers import PeerTable
 
 IDLE_INTERVAL_S = 0.25
@@ -41,6 +42,7 @@
         self._peers = peers
         self._make_digest = make_digest
         self._on_message = on_message
+        self._variants = DigestVariants(peers)
         self._wake_up: Any = eventlet.event.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((own_address.ip, own_address.port))
@@ -59,7 +61,13 @@
 
     def send_now(self) -> None:
         """Send a digest to all known entries immediately."""
-        self.send_all(self._make_digest())
+        digest = self._make_digest()
+        encoded: dict[int, bytes] = {}
+        for address in self._peers.targets():
+            buckets = self._variants.covered_buckets(address, digest)
+            if buckets not in encoded:
+                encoded[buckets] = encode(partial_digest(digest, buckets))
+            self._send(encoded[buckets], address)
 
     def send_all(self, message: Message) -> None:
         """Send a message to all known entries; datagrams may be lost."""
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from operator import attrgetter
 
+import msgspec
+
 from .digest import Address, Digest
 from .round_robin import RoundRobin
 
@@ -129,6 +131,10 @@
         """How many entries are known by address only, without any digest so far."""
         return len(self.targets()) - len(self._rows)
 
+    def get(self, address: Address) -> PeerRow | None:
+        """Return the row of a peer; ``None`` if no digest of it was received."""
+        return self._rows.get(address)
+
     def targets(self) -> list[Address]:
         """Return the addresses to send the next digest to."""
         found = dict.fromkeys(seed for seed in self.seeds if seed != self.own_address)
@@ -142,6 +148,8 @@
             return MergeResult(is_new=False)
         self._discover(digest.known_peers, now)
         row = self._rows.get(digest.address)
+        if _misses_usage(digest, row):
+            return MergeResult(is_new=False)
         if row is None:
             if len(self._rows) < MAX_PEERS:
                 self._rows[digest.address] = PeerRow(digest, now)
@@ -150,7 +158,7 @@
         previous = PeerRow(row.digest, row.received_at)
         if not _is_newer(digest, previous, now):
             return MergeResult(is_new=False)
-        row.digest = digest
+        row.digest = _with_earlier_usage(digest, previous.digest)
         row.received_at = now
         return MergeResult(is_new=True, previous=previous)
 
@@ -220,6 +228,33 @@
         return [row for row in silent if not row.digest.leaving]
 
 
+def _misses_usage(digest: Digest, row: PeerRow | None) -> bool:
+    """Return whether a partial digest leaves out usage that is not known here.
+
+    Its sender takes this entry for its previous incarnation, or several digests were lost.
+    Such a digest would hide usage from quotas; a full one follows within a few digests.
+    """
+    if not digest.usage_span:
+        return False
+    if row is None or row.digest.incarnation != digest.incarnation:
+        return True
+    return digest.usage_bucket - row.digest.usage_bucket >= digest.usage_span
+
+
+def _with_earlier_usage(digest: Digest, previous: Digest) -> Digest:
+    """Return a digest whose usage is completed from the previous one, if it is partial."""
+    if not digest.usage_span:
+        return digest
+    span = digest.usage_span
+    passed = digest.usage_bucket - previous.usage_bucket
+    used = {}
+    for name in digest.used.keys() | previous.used.keys():
+        recent = digest.used.get(name, [])
+        earlier = [0] * passed + previous.used.get(name, [])
+        used[name] = recent + [0] * (span - len(recent)) + earlier[span:]
+    return msgspec.structs.replace(digest, used=used, usage_span=0)
+
+
 def _is_newer(digest: Digest, row: PeerRow, now: float) -> bool:
     """Return whether a digest is newer than the one in a row.
 
--- a/dockreach/direct/token_quota.py
+++ b/dockreach/direct/token_quota.py
@@ -182,6 +182,11 @@
         }
         return {name: amounts for name, amounts in trimmed.items() if amounts}
 
+    @staticmethod
+    def current_bucket(now: float) -> int:
+        """Return the number of the current time bucket of usage."""
+        return int(now / BUCKET_S)
+
     def report(self, now: float) -> dict[str, list[int]]:
         """Return this entry's usage for a digest to all peers; remember it as reported."""
         self._reported = dict(self._used_since_start)
--- /dev/null
+++ b/tests/direct/test_partial_digests.py
@@ -0,0 +1,178 @@
+"""Digests that leave out usage which their receivers know already."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dockreach.direct.datagrams import decode, encode
+from dockreach.direct.digest import Address, Digest
+from dockreach.direct.partial_digests import (
+    FULL_INTERVAL,
+    DigestVariants,
+    partial_digest,
+)
+from dockreach.direct.peers import PeerTable
+from dockreach.direct.token_quota import BUCKET_S, QuotaTable, QuotaTolerance
+
+from .core_builders import OWN, address, digest, organisation
+
+SENDER = address(1)
+INTERVAL_S = 0.2
+"""Time between digests at 20 entries, in seconds."""
+
+
+class Link:
+    """A sender whose digests reach one receiver, or are lost."""
+
+    def __init__(self, *, accepts_partial: bool = True) -> None:
+        self.now = 1000.0
+        self._number = 0
+        sender_peers = PeerTable(SENDER, ())
+        receiver = digest(OWN)
+        receiver.accepts_partial = accepts_partial
+        sender_peers.merge(receiver, self.now)
+        self.sender_peers = sender_peers
+        self.quotas = QuotaTable(
+            sender_peers, QuotaTolerance(), started_at=0.0, has_predecessor=False
+        )
+        self.variants = DigestVariants(sender_peers)
+        self.received = PeerTable(OWN, ())
+        self.sizes: list[int] = []
+
+    def use(self, name: str, tokens: int) -> None:
+        """Use tokens of an organisation at the sender."""
+        self.quotas._record_usage(name, tokens, self.now)
+
+    def full_digest(self) -> Digest:
+        """Return the sender's next digest with all usage."""
+        self._number += 1
+        full = digest(SENDER, number=self._number, used=self.quotas.report(self.now))
+        full.usage_bucket = self.quotas.current_bucket(self.now)
+        full.accepts_partial = True
+        return full
+
+    def send(self, *, is_lost: bool = False) -> bool:
+        """Send the next digest; return whether the receiver took it."""
+        full = self.full_digest()
+        data = encode(partial_digest(full, self.variants.covered_buckets(OWN, full)))
+        self.sizes.append(len(data))
+        if is_lost:
+            return False
+        message = decode(data)
+        assert isinstance(message, Digest)
+        return self.received.merge(message, self.now).is_new
+
+    def known_usage(self) -> dict[str, int]:
+        """Return the sender's usage in the window, as the receiver knows it."""
+        (row,) = self.received.rows
+        sums = {name: sum(amounts[:17]) for name, amounts in row.digest.used.items()}
+        return {name: total for name, total in sums.items() if total}
+
+    def true_usage(self) -> dict[str, int]:
+        """Return the sender's usage in the window."""
+        own = self.quotas.own_usage(self.now)
+        return {name: sum(amounts) for name, amounts in own.items()}
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["assessors", "clerks", "others"]),
+            st.integers(0, 5000),
+            st.booleans(),
+            st.sampled_from([0.05, INTERVAL_S, 0.7, 3.0]),
+        ),
+        max_size=60,
+    )
+)
+def test_a_received_digest_tells_all_usage_whatever_was_lost_before(
+    steps: list[tuple[str, int, bool, float]],
+) -> None:
+    """Guards against usage that quotas do not see since the digest with it was lost."""
+    link = Link()
+    assert link.send()
+    for name, tokens, is_lost, seconds in steps:
+        link.use(name, tokens)
+        if link.send(is_lost=is_lost):
+            assert link.known_usage() == link.true_usage()
+        link.now += seconds
+
+
+def test_a_digest_that_leaves_out_unknown_usage_is_not_taken() -> None:
+    """Guards against an entry that restarts and takes partial usage for all of it."""
+    link = Link()
+    link.use("assessors", 1000)
+    link.send(is_lost=True)
+    link.now += 4 * BUCKET_S
+    assert not link.send()
+    assert not link.received.rows
+    # The sender learns of the restart, and sends all usage.
+    link.sender_peers.merge(_restarted(), link.now)
+    assert link.send()
+    assert link.known_usage() == {"assessors": 1000}
+
+
+def _restarted() -> Digest:
+    receiver = digest(OWN, incarnation=2, age_s=0.1)
+    receiver.accepts_partial = True
+    return receiver
+
+
+def test_a_peer_of_an_earlier_version_gets_full_digests() -> None:
+    """Guards against an earlier version that takes usage left out for none."""
+    link = Link(accepts_partial=False)
+    for _ in range(2 * FULL_INTERVAL):
+        link.use("assessors", 10)
+        link.send()
+        link.now += BUCKET_S
+        (row,) = link.received.rows
+        assert row.digest.usage_span == 0
+        assert link.known_usage() == link.true_usage()
+
+
+def test_a_digest_of_an_earlier_version_replaces_the_one_before() -> None:
+    table = PeerTable(OWN, ())
+    table.merge(digest(SENDER, number=1, used={"assessors": [5, 6]}), 100.0)
+    table.merge(digest(SENDER, number=2, used={"assessors": [7]}), 100.2)
+    assert table.rows[0].digest.used == {"assessors": [7]}
+
+
+def test_most_digests_under_load_are_smaller() -> None:
+    """Load pattern: sixteen organisations use tokens all the time."""
+    link = Link()
+    for step in range(100):
+        for number in range(16):
+            link.use(f"organisation-{number}", 1000 + step)
+        link.send()
+        link.now += INTERVAL_S
+    steady = link.sizes[50:]
+    full, partial = max(steady), sorted(steady)[len(steady) // 2]
+    assert partial < 0.7 * full
+    assert steady.count(partial) >= len(steady) * (FULL_INTERVAL - 2) // FULL_INTERVAL
+
+
+def test_usage_that_peers_report_in_parts_counts_against_the_quota() -> None:
+    """Guards against an organisation that exceeds its quota at another entry."""
+    link = Link()
+    quotas = QuotaTable(
+        link.received, QuotaTolerance(), started_at=0.0, has_predecessor=False
+    )
+    customer = organisation(rate=1000.0, burst=0.0)
+    for _ in range(20):
+        link.use(customer.name, 500)
+        link.send()
+        link.now += INTERVAL_S
+    assert quotas.used(customer.name, link.now) == 10_000
+    assert quotas.admit(customer, 100, link.now) is not None
+
+
+def test_the_memory_of_full_digests_is_bounded() -> None:
+    link = Link()
+    full = link.full_digest()
+    for number in range(600):
+        peer = digest(address(number))
+        peer.accepts_partial = True
+        link.sender_peers.merge(peer, link.now)
+        link.variants.covered_buckets(Address(peer.address.ip, 7000), full)
+    assert len(link.variants._last_full) <= 512
