Soak: organisations that compete for slots, and callers who come back

A theme of its own, so that the seeds of the others draw what they drew: surges of one organisation, endpoints that are slow for moments and report it, load headers that are not valid, callers who differ in how long they wait and return once at another entry. A new invariant compares how often the organisations are served.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,6 +40,13 @@
     type=Theme,
     help="Status notices.",
 )
+@click.option(
+    "--overload",
+    "theme",
+    flag_value=Theme.OVERLOAD,
+    type=Theme,
+    help="More requests than slots.",
+)
 @click.option("--all", "theme", flag_value=Theme.ALL, type=Theme, help="All three.")
 @click.option("--one", type=int, help="Run only this seed, in this process.")
 def main(
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -44,6 +44,12 @@
 """Longest time after which such a caller leaves, in seconds: the endpoint crashes after
 0.02 s of work."""
 
+MAX_PATIENCE_FACTOR = 1.3
+"""By what factor callers of an overload wait for different times, at most."""
+
+HONOURED_FRACTION = 1 / 3
+"""Fraction of the time left for which a refused caller waits before it comes back."""
+
 ROUTE_KINDS = ("once", "safe", "draft", "brief", "new")
 """Kinds of routes; ``new`` stands for one that a recent configuration added."""
 
@@ -66,6 +72,8 @@
         timeout_s: How long its caller waits, in seconds.
         abandoned_at: Monotonic time at which its caller left, in seconds; 0 if it did not.
         is_crashing: Whether its body crashes every endpoint that starts it.
+        deadline_s: How long the endpoint is told that the caller waits, in seconds.
+        organisation: Name of the organisation, if it competes for slots.
     """
 
     rid: str
@@ -83,6 +91,8 @@
     abandoned_at: float = 0.0
     request_body: bytes = b""
     is_crashing: bool = False
+    deadline_s: float = RESPONSE_TIMEOUT_S - 0.5
+    organisation: str = ""
 
     @property
     def is_abandoned_early(self) -> bool:
@@ -102,6 +112,8 @@
         max_pause_s: Longest pause of a caller between requests, in seconds.
         is_stopped: Whether callers stop after their current request.
         has_distinct_bodies: Whether most requests have bodies that differ from each other.
+        comes_back: Whether refused callers come back once, and differ in how long they
+            wait.
     """
 
     addresses: Callable[[], list[tuple[str, str]]]
@@ -111,6 +123,7 @@
     outcomes: list[Outcome] = field(default_factory=list)
     is_stopped: bool = False
     has_distinct_bodies: bool = False
+    comes_back: bool = False
     _requests_made: int = 0
 
     def run_caller(self, key: str) -> None:
@@ -122,11 +135,55 @@
                 entry, address = self.rng.choice(self.addresses())
                 conn = _Connection(entry, address)
             outcome = self._next_request(conn.entry)
+            outcome.organisation = key if self.comes_back else ""
             if not conn.exchange(outcome, key):
                 conn.close()
                 conn = None
             outcome.ended_at = time.monotonic()
             self.outcomes.append(outcome)
+            if self.comes_back and outcome.status == 503 and outcome.retry_after:
+                self._come_back(outcome, key)
+
+    def run_surge(self, key: str, callers: int, for_s: float) -> None:
+        """Let callers of one organisation send a stream each, one after the other."""
+        until = time.monotonic() + for_s
+        for _ in range(callers):
+            eventlet.spawn(self._run_surging_caller, key, until)
+        eventlet.sleep(for_s)
+
+    def _run_surging_caller(self, key: str, until: float) -> None:
+        while time.monotonic() < until:
+            self._requests_made += 1
+            entry, address = self.rng.choice(self.addresses())
+            rid = f"draft-{self._requests_made}"
+            outcome = Outcome(rid, "draft", entry, time.monotonic(), organisation=key)
+            outcome.request_body = rid.encode()
+            self._send_once(outcome, address, key)
+            eventlet.sleep(self.rng.uniform(0.0, self.max_pause_s))
+
+    def _come_back(self, refused: Outcome, key: str) -> None:
+        """Send a refused request again at another entry, under another id."""
+        left_s = refused.sent_at + refused.deadline_s - time.monotonic()
+        if left_s <= 0:
+            return
+        eventlet.sleep(min(float(refused.retry_after), left_s * HONOURED_FRACTION))
+        entry, address = self.rng.choice(self.addresses())
+        self._requests_made += 1
+        again = Outcome(
+            f"{refused.kind}-{self._requests_made}", refused.kind, entry, time.monotonic()
+        )
+        again.path, again.request_body = refused.path, refused.request_body
+        again.organisation = refused.organisation
+        again.deadline_s = refused.sent_at + refused.deadline_s - again.sent_at
+        self._send_once(again, address, key)
+
+    def _send_once(self, outcome: Outcome, address: str, key: str) -> None:
+        """Send a request on a connection of its own."""
+        conn = _Connection(outcome.entry, address)
+        conn.exchange(outcome, key)
+        conn.close()
+        outcome.ended_at = time.monotonic()
+        self.outcomes.append(outcome)
 
     def run_crashing_requests(self, key: str, for_s: float) -> None:
         """Send requests that crash their endpoints, one body after the other."""
@@ -168,6 +225,9 @@
             outcome.request_body = outcome.rid.encode()
         if self.rng.random() < ABANDONED_FRACTION:
             outcome.timeout_s = self.rng.uniform(0.0, MAX_ABANDON_S)
+        elif self.comes_back:
+            outcome.timeout_s *= self.rng.uniform(1.0, MAX_PATIENCE_FACTOR)
+            outcome.deadline_s = outcome.timeout_s - 0.5
         return outcome
 
 
@@ -205,7 +265,7 @@
             headers=[
                 ("Host", "tools.example"),
                 ("Request-Id", outcome.rid),
-                ("Request-Deadline-Ms", str(int(RESPONSE_TIMEOUT_S * 1000) - 500)),
+                ("Request-Deadline-Ms", str(int(outcome.deadline_s * 1000))),
                 ("X-Api-Key", key),
                 ("Token-Counts", "16,4"),
                 ("Content-Length", str(len(outcome.request_body))),
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -16,11 +16,23 @@
 from .invariants import COLD_RATE, CONFIG_APPLY_S, Observations, Span
 from .proxy import LinkFault, Proxy
 from .theme import Theme
-from .workers import EndpointLog, Worker
+from .workers import SLOTS, EndpointLog, Worker
 
 DEFAULT_ENTRIES = 3
 CALLERS = 12
 MAX_CALLERS = 48
+OVERLOAD_CALLERS = 30
+"""Callers where requests exceed the slots during surges, and fit them otherwise."""
+
+OVERLOAD_SLOTS = 2
+"""Slots that each endpoint publishes there."""
+
+COMPETING_KEYS = ("key-first", "key-second", "key-free")
+"""Keys of organisations that compete for slots; the last one has no quota."""
+
+COMPETING_RATES = {"first": 40_000.0, "second": 10_000.0}
+"""Tokens a second of those with quotas, which they do not reach."""
+
 SERVICES = ("work-a", "work-b")
 WORKERS_PER_SERVICE = 3
 
@@ -107,6 +119,7 @@
             self._addresses, self._newest_applied_version, random.Random(seed + 1)
         )
         self.callers.has_distinct_bodies = theme.has_distinct_bodies
+        self.callers.comes_back = theme.has_overload
         self.observations.outcomes = self.callers.outcomes
 
     def start(self) -> None:
@@ -126,9 +139,11 @@
         # The number of endpoints does not grow: with more callers, each sends less often.
         callers = min(max(CALLERS, len(self.entries)), MAX_CALLERS)
         self.callers.max_pause_s *= callers / CALLERS
+        keys = ("key-limited", "key-free", "key-free")
+        if self.theme.has_overload:
+            callers, keys = OVERLOAD_CALLERS, COMPETING_KEYS
         for number in range(callers):
-            key = "key-limited" if number % 3 == 0 else "key-free"
-            eventlet.spawn(self.callers.run_caller, key)
+            eventlet.spawn(self.callers.run_caller, keys[number % len(keys)])
 
     def stop(self) -> None:
         """Stop everything that was started."""
@@ -168,6 +183,11 @@
         content = _configuration(
             self._version, service, has_restarts=self.theme.has_restarts
         )
+        if self.theme.has_overload:
+            content["tenants"] = [
+                {"name": "free", "api_keys": ["key-free"]},
+                *_competing_organisations(),
+            ]
         text = json.dumps(content).encode()
         self.store.put("op/config", text)
         self.observations.route_changes.append((time.monotonic(), service))
@@ -209,6 +229,8 @@
     def _start_worker(self, worker: Worker, *, cold_s: float = 0.0) -> None:
         if self.theme.has_crashing_requests:
             worker.on_crashing_request = self._crash_once
+        if self.theme.has_overload:
+            worker.reported_load = lambda running: f"{running},0,2,100".encode()
         self.workers[worker.name] = worker
         self.observations.halls[worker.name] = worker.hall
         if cold_s:
@@ -222,7 +244,7 @@
             service=worker.service,
             address=worker.proxy.address,
             zone=worker.hall,
-            slots=6,
+            slots=OVERLOAD_SLOTS if self.theme.has_overload else SLOTS,
             state=state,
             born=worker.born,
             sequence=self._records_written,
@@ -353,6 +375,13 @@
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
 
 
+def _competing_organisations() -> list[dict[str, object]]:
+    return [
+        {"name": name, "api_keys": [f"key-{name}"], "rate_per_s": rate, "burst": rate}
+        for name, rate in COMPETING_RATES.items()
+    ]
+
+
 def _route(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
     return {
         "name": name,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,13 +9,14 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 
 from tests.platform.store_standin import endpoint_record
 
 from .clients import RESPONSE_TIMEOUT_S
-from .cluster import HALLS, Cluster
+from .cluster import COMPETING_KEYS, HALLS, OVERLOAD_SLOTS, Cluster
 from .entries import GRACE_S, EntryProcess
 from .proxy import LinkFault
 from .theme import Theme
@@ -226,6 +227,40 @@
     worker.backoff_s = 0.0
 
 
+def _slow_moments(cluster: Cluster) -> None:
+    """Let an endpoint be slow for moments, and report it."""
+    worker = cluster.workers[_worker_name(cluster)]
+    for _ in range(cluster.rng.randint(1, 8)):
+        worker.slowdown = cluster.rng.choice((1.0, 2.5, 8.0))
+        percent = round(100 * worker.slowdown)
+        worker.reported_load = partial(_load_header, percent=percent)
+        eventlet.sleep(cluster.rng.uniform(0.05, 0.6))
+    worker.slowdown = 1.0
+    worker.reported_load = partial(_load_header, percent=100)
+
+
+def _load_header(running: int, *, percent: int) -> bytes:
+    return f"{running},0,{OVERLOAD_SLOTS},{percent}".encode()
+
+
+def _misreport_load(cluster: Cluster) -> None:
+    """Let an endpoint report a load that is not valid, or better than it can be."""
+    worker = cluster.workers[_worker_name(cluster)]
+    value = cluster.rng.choice(
+        (b"", b"1,2", b"0,0,0,0", b"0,0,2,1", b"1,1,2,99999", b"-1,0,2,100", b"a,b,c,d")
+    )
+    worker.reported_load = lambda _: value
+    eventlet.sleep(cluster.rng.uniform(0.3, 2.0))
+    worker.reported_load = partial(_load_header, percent=100)
+
+
+def _surge(cluster: Cluster) -> None:
+    """Let one organisation send many times its usual load for a while."""
+    key = cluster.rng.choice(COMPETING_KEYS)
+    callers = cluster.rng.choice((10, 30))
+    cluster.callers.run_surge(key, callers, cluster.rng.uniform(0.5, 3.0))
+
+
 FAULTS: tuple[Fault, ...] = (
     _kill,
     _kill_all,
@@ -288,10 +323,27 @@
 )
 """Faults of soaks whose endpoints send notices, separate for the same reason."""
 
+OVERLOAD_FAULTS: tuple[Fault, ...] = (
+    _slow_moments,
+    _slow_moments,
+    _misreport_load,
+    _surge,
+    _surge,
+    _kill,
+    _pause,
+    _stop,
+    _crash_worker,
+    _replace_worker,
+    _harm_store,
+    _kill_all,
+)
+"""Faults of soaks with more requests than slots, separate for the same reason."""
+
 THEME_FAULTS: dict[Theme, tuple[Fault, ...]] = {
     Theme.RESTARTS: RESTART_FAULTS,
     Theme.CRASHING_REQUESTS: CRASHING_REQUEST_FAULTS,
     Theme.ENDPOINT_NOTICES: NOTICE_FAULTS,
+    Theme.OVERLOAD: OVERLOAD_FAULTS,
     Theme.ALL: (*RESTART_FAULTS, *CRASHING_REQUEST_FAULTS, *NOTICE_FAULTS),
 }
 """Faults of each theme; a soak without a theme draws some kinds from `FAULTS`."""
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -59,6 +59,13 @@
 """Cases that a violation lists as examples."""
 
 
+MIN_FRACTION_OF_MEAN = 0.25
+"""Smallest fraction of its requests that an organisation is served, relative to all."""
+
+MIN_COMPETING_REQUESTS = 40
+"""Requests of an organisation from which that fraction means something."""
+
+
 @dataclass(slots=True)
 class Span:
     """A span of monotonic time in which a fault, stop, evacuation or cold phase lasted.
@@ -146,6 +153,7 @@
         "worked on long after its caller had left": _worked_after_abandon(observed, by_rid),
         "an organisation used more than its token limit": _over_limit(observed),
         "not served although all faults had ended": _not_recovered(observed),
+        "an organisation was served far less than all": _starved(observed),
         "a request that crashes its engines was still sent": _resent_crashing_requests(
             observed, by_rid
         ),
@@ -436,6 +444,22 @@
     return [_describe(row) for row in unserved]
 
 
+def _starved(observed: Observations) -> list[str]:
+    """Return competing organisations that were served far less often than all of them."""
+    rows = [row for row in observed.outcomes if row.organisation and row.status != 429]
+    if not rows:
+        return []
+    served = [row for row in rows if row.status == 200 and row.is_whole]
+    least = MIN_FRACTION_OF_MEAN * len(served) / len(rows)
+    found = []
+    for name in sorted({row.organisation for row in rows}):
+        sent = sum(row.organisation == name for row in rows)
+        fraction = sum(row.organisation == name for row in served) / sent
+        if sent >= MIN_COMPETING_REQUESTS and fraction < least:
+            found.append(f"{name}: {fraction:.2f} of {sent}")
+    return found
+
+
 def _overlaps_any(spans: list[Span], since: float, until: float) -> bool:
     return any(span.start <= until and span.end >= since for span in spans)
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -287,3 +287,15 @@
     notices = [make_notice("once-1", 10.0, backoff_s=3.0)]
     assert notice_violations(notices, 10.6, 11.0, 12.0)
     assert not notice_violations(notices, 10.1, 10.4, 11.0, 12.0, 13.1)
+
+
+def test_an_organisation_that_is_hardly_served_is_detected() -> None:
+    rows = []
+    for number in range(100):
+        starved = make_outcome(f"draft-{number}", status=503, organisation="small")
+        served = make_outcome(f"draft-{100 + number}", organisation="large")
+        rows += [starved, served]
+    assert "small: 0.00 of 100" in violations(observe(*rows))[0]
+    for row in rows[:80:2]:
+        row.status, row.response_body = 200, whole_body(row.rid)
+    assert violations(observe(*rows)) == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -65,6 +65,13 @@
     assert result.served > 100
 
 
+@pytest.mark.parametrize("seed", [11, 13])
+def test_invariants_hold_while_requests_exceed_the_slots(tmp_path: Path, seed: int) -> None:
+    result = run_soak(seed, LONG_S, tmp_path, theme=Theme.OVERLOAD)
+    assert result.violations == [], "\n".join([*result.faults, *result.logs])
+    assert result.served > 100
+
+
 def test_invariants_hold_with_all_themes_at_once(tmp_path: Path) -> None:
     result = run_soak(9, LONG_S, tmp_path, theme=Theme.ALL)
     assert result.violations == [], "\n".join([*result.faults, *result.logs])
--- a/tests/soak/theme.py
+++ b/tests/soak/theme.py
@@ -23,8 +23,12 @@
     ENDPOINT_NOTICES = "notices"
     """Endpoints advertise limits, announce that they leave, and ask entries to back off."""
 
+    OVERLOAD = "overload"
+    """Organisations compete for few slots, endpoints report a load that changes, and
+    refused callers, who differ in how long they wait, come back at another entry."""
+
     ALL = "all"
-    """All of these at once."""
+    """Restarts, crashing requests and notices at once."""
 
     @property
     def has_restarts(self) -> bool:
@@ -34,7 +38,12 @@
     @property
     def has_distinct_bodies(self) -> bool:
         """Whether most requests have distinct bodies, as in production."""
-        return self in (Theme.CRASHING_REQUESTS, Theme.ENDPOINT_NOTICES, Theme.ALL)
+        return self not in (Theme.ORDINARY, Theme.RESTARTS)
+
+    @property
+    def has_overload(self) -> bool:
+        """Whether requests exceed the slots, and refused callers come back."""
+        return self is Theme.OVERLOAD
 
     @property
     def has_crashing_requests(self) -> bool:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -134,6 +134,8 @@
         is_leaving: Whether it announces in responses that it leaves.
         backoff_s: Back-off that it asks for when it rejects a request, in seconds.
         rejection_fraction: Fraction of its requests that it rejects.
+        reported_load: Returns the value of its load header from the number of running
+            requests; ``None`` if it sends none.
         on_crashing_request: Called with its name when a request crashes it; if ``None``,
             such requests are harmless.
     """
@@ -159,6 +161,7 @@
         self.is_leaving = False
         self.backoff_s = 0.0
         self.rejection_fraction = 0.0
+        self.reported_load: Callable[[int], bytes] | None = None
         self._has_sent_notice = False
         self._log = endpoint_log
         self._rng = rng
@@ -251,6 +254,8 @@
                 backoff_s,
             )
             self._log.notices.append(notice)
+        if self.reported_load is not None:
+            headers += b"Instance-Load: " + self.reported_load(self._running) + b"\r\n"
         return headers
 
     def _record_run(self, dialog: Dialog) -> Run:
