--- a/benchmarks/replays/fleet.py
+++ b/benchmarks/replays/fleet.py
@@ -117,7 +117,13 @@
             started_at=0.0,
             is_independent=not replay.is_coordinated,
         )
-        self.slot_client = SlotClient(self.address, number, coordinators, self.endpoints)
+        self.slot_client = SlotClient(
+            self.address,
+            number,
+            coordinators,
+            self.endpoints,
+            returning=self.dispatcher.returning,
+        )
         self.slot_server = SlotServer(
             self.address, self.dispatcher, self.endpoints, replay.routes.get
         )
@@ -129,9 +135,18 @@
 
     def submit(self, req: Request, now: float) -> None:
         """Accept a caller's request."""
+        job = self.make_job(req, now)
+        self._waiting[id(job)] = req
+        self.replay.clock.call_at(job.queue_deadline, self.run_round)
+        if not self.slot_client.request_slot(job, now):
+            self.dispatcher.submit(job)
+        self.run_round(now)
+
+    def make_job(self, req: Request, now: float) -> Job:
+        """Return the job of a caller's request."""
         route = self.replay.routes[req.kind.name]
         deadline = req.first_attempt_at + req.kind.deadline_s
-        job = Job(
+        return Job(
             rid="",
             route=route,
             service=SERVICE,
@@ -144,11 +159,6 @@
             deadline=deadline,
             estimated_first_attempt_at=req.first_attempt_at,
         )
-        self._waiting[id(job)] = req
-        self.replay.clock.call_at(job.queue_deadline, self.run_round)
-        if not self.slot_client.request_slot(job, now):
-            self.dispatcher.submit(job)
-        self.run_round(now)
 
     def run_round(self, now: float) -> None:
         """Run a scheduling round, and send the messages that are due."""
@@ -254,18 +264,16 @@
             job.end_prefill()
             self.slot_client.record_prefill_end(job)
             self._send_due(at)
-            is_in_time = at - req.first_attempt_at <= req.kind.objective_s
-            counts = self.replay.totals.in_time if is_in_time else self.replay.totals.late
-            outcomes.append(counts)
+            first_events.append(at)
 
         def on_end(at: float, is_complete: bool) -> None:
             self.dispatcher.release_slot(job)
             self.slot_client.drop(job)
-            counts = outcomes[0] if is_complete and outcomes else self.replay.totals.cut
-            counts[req.kind.name] += 1
+            first_at = first_events[0] if is_complete and first_events else None
+            self.replay.record_end(req, first_at)
             self.replay.clock.call_at(at, self.run_round)
 
-        outcomes: list[Counter[str]] = []
+        first_events: list[float] = []
         run = Run(req.tokens, req.events, on_first, on_end)
         self.replay.clock.call_at(now + ENDPOINT_DELAY_S, lambda at: engine.submit(run, at))
 
@@ -282,6 +290,8 @@
         loss_fraction: Fraction of the messages that are lost.
     """
 
+    entry_class: type[SimulatedEntry] = SimulatedEntry
+
     def __init__(
         self,
         pattern: LoadPattern,
@@ -302,7 +312,7 @@
         self._loss_fraction = loss_fraction
         self._rng = random.Random(seed)
         self._network_rng = random.Random(seed + 1)
-        self.entries = [SimulatedEntry(self, number) for number in range(entries)]
+        self.entries = [self.entry_class(self, number) for number in range(entries)]
         self._by_address = {entry.address: entry for entry in self.entries}
         self._initial_engines = engines
         for _ in range(engines):
@@ -334,10 +344,31 @@
 
         def arrive(now: float) -> None:
             self.totals.sent[kind.name] += 1
-            entry.submit(Request(kind, tokens, events, now), now)
+            entry.submit(self.new_request(kind, tokens, events, now), now)
 
         return arrive
 
+    def new_request(
+        self, kind: RequestKind, tokens: int, events: int, now: float
+    ) -> Request:
+        """Return the request of a caller that arrives."""
+        return Request(kind, tokens, events, now)
+
+    def record_end(self, req: Request, first_at: float | None) -> None:
+        """Count a request that was sent to an engine.
+
+        Args:
+            req: The request.
+            first_at: Time of its first event, in seconds; ``None`` if it was cut.
+        """
+        if first_at is None:
+            counts = self.totals.cut
+        elif first_at - req.first_attempt_at <= req.kind.objective_s:
+            counts = self.totals.in_time
+        else:
+            counts = self.totals.late
+        counts[req.kind.name] += 1
+
     def handle_refusal(self, req: Request, retry_after_s: float | None, now: float) -> None:
         """Let a caller retry once at a random entry, or count the request as refused."""
         self.totals.refusals += 1
--- a/dockreach/direct/first_attempts.py
+++ b/dockreach/direct/first_attempts.py
@@ -22,8 +22,8 @@
 seconds. Such deadlines differ only by network delays."""
 
 FEW_SAMPLES = 16
-"""Number of deadlines below which both quantiles may be the same or the next deadline. The
-three longest up to the ninth decile have to agree then."""
+"""Number of deadlines below which both quantiles may be the same or the next deadline. All
+from the median to the ninth decile, at least three of them, have to agree then."""
 
 MIN_DIFFERENCE_S = 0.2
 """A deadline that is shorter than usual by more than this belongs to a retry, in seconds:
@@ -89,5 +89,5 @@
     upper = _index(ascending, FIRST_ATTEMPT_QUANTILE)
     lower = _index(ascending, AGREEMENT_QUANTILE)
     if len(ascending) < FEW_SAMPLES:
-        lower = max(upper - 2, 0)
+        lower = min(max(upper - 2, 0), (len(ascending) - 1) // 2)
     return ascending[upper] - ascending[lower] <= AGREEMENT_S
--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -33,6 +33,10 @@
 """Shortest time that is promised, in seconds: by then the refusals of all entries have
 reached the coordinator, which recognises the retry."""
 
+PROMISED_FRACTION = 0.25
+"""Largest fraction of the expected slots that is promised. An answered retry is worth half
+of a new request; with all slots promised, new requests were refused for retries."""
+
 HEADER_RESOLUTION_S = 0.01
 """Resolution of Retry-After, in seconds."""
 
@@ -129,15 +133,15 @@
             ahead: Number of waiting jobs of its tier and of higher ones.
             now: Monotonic time, in seconds.
         """
-        slots = ahead + self.outstanding(job.service, now) + 1
-        return self.forecast.time_until(job.service, job.rank, float(slots), now)
+        slots = ahead + (self.outstanding(job.service, now) + 1) / PROMISED_FRACTION
+        return self.forecast.time_until(job.service, job.rank, slots, now)
 
     def plan_retry(self, job: Job, ahead: int, now: float) -> RetryTime:
         """Return when the caller of a refused job is to retry; remember a promise.
 
         All promises of the service count as used before this one, also those of lower
-        tiers: they were given before. So there are never more of them than slots expected
-        until the last one.
+        tiers: they were given before. So there are never more of them than their fraction
+        of the slots expected until the last one.
 
         Args:
             job: The refused job.
