--- a/dockreach/direct/returning_requests.py
+++ b/dockreach/direct/returning_requests.py
@@ -172,7 +172,8 @@
             fingerprint=report.fingerprint,
             caller_deadline=now + report.caller_time_left_s,
             first_attempt_at=now - report.first_attempt_age_s,
-            held_s=report.held_s,
+            # It was refused before it was reported.
+            held_s=min(report.held_s, max(report.first_attempt_age_s, 0.0)),
             retry_at=now + report.retry_in_s,
             is_promised=report.is_promised,
             rank=report.rank,
