--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from bisect import bisect_left, bisect_right, insort
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -78,18 +78,6 @@
         return slots / per_second if per_second else math.inf
 
 
-@dataclass(slots=True)
-class _Promise:
-    """A slot that is expected for a retry.
-
-    Attributes:
-        at: Monotonic time given to the caller, in seconds.
-    """
-
-    rank: Rank
-    at: float
-
-
 @dataclass(frozen=True, slots=True)
 class RetryTime:
     """When a refused caller is to retry.
@@ -112,17 +100,19 @@
 
     def __init__(self, forecast: SlotForecast) -> None:
         self.forecast = forecast
-        self._promises: dict[str, deque[_Promise]] = {}
+        # Times of the promises in ascending order, by service and tier.
+        self._promises: dict[str, dict[Rank, list[float]]] = {}
 
     def outstanding(self, service: str, now: float) -> int:
         """Return the number of promises for a service that may still be used."""
-        return len(self._current(service, now))
+        return sum(len(times) for times in self._current(service, now).values())
 
     def due_within(self, service: str, rank: Rank, span_s: float, now: float) -> int:
         """Return how many promises fall due in a span, of a tier and of higher ones."""
         return sum(
-            promise.rank <= rank and promise.at <= now + span_s
-            for promise in self._current(service, now)
+            bisect_right(times, now + span_s)
+            for promised_rank, times in self._current(service, now).items()
+            if promised_rank <= rank
         )
 
     def expected_after_s(self, job: Job, ahead: int, now: float) -> float:
@@ -148,23 +138,20 @@
             ahead: Number of waiting jobs of its tier and of higher ones.
             now: Monotonic time, in seconds.
         """
-        current = self._current(job.service, now)
         after_s = self.expected_after_s(job, ahead, now)
         if not math.isfinite(after_s):
             return RetryTime(math.inf, is_promised=False)
         after_s = max(after_s, MIN_PROMISE_S)
         after_s = math.ceil(after_s / HEADER_RESOLUTION_S) * HEADER_RESOLUTION_S
-        if len(current) >= MAX_PROMISES or not _can_promise(job, after_s, now):
-            return RetryTime(after_s, is_promised=False)
-        current.append(_Promise(job.rank, now + after_s))
-        return RetryTime(after_s, is_promised=True)
+        is_promised = _can_promise(job, after_s, now) and self._add(
+            job.service, job.rank, now + after_s, now
+        )
+        return RetryTime(after_s, is_promised)
 
     def adopt(self, refusal: PastRefusal, now: float) -> None:
         """Take over a promise that another coordinator made."""
-        current = self._current(refusal.service, now)
-        is_known = refusal.is_promised and refusal.rank and len(current) < MAX_PROMISES
-        if is_known and now <= refusal.retry_at + PROMISE_GRACE_S:
-            current.append(_Promise(refusal.rank, refusal.retry_at))
+        if refusal.is_promised and refusal.rank:
+            self._add(refusal.service, refusal.rank, refusal.retry_at, now)
 
     def redeem(self, refusal: PastRefusal, arrived_at: float) -> bool:
         """Use the promise of a refusal; return whether its retry arrived at its time.
@@ -173,25 +160,26 @@
         """
         if not refusal.is_promised:
             return False
-        current = self._current(refusal.service, arrived_at)
-        for promise in current:
-            if promise.at == refusal.retry_at and promise.rank == refusal.rank:
-                current.remove(promise)
-                break
+        times = self._current(refusal.service, arrived_at).get(refusal.rank, [])
+        index = bisect_left(times, refusal.retry_at)
+        if index < len(times) and times[index] == refusal.retry_at:
+            del times[index]
         earliest = refusal.retry_at - HEADER_RESOLUTION_S
         return earliest <= arrived_at <= refusal.retry_at + PROMISE_GRACE_S
 
-    def _current(self, service: str, now: float) -> deque[_Promise]:
+    def _add(self, service: str, rank: Rank, at: float, now: float) -> bool:
+        """Add a promise; return ``False`` if there are too many."""
+        if self.outstanding(service, now) >= MAX_PROMISES:
+            return False
+        insort(self._promises[service].setdefault(rank, []), at)
+        return True
+
+    def _current(self, service: str, now: float) -> dict[Rank, list[float]]:
         """Return the promises of a service without those that were not used."""
-        promises = self._promises.get(service)
-        if promises is None:
-            return self._promises.setdefault(service, deque())
-        if any(promise.at + PROMISE_GRACE_S < now for promise in promises):
-            promises = deque(
-                promise for promise in promises if promise.at + PROMISE_GRACE_S >= now
-            )
-            self._promises[service] = promises
-        return promises
+        tiers = self._promises.setdefault(service, {})
+        for times in tiers.values():
+            del times[: bisect_left(times, now - PROMISE_GRACE_S)]
+        return tiers
 
 
 def recognise(job: Job, returning: ReturningRequests, schedule: RetrySchedule) -> None:
