--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -96,10 +96,16 @@
 
     Args:
         forecast: Expects slots.
+
+    Attributes:
+        promised_count: Number of promises made since the start.
+        kept_count: Number of promised retries that arrived at their time.
     """
 
     def __init__(self, forecast: SlotForecast) -> None:
         self.forecast = forecast
+        self.promised_count = 0
+        self.kept_count = 0
         # Times of the promises in ascending order, by service and tier.
         self._promises: dict[str, dict[Rank, list[float]]] = {}
 
@@ -146,6 +152,7 @@
         is_promised = _can_promise(job, after_s, now) and self._add(
             job.service, job.rank, now + after_s, now
         )
+        self.promised_count += is_promised
         return RetryTime(after_s, is_promised)
 
     def adopt(self, refusal: PastRefusal, now: float) -> None:
@@ -165,7 +172,9 @@
         if index < len(times) and times[index] == refusal.retry_at:
             del times[index]
         earliest = refusal.retry_at - HEADER_RESOLUTION_S
-        return earliest <= arrived_at <= refusal.retry_at + PROMISE_GRACE_S
+        is_due = earliest <= arrived_at <= refusal.retry_at + PROMISE_GRACE_S
+        self.kept_count += is_due
+        return is_due
 
     def _add(self, service: str, rank: Rank, at: float, now: float) -> bool:
         """Add a promise; return ``False`` if there are too many."""
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -290,3 +290,18 @@
     after_s = schedule.plan_retry(first_attempt(), 1, 100.0).after_s
     assert after_s == pytest.approx(round(after_s / HEADER_RESOLUTION_S) / 100)
     assert after_s >= 5 / 7
+
+
+def test_a_job_that_was_held_in_vain_is_told_when_capacity_is_expected() -> None:
+    queue, _ = busy_queue(4)
+    waiting = first_attempt("a", arrived_at=100.0, left_s=12.0)
+    waiting.queue_deadline = 100.5
+    waiting.is_admitted = True
+    queue.submit(waiting)
+    (decision,) = queue.run_round(100.5)
+    assert isinstance(decision, Refused)
+    assert decision.refusal.reason is Reason.SHED
+    # One slot of four per second, and a quarter of them is promised.
+    assert decision.refusal.retry_after_s == pytest.approx(1.0)
+    assert not decision.is_promised
+    assert queue.retry_schedule.outstanding("work", 100.5) == 0
