Send no states for refusals that are too old to be reported

After a change of the coordinator, a refusal whose record had been dropped left its service with an empty state every 0.1 s. The test fails without the change. States with many refusals no longer scan those that were reported before.

--- a/dockreach/direct/returning_requests.py
+++ b/dockreach/direct/returning_requests.py
@@ -234,8 +234,9 @@
         """
         reports: list[RefusalReport] = []
         last = after
-        for refusal in self._own:
-            if refusal.number <= after or refusal.service != service:
+        newer = itertools.takewhile(lambda one: one.number > after, reversed(self._own))
+        for refusal in reversed(list(newer)):
+            if refusal.service != service:
                 continue
             if len(reports) == MAX_REPORTS:
                 break
--- a/dockreach/direct/slot_client.py
+++ b/dockreach/direct/slot_client.py
@@ -117,6 +117,15 @@
             and now - self.last_sent_at >= REFUSALS_INTERVAL_S
         )
 
+    def record_refusals(self, state: SlotState, last_refusal: int) -> None:
+        """Record which refusals a state reports, up to the given number."""
+        if not state.refusals:
+            return
+        self.refusal_states += not state.waiting and not state.held
+        while len(self.reported_refusals) >= MAX_REPORTED_STATES:
+            del self.reported_refusals[next(iter(self.reported_refusals))]
+        self.reported_refusals[state.number] = last_refusal
+
     def record_refusal_reply(self, state_number: int) -> None:
         """Record that the coordinator has replied to a state."""
         self.refusal_states = 0
@@ -381,6 +390,9 @@
                 reports_only and not session.reports_refusals(last_refusal, now)
             ):
                 continue
+            refusals, last_refusal = self._unreported(service, session, now)
+            if reports_only and not refusals:
+                continue
             blocked_s = (
                 self._guard.grants_blocked_s(service, now) if session.waiting else {}
             )
@@ -397,27 +409,25 @@
             session.unanswered_states += bool(waiting)
             sends = self._recent_sends(service, session, now) if held or waiting else []
             state = self._new_state(service, waiting, held, sends)
-            state.refusals = self._report_refusals(service, session, state.number, now)
-            session.refusal_states += not waiting and not held and bool(state.refusals)
+            state.refusals = refusals
+            session.record_refusals(state, last_refusal)
             states.append((session.coordinator, state))
         return states
 
-    def _report_refusals(
-        self, service: str, session: _Session, state_number: int, now: float
-    ) -> list[RefusalReport]:
-        """Return the refusals that the coordinator does not know, for a state."""
+    def _unreported(
+        self, service: str, session: _Session, now: float
+    ) -> tuple[list[RefusalReport], int]:
+        """Return the refusals that the coordinator does not know, and the last number."""
         if session.coordinator is None:
-            return []
+            return [], session.known_refusal
         reports, last = self._returning.reports(
             service, session.known_refusal, session.coordinator, now
         )
         if not reports:
+            # Any others are too old to be reported.
+            last = max(last, self._returning.last_decided_here(service))
             session.known_refusal = max(session.known_refusal, last)
-            return []
-        while len(session.reported_refusals) >= MAX_REPORTED_STATES:
-            del session.reported_refusals[next(iter(session.reported_refusals))]
-        session.reported_refusals[state_number] = last
-        return reports
+        return reports, last
 
     def _recent_sends(
         self, service: str, session: _Session, now: float
--- a/tests/direct/test_recognised_retries.py
+++ b/tests/direct/test_recognised_retries.py
@@ -383,3 +383,20 @@
     assert lines["r-2"]["outcome"] == "in_time"
     (key,) = [one for one in entry.ctx.outcomes.counts if one.outcome == "in_time"]
     assert key.is_retry
+
+
+def test_refusals_that_are_too_old_to_be_reported_cause_no_states() -> None:
+    # Their records may be gone already, though their numbers were never acknowledged.
+    one = CoreEntry(2, 1)
+    one.client.remember_refusal(attempt("first", 100.0), 0.5, 100.0)
+    other = attempt("x", 106.0, fingerprint=b"x")
+    other.service = "other"
+    one.client.remember_refusal(other, 0.5, 106.0)
+    one.follow(1, 106.0)
+    one.client.refresh_coordinators(106.0)
+    # The first state is due since the coordinator has been selected.
+    one.client.due_states(106.1)
+    states = [
+        state for at in (106.2, 106.4, 106.6) for _, state in one.client.due_states(at)
+    ]
+    assert "work" not in [state.service for state in states]
