Start no organisation before the virtual time of its tier

Late jobs wait while others of their tier are served. The start time is now at least the virtual time, and engine time that was charged and not used is deducted from the next charges instead.

--- a/benchmarks/replays/patterns.py
+++ b/benchmarks/replays/patterns.py
@@ -22,6 +22,7 @@
         events: Mean of an exponential distribution.
         value: Value of a response that meets the objective.
         late_value: Value of a response that comes later.
+        organisation: Name of the organisation that sends it; empty for none.
     """
 
     name: str
@@ -34,6 +35,7 @@
     deadline_s: float
     value: float
     late_value: float
+    organisation: str = ""
 
     def route(self) -> Route:
         """Return the route of its requests."""
--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -41,8 +41,8 @@
 bounds the time that a grant takes."""
 
 MAX_CORRECTION_S = 4.0
-"""By how much engine time an organisation may be behind or ahead of the virtual time
-through corrections, or through requests that could not use the free slots. Callers honour a
+"""Largest engine time, in seconds, by which an organisation is behind the virtual time
+after a correction, or that is deducted from its later charges. Callers honour a
 `Retry-After` of up to 4 s: those who come later do not pay for requests before that."""
 
 SHARE_WINDOW_S = 4.0
@@ -67,11 +67,15 @@
         start: Virtual start time of its next request.
         running: Number of its requests with a slot.
         running_s: Their estimated engine time, in seconds.
+        refund_s: Engine time that was charged and not used, in seconds; it is deducted from
+            the next charges. If the start time were set back, an organisation with many
+            short requests would be served several times in a row.
     """
 
     start: float
     running: int = 0
     running_s: float = 0.0
+    refund_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -233,6 +237,9 @@
     ) -> Iterator[tuple[str, float, float]]:
         """Return organisations with the virtual start times of their next jobs and weights.
 
+        None starts before the virtual time. An organisation whose waiting jobs are late, or
+        cannot use the free slots, would otherwise overtake all others afterwards.
+
         Args:
             service: The service.
             rank: The tier.
@@ -242,14 +249,12 @@
         flows = tier.flows
         weights = self._weights
         virtual_time = tier.virtual_time
-        lowest = virtual_time - MAX_CORRECTION_S
         for name in organisations:
-            weight = weights.get(name, MEAN_WEIGHT)
             flow = flows.get(name)
-            start = virtual_time if flow is None else flow.start
-            if start < lowest:
-                start = max(start, virtual_time - self._max_correction(name))
-            yield name, start, weight
+            start = virtual_time
+            if flow is not None and flow.start > virtual_time:
+                start = flow.start
+            yield name, start, weights.get(name, MEAN_WEIGHT)
 
     def take_changed(self, service: str, rank: Rank) -> set[str]:
         """Return whose start times in a tier have changed since the last call."""
@@ -260,11 +265,15 @@
         return changed
 
     def begin_backlog(self, service: str, rank: Rank, organisation: str) -> None:
-        """Start an organisation that had no waiting jobs at the virtual time."""
+        """Start an organisation that had no waiting jobs at the virtual time.
+
+        It is not repaid for the time before.
+        """
         tier = self._service(service).tiers.get(rank)
         flow = tier.flows.get(organisation) if tier is not None else None
-        if tier is not None and flow is not None:
-            flow.start = max(flow.start, tier.virtual_time)
+        if tier is not None and flow is not None and flow.start < tier.virtual_time:
+            flow.start = tier.virtual_time
+            flow.refund_s = 0.0
 
     def charge(self, job: Job, now: float) -> None:
         """Charge a job's organisation for the slot that this entry assigned to it."""
@@ -274,7 +283,10 @@
         tier = self._tier(job.service, job.rank)
         tier.virtual_time = max(tier.virtual_time, start)
         flow = self._record_charge(job, job.rank, now)
-        flow.start = start + self._charges[job].engine_s / self.weight(job.organisation)
+        engine_s = self._charges[job].engine_s
+        deducted_s = min(flow.refund_s, engine_s)
+        flow.refund_s -= deducted_s
+        flow.start = start + (engine_s - deducted_s) / self.weight(job.organisation)
 
     def charge_held(self, job: Job, now: float) -> None:
         """Charge for a slot that another entry granted, of which this one just learned.
@@ -352,17 +364,12 @@
         # A flow that was dropped and added again does not know its earlier requests.
         flow.running = max(flow.running - 1, 0)
         flow.running_s = max(flow.running_s - charge.engine_s, 0.0) if flow.running else 0.0
-        limit = tier.virtual_time + self._max_correction(job.organisation)
-        corrected = flow.start + excess_s / self.weight(job.organisation)
-        flow.start = min(corrected, max(flow.start, limit))
-
-    def _max_correction(self, organisation: str) -> float:
-        """Return the largest lead or lag, in the unit of the virtual time.
-
-        It is not shorter for heavy organisations, since many of their requests end at the
-        same time.
-        """
-        return MAX_CORRECTION_S / min(self.weight(organisation), MEAN_WEIGHT)
+        balance_s = excess_s - flow.refund_s
+        flow.refund_s = min(max(-balance_s, 0.0), MAX_CORRECTION_S)
+        if balance_s > 0:
+            weight = self.weight(job.organisation)
+            limit = tier.virtual_time + MAX_CORRECTION_S / weight
+            flow.start = max(flow.start, min(flow.start + balance_s / weight, limit))
 
     def _rank_of(self, job: Job) -> Rank:
         """Return the rank of a job that was granted elsewhere, as its entry computes it."""
