Test shares across entries, on the pages, in the log and in a replayed surge

The merged order is brought up to date where the virtual time has passed a line: jobs that are granted out of order, since others cannot use the free slots, left the starts of waiting lines in the past.

--- a/benchmarks/replays/organisations.py
+++ b/benchmarks/replays/organisations.py
@@ -37,11 +37,14 @@
 RATE = 100_000.0
 """Tokens a second of all organisations' quotas; only the proportions matter here."""
 
+OVERLOAD_FACTOR = 2.0
+"""Load of tier 2 in multiples of the usual; a fifth of it is refused then."""
+
 OVERLOAD = LoadPattern(
     "tier 2 overloaded",
     load=0.8,
     time_factors=(1.0, 1.0, 3.0),
-    bursts=(Burst(3, 17, 1.5, LOWEST.name),),
+    bursts=(Burst(3, 17, OVERLOAD_FACTOR, LOWEST.name),),
 )
 
 
@@ -62,12 +65,14 @@
 
     sent: Counter[str] = field(default_factory=Counter)
     in_time: Counter[str] = field(default_factory=Counter)
+    late: Counter[str] = field(default_factory=Counter)
     refused: Counter[str] = field(default_factory=Counter)
 
     def add(self, other: Outcomes) -> None:
         """Add the outcomes of another replay."""
         self.sent.update(other.sent)
         self.in_time.update(other.in_time)
+        self.late.update(other.late)
         self.refused.update(other.refused)
 
     def without(self, organisation: str) -> tuple[int, int]:
@@ -118,6 +123,7 @@
             key = _kind_of(LOWEST, name).name
             result.sent[name] = totals.sent[key]
             result.in_time[name] = totals.in_time[key]
+            result.late[name] = totals.late[key]
             result.refused[name] = totals.refused[key]
         return result
 
@@ -167,7 +173,10 @@
 @click.option("--entries", default=20)
 @click.option("--surging", default="org-1", help="The organisation that surges.")
 def main(*, seeds: int, engines: int, entries: int, surging: str) -> None:
-    """Print by organisation which part of tier 2 was in time, and which was rejected."""
+    """Print by organisation which part of tier 2 was in time, and which was rejected.
+
+    "Before" is without rates: the decisions are then those without shares.
+    """
     modes = {"usual, before": ("", False), "usual, after": ("", True)}
     modes |= {"surge, before": (surging, False), "surge, after": (surging, True)}
     results = {
--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -227,6 +227,11 @@
         )
         return max(seconds, MIN_ENGINE_S)
 
+    def virtual_time(self, service: str, rank: Rank) -> float:
+        """Return the virtual time of a tier."""
+        tier = self._service(service).tiers.get(rank)
+        return tier.virtual_time if tier is not None else 0.0
+
     def start_of(self, service: str, rank: Rank, organisation: str) -> float:
         """Return the virtual start time of an organisation's next job."""
         ((_, start, _),) = self.starts(service, rank, (organisation,))
--- a/dockreach/direct/service_queue.py
+++ b/dockreach/direct/service_queue.py
@@ -165,13 +165,22 @@
                 groups[key] = [entry]
         return sorted(groups.items(), key=_urgency_of_group)
 
-    def _update_tags(self, rank: Rank, tier: _Tier, now: float) -> None:
-        """Compute the start times anew of the lines in which something has changed."""
-        urgency = self._urgency
-        changed = tier.changed
+    def _add_changed(self, changed: set[str], rank: Rank, tier: _Tier, now: float) -> None:
+        """Add the lines that an urgency, a charge or the virtual time has changed."""
         changed |= self._shares.take_changed(self._service, rank)
+        virtual_time = self._shares.virtual_time(self._service, rank)
+        urgency = self._urgency
         for key, tagged in tier.tagged.items():
             changed.update([item[4] for item in tagged if urgency(item[3], now) != key])
+            for item in tagged:
+                if item[0] >= virtual_time:
+                    break
+                changed.add(item[4])
+
+    def _update_tags(self, rank: Rank, tier: _Tier, now: float) -> None:
+        """Compute the start times anew of the lines in which something has changed."""
+        changed = tier.changed
+        self._add_changed(changed, rank, tier, now)
         if not changed:
             return
         groups: defaultdict[Urgency, list[_Tagged]] = defaultdict(list)
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -195,6 +195,26 @@
     assert len(endpoint.requests) == 1
 
 
+def test_the_last_line_of_a_request_has_its_organisations_share(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO", logger="dockreach")
+    known = [
+        Organisation(name, frozenset({key}), None, 1000.0, 1000.0, 10)
+        for name, key in [("first", "key-1"), ("second", "key-2")]
+    ]
+    endpoint = EndpointStandIn(respond_ok)
+    for count, share in [(2, 1.0), (1, None)]:
+        config = revision(organisations=tuple(known[:count]))
+        entry = start_entry(endpoint, config=config)
+        caller = Caller(entry)
+        caller.send("/once/a", rid=f"r-{count}")
+        assert status_of(caller.read_response()) == 200
+        lines = [vars(row) for row in caplog.records if vars(row)["event"] == 700]
+        assert lines[-1]["rid"] == f"r-{count}"
+        assert lines[-1].get("share") == share
+
+
 def test_a_caller_that_disconnects_is_logged(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", logger="dockreach")
     entry = start_entry(EndpointStandIn(respond_slowly))
--- a/tests/direct/test_entry_pages.py
+++ b/tests/direct/test_entry_pages.py
@@ -5,10 +5,13 @@
 import eventlet
 
 from dockreach.direct.entry import Entry
+from dockreach.direct.entry_pages import MAX_ORGANISATIONS_SHOWN
+from dockreach.direct.routing_config import Organisation
 
 from .advertising_engines import AdvertisingFleet
+from .core_builders import job, organisations
 from .crashing_engines import CRASHING_BODY, GOSSIP_S, CrashingFleet
-from .standins import fetch_page, start_entry
+from .standins import fetch_page, revision, start_entry
 
 
 def series(entry: Entry, name: str) -> list[bytes]:
@@ -77,3 +80,33 @@
         reasons = b"".join(series(entry, "endpoints_held"))
         for reason in (b"limited", b"leaving", b"resting"):
             assert b'reason="' + reason + b'"' in reasons
+
+
+def organisations_on(entry: Entry, name: str) -> int:
+    return len(series(entry, f"organisation_{name}"))
+
+
+def test_the_largest_organisations_are_shown_while_shares_are_in_force() -> None:
+    count = MAX_ORGANISATIONS_SHOWN + 8
+    known = organisations({f"org-{number}": 1000.0 for number in range(count)})
+    entry = start_entry(config=revision(1, organisations=tuple(known)))
+    dispatcher = entry.dispatcher
+    for number, row in enumerate(known):
+        ended = job(row.name, arrived_at=0.0)
+        ended.organisation = row.name
+        ended.slot_at = 0.0
+        dispatcher.shares.charge(ended, 0.0)
+        dispatcher.shares.release(ended)
+        dispatcher.shares.settle(1.0 + number)
+        waiting = job(row.name, arrived_at=0.0)
+        waiting.organisation = row.name
+        dispatcher.submit(waiting)
+    assert organisations_on(entry, "engine_seconds_total") == MAX_ORGANISATIONS_SHOWN
+    assert organisations_on(entry, "waiting") == MAX_ORGANISATIONS_SHOWN
+    page = b"".join(series(entry, "organisation_engine_seconds_total"))
+    assert b'organisation="org-39"' in page
+    assert b'organisation="org-0"' not in page
+    only: tuple[Organisation, ...] = (known[0],)
+    entry.apply_revision(revision(2, organisations=only), "test")
+    assert organisations_on(entry, "engine_seconds_total") == 0
+    assert organisations_on(entry, "waiting") == 0
--- a/tests/direct/test_slot_server.py
+++ b/tests/direct/test_slot_server.py
@@ -27,7 +27,16 @@
 from dockreach.direct.slot_server import LEASE_S, SlotServer
 from dockreach.verdict import Reason
 
-from .core_builders import OWN, address, digest, dispatcher, endpoints, job, stream_route
+from .core_builders import (
+    OWN,
+    address,
+    digest,
+    dispatcher,
+    endpoints,
+    job,
+    organisations,
+    stream_route,
+)
 
 
 def route_named(name: str) -> Route | None:
@@ -217,6 +226,57 @@
     assert entry.granted == [1]
 
 
+def held_job(number: int, organisation: str) -> HeldJob:
+    return HeldJob(number, "e-0", 0, organisation, "tier-0", 1000, 10.0, 2, 0.1)
+
+
+def sharing_entry(*slots: int) -> ServingEntry:
+    entry = ServingEntry(*slots)
+    entry.dispatcher.apply_organisations(organisations({"a": 1000.0, "b": 1000.0}))
+    return entry
+
+
+def job_of(number: int, organisation: str) -> WaitingJob:
+    return msgspec.structs.replace(
+        waiting_job(number), organisation=organisation, rank=(0, 0)
+    )
+
+
+def test_a_new_coordinator_starts_from_the_slots_that_organisations_hold() -> None:
+    entry = sharing_entry(4)
+    held = (held_job(1, "a"), held_job(2, "a"))
+    waiting = (job_of(3, "a"), job_of(4, "b"), job_of(5, "b"))
+    reply = entry.receive(slot_state(1, held=held, waiting=waiting), 100.0)
+    assert reply is not None
+    assert {row.number for row in reply.grants} == {4, 5}
+
+
+def test_of_two_coordinators_each_counts_its_own_grants_and_the_held_slots() -> None:
+    first, second = sharing_entry(1, 1), sharing_entry(1, 1)
+    sender, other = address(1), address(2)
+    first.receive(slot_state(1, waiting=(job_of(1, "a"),), sender=sender), 100.0)
+    # The client of the second one holds a slot that the first one granted.
+    second.receive(slot_state(1, held=(held_job(1, "a"),), sender=sender), 100.1)
+    for entry in (first, second):
+        waiting = (job_of(2, "a"), job_of(3, "b"))
+        reply = entry.receive(slot_state(1, waiting=waiting, sender=other), 100.2)
+        assert reply is not None
+        assert [row.number for row in reply.grants] == [3]
+
+
+def test_a_slot_that_its_client_did_not_use_is_not_charged() -> None:
+    entry = sharing_entry(1, 1)
+    entry.receive(slot_state(1, waiting=(job_of(1, "a"),)), 100.0)
+    declined = msgspec.structs.replace(
+        job_of(1, "a"), blocked_s={"e-0": 1.0, "e-1": 1.0}, queue_timeout_s=0.01
+    )
+    entry.receive(slot_state(2, waiting=(declined,)), 100.0)
+    entry.receive(slot_state(3), 100.0)
+    entry.run_round(100.0)
+    shares = entry.dispatcher.shares
+    assert shares.share("work", "a", 100.1) == pytest.approx(0.0, abs=1e-6)
+
+
 def test_slots_of_an_expired_lease_are_released() -> None:
     entry = ServingEntry(1)
     entry.receive(slot_state(1, waiting=(waiting_job(5),)), 100.0)
