Count a request once that got another slot before the next round

A request whose endpoint failed is released and may be granted another slot while the entry pauses after a long round. Its first charge was then never ended: the organisation had one running request for ever.

--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -347,6 +347,10 @@
 
     def _record_charge(self, job: Job, rank: Rank, now: float) -> _Flow:
         """Count a job that has got a slot; return its flow."""
+        if job in self._charges:
+            # It was released, and sent to another endpoint before the next round.
+            self._released = [row for row in self._released if row is not job]
+            self._end_charge(job, self._charges.pop(job))
         engine_s = self.engine_s(job)
         flow = self._flow(job.service, rank, job.organisation)
         flow.running += 1
@@ -361,14 +365,11 @@
         usage.record(job.organisation, excess_s, now)
         if not job.for_peer:
             usage.record_end(job.organisation, now - charge.since)
-        tier = self._service(job.service).tiers.get(charge.rank)
-        flow = tier.flows.get(job.organisation) if tier is not None else None
-        if tier is None or flow is None:
+        flow = self._end_charge(job, charge)
+        if flow is None:
             return
+        tier = self._tier(job.service, charge.rank)
         tier.changed.add(job.organisation)
-        # A flow that was dropped and added again does not know its earlier requests.
-        flow.running = max(flow.running - 1, 0)
-        flow.running_s = max(flow.running_s - charge.engine_s, 0.0) if flow.running else 0.0
         balance_s = excess_s - flow.refund_s
         flow.refund_s = min(max(-balance_s, 0.0), MAX_CORRECTION_S)
         if balance_s > 0:
@@ -376,6 +377,17 @@
             limit = tier.virtual_time + MAX_CORRECTION_S / weight
             flow.start = max(flow.start, min(flow.start + balance_s / weight, limit))
 
+    def _end_charge(self, job: Job, charge: _Charge) -> _Flow | None:
+        """Count a job that has released its slot; return its flow unless it was dropped."""
+        tier = self._service(job.service).tiers.get(charge.rank)
+        flow = tier.flows.get(job.organisation) if tier is not None else None
+        if flow is not None:
+            # A flow that was dropped and added again does not know its earlier requests.
+            flow.running = max(flow.running - 1, 0)
+            left_s = max(flow.running_s - charge.engine_s, 0.0)
+            flow.running_s = left_s if flow.running else 0.0
+        return flow
+
     def _rank_of(self, job: Job) -> Rank:
         """Return the rank of a job that was granted elsewhere, as its entry computes it."""
         tier = job.route.tier
--- a/tests/direct/test_fair_shares.py
+++ b/tests/direct/test_fair_shares.py
@@ -215,6 +215,19 @@
         assert start(shares, "a") == pytest.approx(charged_s)
 
 
+def test_a_request_that_got_another_slot_before_the_next_round_runs_once() -> None:
+    shares = new_shares(a=1000.0, b=1000.0)
+    row = request("a")
+    shares.charge(row, 0.0)
+    shares.release(row)
+    shares.charge_held(row, 0.1)
+    shares.settle(0.2)
+    assert shares._services["work"].tiers[RANK].flows["a"].running == 1
+    shares.release(row)
+    shares.settle(0.3)
+    assert shares._services["work"].tiers[RANK].flows["a"].running == 0
+
+
 def test_refused_and_abandoned_requests_are_not_charged() -> None:
     queue = dispatcher(endpoints(1))
     queue.apply_organisations(organisations({"a": 1000.0, "b": 1000.0}))
--- a/tests/direct/test_scheduling.py
+++ b/tests/direct/test_scheduling.py
@@ -9,12 +9,13 @@
 
 from dockreach.direct import scheduling
 from dockreach.direct.coordinator_selection import CoordinatorSelector
-from dockreach.direct.jobs import Decision
+from dockreach.direct.jobs import Decision, Placed
 from dockreach.direct.scheduling import ROUND_PAUSE_FACTOR, Scheduler
 from dockreach.direct.slot_client import SlotClient
+from dockreach.direct.slot_messages import SlotReply
 from dockreach.direct.slot_server import SlotServer
 
-from .core_builders import OWN, dispatcher, endpoints, peers
+from .core_builders import OWN, dispatcher, endpoints, job, organisations, peers
 
 LONG_S = 0.004
 STEP_S = 0.0002
@@ -103,3 +104,22 @@
     for _ in range(5):
         scheduler_.run_round()
     assert len(runtime.rounds) == 5
+
+
+def test_slots_that_a_coordinator_granted_count_once_this_entry_decides_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    table = endpoints(1)
+    coordinators = CoordinatorSelector(peers(), capacity=1.0, started_at=0.0)
+    client = SlotClient(OWN, 1, coordinators, table)
+    queue = dispatcher(table)
+    queue.apply_organisations(organisations({"a": 1000.0, "b": 1000.0}))
+    server = SlotServer(OWN, queue, table, lambda _: None)
+    acquiring = Scheduler(queue, client, server, lambda *_: None, lambda: None)
+    held = job("held")
+    held.organisation = "a"
+    (row,) = table
+    monkeypatch.setattr(client, "handle_reply", lambda *_: [Placed(held, row)])
+    acquiring.handle_reply(SlotReply(OWN, 1, 1, "work", [], []))
+    shares = queue.shares
+    assert shares.start_of("work", (0,), "a") > shares.start_of("work", (0,), "b")
