--- a/tests/direct/test_recognised_retries.py
+++ b/tests/direct/test_recognised_retries.py
@@ -126,8 +126,9 @@
     """Refuse all that waits, and free all slots."""
     for row in coordinator.table:
         row.adjust_in_flight(-row.in_flight, for_peer=False)
-    for jobs in coordinator.dispatcher._waiting.values():  # noqa: SLF001
-        jobs.clear()
+    for queue in list(coordinator.dispatcher._waiting.values()):  # noqa: SLF001
+        for waiting in queue:
+            coordinator.dispatcher.withdraw(waiting)
 
 
 def test_a_retry_at_another_entry_is_recognised_by_the_coordinator() -> None:
