Keep the jobs in an endpoint's slots, and the progress of their streams

The forecast of slots needs to know which streams hold an endpoint's slots, how far they are and whether their callers stated a length.

EndpointRow.held_by lists the jobs, maintained by Job.acquire_slot and release_slot, so that placeholders of slots granted elsewhere are included. Job.record_events keeps the time of the last event; at the coordinator it is that of the state. HeldJob.expected_events is 0 unless the caller stated the length, since an upper limit of it is no estimate.

--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -6,13 +6,16 @@
 import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from .advertised_state import AdvertisedState
 from .engine_speed import EWMA_WEIGHT, EngineSpeed
 from .slot_messages import Sample, SampleKind
 from .warm_up import RecentSends, WarmUpState
 
+if TYPE_CHECKING:
+    from .jobs import Job
+
 PLAIN_PRIOR_S = 0.06
 """Assumed duration of a plain (not streamed) request before any is measured, in seconds."""
 
@@ -125,6 +128,8 @@
         recent_sends: Requests that were sent to it recently, as far as this entry knows.
         advertised: The state that it advertises in its responses.
         connections: Connections on which it processes requests of this entry.
+        held_by: Jobs that hold its slots, of this entry and granted by it, in the order in
+            which they got them.
     """
 
     published: Published
@@ -144,6 +149,7 @@
     recent_sends: RecentSends = field(default_factory=RecentSends)
     advertised: AdvertisedState = field(default_factory=AdvertisedState)
     connections: set[Connection] = field(default_factory=set)
+    held_by: dict[Job, None] = field(default_factory=dict)
 
     @property
     def id(self) -> str:
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -434,7 +434,7 @@
                 timeout_s = self._gap_timeout_s()
             pace.count(len(events), now)
             self._event_count += len(events)
-            self._job.events += len(events)
+            self._job.record_events(self._job.events + len(events), now)
             self.progress.record(len(events), now)
             self._start_stream(head)
             for event in events:
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -57,7 +57,7 @@
         deadline: Time at which the caller or the route's timeout abandons it.
         estimated_first_attempt_at: Time of its caller's first attempt, as estimated.
         is_admitted: Whether it was admitted to the queue. It is then rejected early only
-            if a job of a higher tier is.
+            if a job of a higher tier is, or if a forecast shows that it will be late.
         tried_endpoints: Endpoints that it was sent to before.
         endpoint: The endpoint of its slot; ``None`` while it waits.
         prefill_tokens: Prompt tokens that the endpoint has to prefill for it; 0 after the
@@ -80,6 +80,11 @@
             timeout; infinite if the caller sent none.
         slot_at: Time at which it got its slot, or minus infinity.
         events: Events of its response that were received so far.
+        events_at: Time at which the last of them were received, as far as is known here;
+            minus infinity if none were.
+        is_length_estimated: Whether `expected_events` is the caller's own estimate, and not
+            its upper limit or missing; at a coordinator, as the entry reports once the job
+            holds a slot.
     """
 
     rid: str
@@ -110,6 +115,8 @@
     caller_deadline: float = math.inf
     slot_at: float = -math.inf
     events: int = 0
+    events_at: float = -math.inf
+    is_length_estimated: bool = False
 
     @classmethod
     def peer_placeholder(cls, service: str, *, arrived_at: float) -> Job:
@@ -140,6 +147,7 @@
         self.endpoint = row
         self.prefill_ahead = prefill_ahead
         self.found_free_slot = found_free_slot
+        row.held_by[self] = None
         row.adjust_in_flight(1, for_peer=self.for_peer)
 
     def start_prefill(self, tokens: int) -> None:
@@ -148,12 +156,19 @@
             self.prefill_tokens = tokens
             self.endpoint.prefill_tokens += tokens
 
+    def record_events(self, events: int, now: float) -> None:
+        """Record how many events were received so far."""
+        if events > self.events:
+            self.events = events
+            self.events_at = now
+
     def release_slot(self) -> None:
         """Release the slot, if the job holds one."""
         row = self.endpoint
         if row is None:
             return
         self.end_prefill()
+        row.held_by.pop(self, None)
         row.adjust_in_flight(-1, for_peer=self.for_peer)
         self.endpoint = None
 
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -181,6 +181,7 @@
             rank=(tier, route.tier),
             prompt_tokens=req.prompt_tokens,
             expected_events=self._expected_events(plan.service),
+            is_length_estimated=req.expected_output_tokens > 0,
             prefix=req.prefix,
             arrived_at=req.arrived_at,
             queue_deadline=req.arrived_at + queue_timeout_s(route, time_left_s),
--- a/dockreach/direct/slot_client.py
+++ b/dockreach/direct/slot_client.py
@@ -384,7 +384,7 @@
         organisation=job.organisation,
         route=job.route.name,
         prompt_tokens=job.prompt_tokens,
-        expected_events=job.expected_events,
+        expected_events=job.expected_events if job.is_length_estimated else 0.0,
         events=job.events,
         age_s=max(now - job.slot_at, 0.0),
     )
--- a/dockreach/direct/slot_messages.py
+++ b/dockreach/direct/slot_messages.py
@@ -104,7 +104,8 @@
         organisation: Name of the organisation that sent it; empty for none.
         route: Name of its route.
         prompt_tokens: Tokens of its prompt.
-        expected_events: Number of events that its response is likely to have.
+        expected_events: Number of events that its response is likely to have by its
+            caller's estimate; 0 without one.
         events: Events received so far.
         age_s: Time since it got the slot, in seconds.
     """
--- a/dockreach/direct/slot_server.py
+++ b/dockreach/direct/slot_server.py
@@ -125,7 +125,9 @@
         for number, job in list(client.granted.items()):
             held_job = held.get(number)
             if held_job is not None:
-                job.events = held_job.events
+                job.record_events(held_job.events, now)
+                job.is_length_estimated = held_job.expected_events > 0
+                job.expected_events = held_job.expected_events or job.expected_events
                 _record_prefill_end(job, held_job, now)
             elif number not in waiting:
                 self._end_job(client.granted.pop(number))
@@ -148,8 +150,9 @@
         job.organisation = held_job.organisation
         job.prompt_tokens = held_job.prompt_tokens
         job.expected_events = held_job.expected_events
-        job.events = held_job.events
+        job.is_length_estimated = held_job.expected_events > 0
         job.slot_at = now - held_job.age_s
+        job.record_events(held_job.events, now)
         job.acquire_slot(row, prefill_ahead=0, found_free_slot=False)
         client.granted[held_job.number] = job
 
