--- a/benchmarks/replays/fleet.py
+++ b/benchmarks/replays/fleet.py
@@ -89,12 +89,19 @@
 
 @dataclass(slots=True)
 class Request:
-    """One caller's request, over all its attempts."""
+    """One caller's request, over all its attempts.
+
+    Attributes:
+        expected_events: Number of events that the caller or the route expects.
+        is_length_estimated: Whether the caller states it.
+    """
 
     kind: RequestKind
     tokens: int
     events: int
     first_attempt_at: float
+    expected_events: float
+    is_length_estimated: bool = False
     may_retry: bool = True
 
 
@@ -126,6 +133,7 @@
         self._has_updates = True
         self._runs: dict[int, tuple[Request, Run]] = {}
         self._waiting: dict[int, Request] = {}
+        self._streams: dict[int, tuple[Job, float, float]] = {}
 
     def submit(self, req: Request, now: float) -> None:
         """Accept a caller's request."""
@@ -137,7 +145,8 @@
             service=SERVICE,
             rank=(0, route.tier),
             prompt_tokens=req.tokens,
-            expected_events=float(req.events),
+            expected_events=req.expected_events,
+            is_length_estimated=req.is_length_estimated,
             prefix=(),
             arrived_at=now,
             queue_deadline=now + queue_timeout_s(route, deadline - now),
@@ -152,6 +161,7 @@
 
     def run_round(self, now: float) -> None:
         """Run a scheduling round, and send the messages that are due."""
+        self._record_events(now)
         for job in self.slot_client.fall_back(now):
             self.dispatcher.submit(job)
         for decision in self.dispatcher.run_round(now):
@@ -164,7 +174,13 @@
             self._apply_decision(decision, now)
         self._send_due(now)
 
+    def _record_events(self, now: float) -> None:
+        """Record the events that this entry has received of the streams it watches."""
+        for job, first_at, gap_s in self._streams.values():
+            job.record_events(int((now - first_at) / gap_s) + 1, now)
+
     def _send_due(self, now: float) -> None:
+        self._record_events(now)
         for address, state in self.slot_client.due_states(now):
             self.replay.send(state, address, now)
             if state.waiting:
@@ -252,6 +268,8 @@
                 row.record_measurement(SampleKind.FIRST_EVENT, at - sent_at, prefill_tokens)
             row.record_measurement(SampleKind.GAP, engine.gap_s())
             job.end_prefill()
+            if job.is_length_estimated:
+                self._streams[id(job)] = (job, at, engine.gap_s())
             self.slot_client.record_prefill_end(job)
             self._send_due(at)
             is_in_time = at - req.first_attempt_at <= req.kind.objective_s
@@ -259,6 +277,7 @@
             outcomes.append(counts)
 
         def on_end(at: float, is_complete: bool) -> None:
+            self._streams.pop(id(job), None)
             self.dispatcher.release_slot(job)
             self.slot_client.drop(job)
             counts = outcomes[0] if is_complete and outcomes else self.replay.totals.cut
@@ -282,6 +301,8 @@
         loss_fraction: Fraction of the messages that are lost.
     """
 
+    entry_class: type[SimulatedEntry] = SimulatedEntry
+
     def __init__(
         self,
         pattern: LoadPattern,
@@ -302,7 +323,7 @@
         self._loss_fraction = loss_fraction
         self._rng = random.Random(seed)
         self._network_rng = random.Random(seed + 1)
-        self.entries = [SimulatedEntry(self, number) for number in range(entries)]
+        self.entries = [self.entry_class(self, number) for number in range(entries)]
         self._by_address = {entry.address: entry for entry in self.entries}
         self._initial_engines = engines
         for _ in range(engines):
@@ -334,10 +355,16 @@
 
         def arrive(now: float) -> None:
             self.totals.sent[kind.name] += 1
-            entry.submit(Request(kind, tokens, events, now), now)
+            entry.submit(self.make_request(kind, tokens, events, now), now)
 
         return arrive
 
+    def make_request(
+        self, kind: RequestKind, tokens: int, events: int, now: float
+    ) -> Request:
+        """Return a caller's request; its length is expected as it will be."""
+        return Request(kind, tokens, events, now, expected_events=float(events))
+
     def handle_refusal(self, req: Request, retry_after_s: float | None, now: float) -> None:
         """Let a caller retry once at a random entry, or count the request as refused."""
         self.totals.refusals += 1
