Give no slot forecast where many streams are of entries that decide alone

Four entries without a coordinator each forecast from their own streams only and rejected up to 8% more of the middle tier early; 1 to 4% fewer of it were in time.

The forecast is valid only if at most a third of the requests in flight are of entries that do not request their slots here.

--- a/dockreach/direct/slot_forecast.py
+++ b/dockreach/direct/slot_forecast.py
@@ -18,7 +18,9 @@
 take the slots that are reserved for them first.
 
 The streams of entries that do not request their slots here count as occupying slots, and
-free none: these entries assign the freed slots again themselves.
+free none: these entries assign the freed slots again themselves. Where there are many of
+them, as for entries that decide alone, slots go to and fro between entries, so that no
+forecast is valid.
 """
 
 from __future__ import annotations
@@ -54,6 +56,11 @@
 MEAN_WEIGHT = 1 / 64
 """Weight of a new request in the mean request of a tier: those of a second or so."""
 
+MAX_ELSEWHERE_FRACTION = 1 / 3
+"""Largest fraction of the requests in flight that may be of entries that do not request
+their slots here. With four entries that decide alone, a forecast from each entry's own
+streams refused up to a twelfth of a high tier that the last second's rate admitted."""
+
 OVERRUN_FRACTION = 1 / 3
 """Time for which something goes on in the mean that has taken longer than expected, as a
 fraction of its time so far."""
@@ -415,7 +422,12 @@
         ]
         held = [job for row in rows for job in row.held_by]
         known = [job for job in held if job.is_length_estimated]
-        if not known or 2 * len(known) < len(held):
+        elsewhere = sum(row.in_flight_elsewhere for row in rows)
+        if (
+            not known
+            or 2 * len(known) < len(held)
+            or elsewhere > MAX_ELSEWHERE_FRACTION * (elsewhere + len(held))
+        ):
             return _ServiceForecast(now, is_valid=False, supplies=[])
         mean = _MeanRequest(
             sum(job.expected_events for job in known) / len(known),
--- a/tests/direct/test_slot_forecast.py
+++ b/tests/direct/test_slot_forecast.py
@@ -135,6 +135,15 @@
     assert found.forecast.time_until("work", TOP, 1.0, later) == math.inf
 
 
+def test_where_most_streams_are_of_entries_that_decide_alone_nothing_is_foreseen() -> None:
+    found = busy(6)
+    found.table.set_in_flight_elsewhere({"e-0": 3})
+    assert found.slots(1.0) is not None
+    found.table.set_in_flight_elsewhere({"e-0": 4})
+    later = NOW + FORECAST_TTL_S
+    assert found.forecast.expected_slots("work", TOP, 1.0, later) is None
+
+
 def test_free_slots_and_the_extra_request_count_at_once() -> None:
     found = Forecasting(endpoints(4), extra=1)
     start_stream(found.row())
