--- a/dockreach/direct/slot_forecast.py
+++ b/dockreach/direct/slot_forecast.py
@@ -70,6 +70,10 @@
 """Median and maximum of the same for a stream past its estimate; the mean is
 `OVERRUN_FRACTION`, since a few of these streams go on for long."""
 
+MIN_GAP_S = 1e-5
+"""Lower bound of the time between events, in seconds; events that were read together may
+have been measured as simultaneous."""
+
 STALLED_GAPS = 3.0
 """Time without an event after which a stream is stalled, in mean gaps of its engine; at
 least the gap objective, within which a prefill may stall it."""
@@ -655,7 +659,7 @@
         return _to_ending(0.0, mean_stream_s / 2, mean_stream_s, 0.5)
     if _is_stalled(job, row, now):
         return None
-    gap_s = row.speed.gap_s
+    gap_s = max(row.speed.gap_s, MIN_GAP_S)
     expected = max(job.expected_events, 1.0)
     wait_s = 0.0
     # A resumed stream has had events before its first one here.
--- a/tests/direct/test_slot_forecast.py
+++ b/tests/direct/test_slot_forecast.py
@@ -331,6 +331,13 @@
     assert found.slots(0.4, LOW, frozenset({"hall1"})) == pytest.approx(both / 2)
 
 
+def test_simultaneous_events_are_no_division_by_zero() -> None:
+    found = Forecasting(endpoints(1))
+    found.row().speed.gap_s = 0.0
+    start_stream(found.row(), silent_s=0.1, ran_s=0.2)
+    assert value(found.slots(1.0)) >= 1.0
+
+
 def test_a_resumed_stream_needs_the_rest_of_its_length_only() -> None:
     found = Forecasting(endpoints(1))
     resumed = start_stream(found.row(), events=30, ran_s=0.0, silent_s=0.5)
