--- a/benchmarks/replays/returning.py
+++ b/benchmarks/replays/returning.py
@@ -135,6 +135,7 @@
             deadline=req.deadline,
             estimated_first_attempt_at=now - age_s,
             retry_key=req.fingerprint,
+            is_length_estimated=True,
             caller_deadline=req.deadline,
         )
 
