Decode the fourth figure of Instance-Load, and report invalid loads

A header with four figures was dropped like one that cannot be parsed, without a trace. The fourth figure, how long work takes at the moment in percent of the usual, is decoded now. A header that is too short, too long, no number, zero where that makes no sense or implausibly large becomes an InvalidValue; a figure below 100 counts as 100.

The former test accepted that an invalid load looks like a missing one; the tests that replace it require the two to differ and name the problem of each.

--- a/dockreach/direct/requests.py
+++ b/dockreach/direct/requests.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass
 
-from .notice import NO_NOTICE, EndpointNotice
+from .notice import NO_NOTICE, EndpointNotice, InvalidValue
 
 Header = tuple[bytes, bytes]
 
@@ -65,11 +65,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The load that an endpoint reports in a response."""
+    """The load that an endpoint reports in a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        percent: How long work takes there at the moment, in percent of the usual; 0 if it
+            does not report that.
+    """
 
     running: int
     waiting: int
     slots: int
+    percent: int = 0
 
 
 @dataclass(slots=True)
@@ -77,8 +85,8 @@
     """Status and headers of an endpoint's response.
 
     Attributes:
-        load: Load that the endpoint reports. Not used to select an endpoint: the digests
-            of other entries are fresher than the load in an earlier response.
+        load: Load that the endpoint reports; ``None`` if it reports none. Requests are
+            counted by it only while peers are silent: otherwise their digests are fresher.
         rid: Id of the request that the response belongs to; empty if not given.
         keep_alive_s: How long the endpoint keeps the idle connection open, in seconds;
             ``None`` if not given.
@@ -90,6 +98,6 @@
     headers: list[Header]
     rid: str
     execution_status: ExecutionStatus
-    load: ReportedLoad | None
+    load: ReportedLoad | None | InvalidValue
     keep_alive_s: float | None
     notice: EndpointNotice = NO_NOTICE
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -86,11 +86,64 @@
     assert ADAPTER.read_response(response_head(200, *headers)).keep_alive_s == keep_alive_s
 
 
-def test_the_load_is_decoded_and_an_invalid_one_is_ignored() -> None:
-    assert ADAPTER.read_response(
-        response_head(200, (b"Instance-Load", b"3,0,8"))
-    ).load == ReportedLoad(3, 0, 8)
-    assert ADAPTER.read_response(response_head(200, (b"Instance-Load", b"x"))).load is None
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", ReportedLoad(3, 0, 8)),
+        (b" 3 , 0,8\t", ReportedLoad(3, 0, 8)),
+        (b"3,0,8,250", ReportedLoad(3, 0, 8, 250)),
+        (b"100000,100000,100000,10000", ReportedLoad(100_000, 100_000, 100_000, 10_000)),
+        # A lower fourth figure must not make the endpoint look better than without one.
+        (b"3,0,8,40", ReportedLoad(3, 0, 8, 100)),
+    ],
+)
+def test_the_load_is_decoded(value: bytes, load: ReportedLoad) -> None:
+    response = response_head(200, (b"Instance-Load", value))
+    assert ADAPTER.read_response(response).load == load
+
+
+@pytest.mark.parametrize(
+    ("value", "problem"),
+    [
+        (b"", "neither three nor four figures"),
+        (b"x", "neither three nor four figures"),
+        (b"3,0", "neither three nor four figures"),
+        (b"3,0,8,100,1", "neither three nor four figures"),
+        (b"1," * 9000, "neither three nor four figures"),
+        (b"3,0,8,", "not whole numbers of six digits at most"),
+        (b"3,,8,100", "not whole numbers of six digits at most"),
+        (b"3,0,8,1.5", "not whole numbers of six digits at most"),
+        (b"3,0,8,-100", "not whole numbers of six digits at most"),
+        (b"3,0,8,1 00", "not whole numbers of six digits at most"),
+        (b"3,0,8,1_00", "not whole numbers of six digits at most"),
+        ("3,0,8,²".encode("latin-1"), "not whole numbers of six digits at most"),
+        (b"3,0,8," + b"9" * 5000, "not whole numbers of six digits at most"),
+        (b"3,0,8,10001", "implausibly large"),
+        (b"100001,0,8", "implausibly large"),
+        (b"3,0,999999,100", "implausibly large"),
+        (b"3,0,0", "zero slots or percent"),
+        (b"3,0,8,0", "zero slots or percent"),
+    ],
+)
+def test_an_invalid_load_is_reported_as_such(value: bytes, problem: str) -> None:
+    load = ADAPTER.read_response(response_head(200, (b"Instance-Load", value))).load
+    assert load == InvalidValue("instance-load", value[:64].decode("latin-1"), problem)
+
+
+def test_a_repeated_load_is_invalid_and_a_missing_one_is_none() -> None:
+    twice = response_head(200, (b"Instance-Load", b"1,0,8"), (b"instance-load", b"2,0,8"))
+    assert isinstance(ADAPTER.read_response(twice).load, InvalidValue)
+    assert ADAPTER.read_response(response_head(200)).load is None
+
+
+@given(status=st.sampled_from([200, 421, 429, 503]), value=st.binary(max_size=20))
+def test_no_load_breaks_the_response(status: int, value: bytes) -> None:
+    response = ADAPTER.read_response(response_head(status, (b"Instance-Load", value)))
+    assert response.status == status
+    load = response.load
+    assert isinstance(load, InvalidValue) or (
+        isinstance(load, ReportedLoad) and load.slots > 0 and load.percent != 1
+    )
 
 
 @pytest.mark.parametrize(
