--- a/benchmarks/replays/fleet.py
+++ b/benchmarks/replays/fleet.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import ClassVar
 
 from dockreach.direct.coordinator_selection import CoordinatorSelector
 from dockreach.direct.datagrams import Message, encode
@@ -280,8 +281,15 @@
         seed: Seed of arrivals, lengths, delays and losses.
         is_coordinated: Whether one entry grants all slots.
         loss_fraction: Fraction of the messages that are lost.
+
+    Attributes:
+        kinds: The kinds of requests that callers send.
+        entry_type: The class of the entries.
     """
 
+    kinds: ClassVar[tuple[RequestKind, ...]] = KINDS
+    entry_type: ClassVar[type[SimulatedEntry]] = SimulatedEntry
+
     def __init__(
         self,
         pattern: LoadPattern,
@@ -297,12 +305,12 @@
         self.is_coordinated = is_coordinated
         self.clock = SimulatedClock()
         self.totals = ReplayTotals()
-        self.routes: dict[str, Route] = {kind.name: kind.route() for kind in KINDS}
+        self.routes: dict[str, Route] = {kind.name: kind.route() for kind in self.kinds}
         self.engines: dict[str, Engine] = {}
         self._loss_fraction = loss_fraction
         self._rng = random.Random(seed)
         self._network_rng = random.Random(seed + 1)
-        self.entries = [SimulatedEntry(self, number) for number in range(entries)]
+        self.entries = [self.entry_type(self, number) for number in range(entries)]
         self._by_address = {entry.address: entry for entry in self.entries}
         self._initial_engines = engines
         for _ in range(engines):
@@ -314,7 +322,7 @@
         for number, entry in enumerate(self.entries):
             self.clock.call_at(started_at - 2 + 0.01 * number, entry.send_digest)
             self.clock.call_at(started_at - 1 + 0.001 * number, entry.run_periodic_tasks)
-        for kind in KINDS:
+        for kind in self.kinds:
             for arrives_s, count in self.pattern.arrivals(
                 kind, self._initial_engines, self._rng
             ):
