Test the price of present stalls, the wait of long prompts and plain requests

Mutations of endpoint_selection showed that scaling stalls, the filter of long stalls and plain requests by the present figure could be removed without a failing test. Each of these mutations fails a test now.

--- a/tests/direct/test_reported_loads.py
+++ b/tests/direct/test_reported_loads.py
@@ -5,6 +5,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import eventlet
 import msgspec
@@ -81,11 +82,39 @@
     table.record_load(first, load(160), 10.0)
     assert select(table, 10.0, 4000) == "e-1"
     second.in_flight_here = 4
-    assert select(table, 10.0, 4000) in ("", "e-0")
+    # It waits for the second one, which would not stall its streams for too long.
+    assert select(table, 10.0, 4000) == ""
+    assert select(table, 10.3, 4000) == "e-0"
     table.record_load(second, load(160), 10.0)
     assert select(table, 10.0, 4000) == "e-0"
 
 
+def test_the_price_of_stalls_is_that_of_the_present_moment() -> None:
+    table = endpoints(4, 4)
+    first, second = table
+    for row in (first, second):
+        row.in_flight_here = 3
+        row.prefill_tokens = 2000
+        row.speed.prefill_per_token_s = 5e-5
+    # Without the stalls, the first one would be cheaper even at the slow moment.
+    second.speed.latency_s += 0.2
+    table.record_load(first, load(140), 10.0)
+    assert select(table, 10.0, 3000) == "e-1"
+    assert select(table, 10.3, 3000) == "e-0"
+    first.in_flight_here = second.in_flight_here = 0
+    assert select(table, 10.0, 3000) == "e-0"
+
+
+def test_a_plain_request_avoids_an_endpoint_that_is_slow_now() -> None:
+    table = endpoints(4, 4)
+    table.record_load(row_of(table), load(250), 10.0)
+    selector = EndpointSelector(table, "hall1", SelectionPolicy.MEASURED)
+    plain = job("a", arrived_at=10.0)
+    plain.route = replace(plain.route, is_stream=False)
+    found = [selector.select(plain, now) for now in (10.0, 10.3)]
+    assert [row.id for row in found if row is not None] == ["e-1", "e-0"]
+
+
 def decisions(
     report: Callable[[EndpointTable, random.Random, float], None], seed: int
 ) -> list[str]:
