Cost a slot from the data hall of the request, whichever entry grants it

The coordinator computed the cost of an endpoint in another data hall from its own hall, so that requests of all halls were drawn towards the coordinator's. The cost is now computed from the hall of the entry that received the request (Job.hall); for a request of an earlier version, which reports none, from the coordinator's hall as before.

Before the change, test_a_slot_is_costed_from_the_hall_of_the_request fails for both halls of the granting entry: it selects hall2 for requests of hall1, or the other way round.

--- a/dockreach/direct/endpoint_selection.py
+++ b/dockreach/direct/endpoint_selection.py
@@ -73,7 +73,7 @@
 
     Args:
         endpoints: The endpoints that have slots.
-        hall: The data hall of this entry.
+        hall: The data hall of this entry, from which jobs without a known hall are costed.
         policy: How endpoints are selected.
         extra_requests: Requests that an endpoint is sent beyond its slots.
         guard: Limits what endpoints are sent; ``None`` for no limits.
@@ -214,7 +214,8 @@
         stalls that its prefill causes.
         """
         slots = max(row.published.slots, 1)
-        cost = OTHER_HALL_COST_S if row.published.hall != self._hall else 0.0
+        home = job.hall or self._hall
+        cost = OTHER_HALL_COST_S if row.published.hall != home else 0.0
         slowness = row.load.factor(now)
         if not job.route.is_stream:
             slowdown = 1 + FULL_LOAD_SLOWDOWN * row.in_flight / slots
--- a/tests/direct/test_endpoint_selection.py
+++ b/tests/direct/test_endpoint_selection.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
+
 from dockreach.direct.endpoint_selection import (
     EXTRA_REQUESTS,
     EndpointSelector,
     SelectionPolicy,
 )
 from dockreach.direct.endpoints import MAX_PREFIXES, EndpointTable, Published
+from dockreach.direct.jobs import Job
 
 from .core_builders import dispatcher, endpoints, job, placed
 
@@ -232,3 +235,47 @@
     assert row.is_cached(f"part-{MAX_PREFIXES + 9}", 2.0)
     assert not row.is_cached("part-0", 2.0)
     assert not row.is_cached(f"part-{MAX_PREFIXES + 9}", 100.0)
+
+
+def table_of_halls(**halls: tuple[int, ...]) -> EndpointTable:
+    """Return a table of endpoints, given their numbers of slots by data hall."""
+    table = EndpointTable()
+    for hall, slots in halls.items():
+        for number, count in enumerate(slots):
+            id_ = f"{hall}-{number}"
+            table.publish(Published(id_, "work", f"{id_}:80", hall, count, False))
+    return table
+
+
+def job_of(hall: str) -> Job:
+    """Return a job that the entry of a data hall received."""
+    received = job("a")
+    received.hall = hall
+    return received
+
+
+@pytest.mark.parametrize("own_hall", ["hall1", "hall2"])
+def test_a_slot_is_costed_from_the_hall_of_the_request(own_hall: str) -> None:
+    """Guards against costs that depend on the data hall of whichever entry grants."""
+    granting = EndpointSelector(
+        table_of_halls(hall1=(4,), hall2=(4,)), own_hall, SelectionPolicy.MEASURED
+    )
+    halls = [
+        row.published.hall
+        for hall in ("hall1", "hall2")
+        if (row := granting.select(job_of(hall), 0.0)) is not None
+    ]
+    assert halls == ["hall1", "hall2"]
+
+
+@pytest.mark.parametrize("own_hall", ["hall1", "hall2"])
+def test_a_request_without_a_hall_is_costed_from_the_hall_of_the_entry(
+    own_hall: str,
+) -> None:
+    """An entry of an earlier version does not report the hall of its requests."""
+    granting = EndpointSelector(
+        table_of_halls(hall1=(4,), hall2=(4,)), own_hall, SelectionPolicy.MEASURED
+    )
+    row = granting.select(job_of(""), 0.0)
+    assert row is not None
+    assert row.published.hall == own_hall
