Tests of the forecast use routes whose callers wait for different times

Decisions by the forecast are tested on such routes, and a new test shows that others keep the rate of the last second.

--- a/benchmarks/replays/forecasting.py
+++ b/benchmarks/replays/forecasting.py
@@ -14,7 +14,7 @@
 
 import click
 
-from dockreach.direct.jobs import Decision, Placed
+from dockreach.direct.jobs import Decision, Job, Placed
 from dockreach.direct.pressure import Rank
 from dockreach.verdict import Reason
 
@@ -92,7 +92,13 @@
 
 
 class ForecastEntry(SimulatedEntry):
-    """An entry that records its decisions."""
+    """An entry that records its decisions, and whose callers wait for different times."""
+
+    def make_job(self, req: Request, now: float) -> Job:
+        """Return the job of a request; no retry of it is recognised."""
+        job = super().make_job(req, now)
+        job.retry_key = id(req).to_bytes(8)
+        return job
 
     def run_round(self, now: float) -> None:
         """Run a scheduling round, and record the decisions on its own jobs."""
--- a/tests/direct/test_slot_forecast.py
+++ b/tests/direct/test_slot_forecast.py
@@ -42,17 +42,37 @@
     address,
     dispatcher,
     endpoints,
-    job,
     peers,
     placed,
     stream_route,
 )
+from .core_builders import job as any_job
 
 NOW = 100.0
 TOP = (0,)
 LOW = (1,)
 
 
+def job(
+    rid: str,
+    *,
+    tier: int = 0,
+    arrived_at: float = 0.0,
+    queue_deadline: float | None = None,
+    expected_events: float = 10.0,
+) -> Job:
+    """Return a job of a route whose callers wait for different times."""
+    item = any_job(
+        rid,
+        tier=tier,
+        arrived_at=arrived_at,
+        queue_deadline=queue_deadline,
+        expected_events=expected_events,
+    )
+    item.retry_key = rid.encode()
+    return item
+
+
 class Forecasting:
     """A forecast over endpoints with streams."""
 
@@ -513,6 +533,19 @@
     assert 5 < len(refused(queue.run_round(5.0))) < 25
 
 
+def test_other_routes_keep_the_rate_of_the_last_second() -> None:
+    """Guards against new early rejections on routes whose callers wait equally long."""
+    queue = full_dispatcher(20, expected=60.0, events=58, now=5.0)
+    for number in range(40):
+        queue.submit(any_job(f"j-{number}", arrived_at=5.0))
+    assert len(refused(queue.run_round(5.0))) == 39
+    waits = any_job("waits", arrived_at=5.0, queue_deadline=9.0)
+    waits.is_admitted = True
+    queue = full_dispatcher(1, expected=600.0, events=1, now=5.0)
+    queue.submit(waits)
+    assert refused(queue.run_round(5.0)) == []
+
+
 def test_jobs_are_rejected_early_if_the_streams_have_just_begun() -> None:
     queue = full_dispatcher(20, expected=600.0, events=1, now=5.0)
     queue.submit(job("new", arrived_at=5.0))
