--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -68,8 +68,8 @@
         running: Number of its requests with a slot.
         running_s: Their estimated engine time, in seconds.
         refund_s: Engine time that was charged and not used, in seconds; it is deducted from
-            the next charges. If the start time were set back, an organisation with many
-            short requests would be served several times in a row.
+            the next charges. If the start time were set back by all of it, an organisation
+            with many short requests would be served several times in a row.
     """
 
     start: float
@@ -370,10 +370,15 @@
             return
         tier = self._tier(job.service, charge.rank)
         tier.changed.add(job.organisation)
+        weight = self.weight(job.organisation)
         balance_s = excess_s - flow.refund_s
         flow.refund_s = min(max(-balance_s, 0.0), MAX_CORRECTION_S)
-        if balance_s > 0:
-            weight = self.weight(job.organisation)
+        surplus_s = -balance_s - MAX_CORRECTION_S
+        if surplus_s > 0:
+            # Callers that state an upper limit as the length are charged far too much. What
+            # the next charges cannot offset is returned at once.
+            flow.start = max(tier.virtual_time, flow.start - surplus_s / weight)
+        elif balance_s > 0:
             limit = tier.virtual_time + MAX_CORRECTION_S / weight
             flow.start = max(flow.start, min(flow.start + balance_s / weight, limit))
 
--- a/tests/direct/test_fair_shares.py
+++ b/tests/direct/test_fair_shares.py
@@ -215,6 +215,21 @@
         assert start(shares, "a") == pytest.approx(charged_s)
 
 
+def test_estimates_that_are_far_too_long_do_not_cost_an_organisation_its_share() -> None:
+    # A caller without a length hint states its upper limit, so that each charge exceeds the
+    # limit of the refund.
+    backlog = Backlog(long=1000.0, exact=1000.0)
+    shares = backlog.queue.shares
+    events = {"long": 34 * 20.0, "exact": 20.0}
+    assert shares.engine_s(request("long", events=events["long"])) > 2 * MAX_CORRECTION_S
+    for name, count in events.items():
+        backlog.submit(name, count, prompt_tokens=0)
+    while backlog.now < 100.0:
+        name = backlog.serve({"long": 1 / 34})
+        backlog.submit(name, events[name], prompt_tokens=0)
+    assert backlog.used_s["long"] / backlog.used_s["exact"] == pytest.approx(1.0, abs=0.2)
+
+
 def test_a_request_that_got_another_slot_before_the_next_round_runs_once() -> None:
     shares = new_shares(a=1000.0, b=1000.0)
     row = request("a")
