Bound the estimated engine time of a request

A request with 1e18 expected events moved the virtual time so far that later charges were lost in rounding, until a restart; an infinite or undefined estimate did the same for good.

The estimate is bounded by the time from the arrival until the deadline, for held slots of other entries by the route's timeout, and by 600 s.

--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -58,6 +58,10 @@
 MIN_ENGINE_S = 0.001
 """Lower bound of the engine time of a request, in seconds."""
 
+MAX_ENGINE_S = 600.0
+"""Upper bound of the engine time of a request without a deadline or timeout, in seconds;
+the virtual time then stays small enough to add the shortest charges without rounding."""
+
 
 @dataclass(slots=True)
 class _Flow:
@@ -218,14 +222,21 @@
         return self._weights.get(organisation, MEAN_WEIGHT)
 
     def engine_s(self, job: Job) -> float:
-        """Return the engine time that a job is likely to take, in seconds."""
+        """Return the engine time that a job is likely to take, in seconds.
+
+        It is finite, and at most the time from its arrival until its deadline: no slot is
+        held for longer.
+        """
         service = self._service(job.service)
         seconds = (
             service.mean_speed.stream_s(job.prompt_tokens, job.expected_events)
             if job.route.is_stream
             else service.mean_plain_s
         )
-        return max(seconds, MIN_ENGINE_S)
+        bound_s = _max_engine_s(job)
+        if not math.isfinite(seconds):
+            return bound_s
+        return max(min(seconds, bound_s), MIN_ENGINE_S)
 
     def virtual_time(self, service: str, rank: Rank) -> float:
         """Return the virtual time of a tier."""
@@ -436,6 +447,17 @@
         service.mean_plain_s = sum(row.plain_s for row in rows) / count
 
 
+def _max_engine_s(job: Job) -> float:
+    """Return the longest time for which a job may hold a slot, in seconds.
+
+    Jobs that other entries granted have no deadline here; their route's timeout counts.
+    """
+    bound_s = job.deadline - job.arrived_at
+    if not math.isfinite(bound_s):
+        bound_s = job.route.timeout_s or MAX_ENGINE_S
+    return max(min(bound_s, MAX_ENGINE_S), MIN_ENGINE_S)
+
+
 def _evict_flow(service: _Service, rank: Rank) -> None:
     """Drop a flow of the fullest tier, one without running requests if there is one.
 
--- a/tests/direct/test_fair_shares.py
+++ b/tests/direct/test_fair_shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import Counter
 
 import pytest
@@ -12,7 +13,9 @@
 from dockreach.direct.dispatching import Dispatcher
 from dockreach.direct.fair_shares import (
     MAX_CORRECTION_S,
+    MAX_ENGINE_S,
     MAX_ORGANISATIONS,
+    MIN_ENGINE_S,
     FairShares,
 )
 from dockreach.direct.jobs import Job, Placed
@@ -230,6 +233,32 @@
     assert backlog.used_s["long"] / backlog.used_s["exact"] == pytest.approx(1.0, abs=0.2)
 
 
+@pytest.mark.parametrize("events", [1e18, math.inf, -math.inf, math.nan])
+@pytest.mark.parametrize("deadline", [8.0, 1e18, math.inf, math.nan])
+def test_no_request_is_charged_for_longer_than_it_may_hold_a_slot(
+    events: float, deadline: float
+) -> None:
+    # Otherwise later charges would be lost in the rounding of the virtual time.
+    shares = new_shares(a=1000.0, b=1000.0)
+    row = request("a", events=events)
+    row.deadline = deadline
+    limit_s = MAX_ENGINE_S if deadline == 1e18 else row.route.timeout_s
+    assert shares.engine_s(row) == pytest.approx(limit_s)
+    shares.charge(row, 0.0)
+    shares.charge_held(request("b", events=events), 0.0)
+    for name in ("a", "b"):
+        before = start(shares, name)
+        shares.charge(request(name), 0.0)
+        assert start(shares, name) - before == pytest.approx(shares.engine_s(request("")))
+
+
+@pytest.mark.parametrize("deadline", [0.0, -5.0])
+def test_a_request_past_its_deadline_is_charged_a_minimum(deadline: float) -> None:
+    row = request("a", events=math.nan)
+    row.deadline = deadline
+    assert new_shares(a=1000.0, b=1000.0).engine_s(row) == MIN_ENGINE_S
+
+
 def test_a_request_that_got_another_slot_before_the_next_round_runs_once() -> None:
     shares = new_shares(a=1000.0, b=1000.0)
     row = request("a")
