Ignore undefined ages of held slots in charges

A held slot whose age is not a number made the start time of its organisation undefined, for good; an infinite or negative one charged too much or too little.

Such a slot counts from when this entry learned of it.

--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -372,7 +372,7 @@
 
     def _correct(self, job: Job, charge: _Charge, now: float) -> None:
         usage = self._service(job.service).usage
-        excess_s = now - job.slot_at - charge.engine_s
+        excess_s = _held_s(job, charge, now) - charge.engine_s
         usage.record(job.organisation, excess_s, now)
         if not job.for_peer:
             usage.record_end(job.organisation, now - charge.since)
@@ -447,6 +447,18 @@
         service.mean_plain_s = sum(row.plain_s for row in rows) / count
 
 
+def _held_s(job: Job, charge: _Charge, now: float) -> float:
+    """Return for how long a job held its slot, in seconds; finite and not negative.
+
+    The time at which another entry granted the slot is computed from an age in a message.
+    Without a usable one, the slot counts from when this entry learned of it.
+    """
+    held_s = now - job.slot_at
+    if not 0 <= held_s < math.inf:
+        held_s = now - charge.since
+    return max(held_s, 0.0)
+
+
 def _max_engine_s(job: Job) -> float:
     """Return the longest time for which a job may hold a slot, in seconds.
 
--- a/tests/direct/test_fair_shares.py
+++ b/tests/direct/test_fair_shares.py
@@ -409,6 +409,21 @@
     ]
 
 
+@pytest.mark.parametrize("age_s", [math.nan, math.inf, -math.inf, -100.0])
+def test_a_held_slot_with_an_invalid_age_counts_from_when_it_is_known(age_s: float) -> None:
+    # An undefined start time would remain undefined after all further charges.
+    shares = new_shares(a=1000.0, b=1000.0)
+    row = request("a")
+    row.slot_at = 10.0 - age_s
+    shares.charge_held(row, 10.0)
+    shares.release(row)
+    shares.settle(11.0)
+    assert start(shares, "a") == pytest.approx(1.0)
+    assert shares.share("work", "a", 11.0) == 1.0
+    shares.charge(request("a"), 11.0)
+    assert start(shares, "a") == pytest.approx(1.0 + shares.engine_s(request("a")))
+
+
 def test_held_slots_count_but_do_not_add_up_while_this_entry_grants_nothing() -> None:
     shares = new_shares(a=1000.0, b=1000.0)
     rows = [request("a") for _ in range(3)]
