Update the order of waiting jobs whose organisation is dropped

When the bound of organisations was reached, the waiting jobs of a dropped one kept their former start times, and waited behind those of organisations that came later.

A dropped organisation counts as changed. As no queue may ask for the changed ones, they are listed up to 1,024; beyond it, all lines are computed anew.

--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -90,12 +90,23 @@
         virtual_time: Start time of the request that got the last slot, in engine seconds of
             an organisation of mean weight.
         flows: Organisations that were charged; the one charged last is at the end.
-        changed: Those whose start times have changed since the queue asked last.
+        changed: Those whose start times have changed since the queue asked last, also
+            dropped ones.
+        is_all_changed: Whether they are too many to be listed.
     """
 
     virtual_time: float = 0.0
     flows: dict[str, _Flow] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    is_all_changed: bool = False
+
+    def mark_changed(self, organisation: str) -> None:
+        """Note that an organisation's start time has changed."""
+        if len(self.changed) >= MAX_ORGANISATIONS:
+            self.is_all_changed = True
+            self.changed.clear()
+        if not self.is_all_changed:
+            self.changed.add(organisation)
 
 
 _NEW_TIER = _Tier()
@@ -272,11 +283,17 @@
                 start = flow.start
             yield name, start, weights.get(name, MEAN_WEIGHT)
 
-    def take_changed(self, service: str, rank: Rank) -> set[str]:
-        """Return whose start times in a tier have changed since the last call."""
+    def take_changed(self, service: str, rank: Rank) -> set[str] | None:
+        """Return whose start times in a tier have changed since the last call.
+
+        ``None`` if any may have changed.
+        """
         tier = self._service(service).tiers.get(rank)
-        if tier is None or not tier.changed:
+        if tier is None:
             return set()
+        if tier.is_all_changed:
+            tier.is_all_changed = False
+            return None
         changed, tier.changed = tier.changed, set()
         return changed
 
@@ -380,7 +397,7 @@
         if flow is None:
             return
         tier = self._tier(job.service, charge.rank)
-        tier.changed.add(job.organisation)
+        tier.mark_changed(job.organisation)
         weight = self.weight(job.organisation)
         balance_s = excess_s - flow.refund_s
         flow.refund_s = min(max(-balance_s, 0.0), MAX_CORRECTION_S)
@@ -430,7 +447,7 @@
             service.flow_count += 1
             flow = _Flow(tier.virtual_time)
         tier.flows[organisation] = flow
-        tier.changed.add(organisation)
+        tier.mark_changed(organisation)
         return flow
 
     def _update_mean_speed(self, name: str, service: _Service, now: float) -> None:
@@ -490,7 +507,8 @@
         ),
     )
     del tier.flows[dropped]
-    tier.changed.discard(dropped)
+    # Its waiting jobs still have the start times of the dropped flow.
+    tier.mark_changed(dropped)
     service.flow_count -= 1
     if not tier.flows and fullest != rank:
         del service.tiers[fullest]
--- a/dockreach/direct/service_queue.py
+++ b/dockreach/direct/service_queue.py
@@ -167,7 +167,8 @@
 
     def _add_changed(self, changed: set[str], rank: Rank, tier: _Tier, now: float) -> None:
         """Add the lines that an urgency, a charge or the virtual time has changed."""
-        changed |= self._shares.take_changed(self._service, rank)
+        charged = self._shares.take_changed(self._service, rank)
+        changed.update(tier.lines if charged is None else charged)
         virtual_time = self._shares.virtual_time(self._service, rank)
         urgency = self._urgency
         for key, tagged in tier.tagged.items():
--- a/tests/direct/test_service_queue.py
+++ b/tests/direct/test_service_queue.py
@@ -12,7 +12,7 @@
 from dockreach.direct import dispatching
 from dockreach.direct.dispatching import MAX_WAIT_FRACTION, Dispatcher
 from dockreach.direct.endpoint_selection import EndpointSelector, SelectionPolicy
-from dockreach.direct.fair_shares import FairShares
+from dockreach.direct.fair_shares import MAX_ORGANISATIONS, FairShares
 from dockreach.direct.jobs import Decision, Job, Placed
 from dockreach.direct.pressure import Rank
 from dockreach.direct.service_queue import ServiceQueue
@@ -152,6 +152,28 @@
             kept.remove(jobs[end])
 
 
+@pytest.mark.parametrize("further", [1, MAX_ORGANISATIONS + 1])
+def test_jobs_of_an_organisation_that_is_dropped_get_new_start_times(further: int) -> None:
+    # They kept those of the dropped flow, and waited behind all new organisations.
+    shares = FairShares(endpoints(1))
+    shares.apply(organisations({"a": 1000.0, "b": 1000.0}))
+    kept = ServiceQueue("work", shares, dispatching._urgency)
+    row, other = job("a-0", arrived_at=0.0), job("c-0", arrived_at=0.1)
+    row.organisation, other.organisation = "a", "c"
+    shares.charge(row, 0.0)
+    for waiting in (row, other):
+        kept.add(waiting)
+    assert kept.ordered(0.1) == [other, row]
+    for number in range(MAX_ORGANISATIONS - 1 + further):
+        filler = job(f"f-{number}")
+        filler.organisation = f"org-{number}"
+        shares.charge_held(filler, 0.1)
+        if number + 2 == MAX_ORGANISATIONS:
+            kept.ordered(0.1)
+    assert "a" not in shares._services["work"].tiers[row.rank].flows
+    assert kept.ordered(0.1) == [row, other]
+
+
 def shared_dispatcher(*slots: int, **rates: float) -> Dispatcher:
     queue = dispatcher(endpoints(*slots))
     queue.apply_organisations(organisations(rates or {"a": 1000.0, "b": 1000.0}))
