Order jobs with an undefined first attempt by their arrival

A waiting job whose first attempt is not a number broke the order of its line, and the removal of a job deleted another one from the line, which then never got a slot.

Such a job is ordered by its arrival, or last if that is undefined too. A removal checks that the entry found is the job's own, and searches the line otherwise. The property test fails without the change.

--- a/dockreach/direct/service_queue.py
+++ b/dockreach/direct/service_queue.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left, insort
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
@@ -26,7 +27,7 @@
     """A job in its line.
 
     Attributes:
-        first_attempt_at: Monotonic time, in seconds.
+        first_attempt_at: Monotonic time, in seconds; the arrival if it is unknown.
         sequence: Rises with each job, so that equal times keep the order of arrival.
         engine_s: Engine time that the job is likely to take, in seconds.
     """
@@ -102,7 +103,7 @@
         """Add a job."""
         self._sequence += 1
         engine_s = self._shares.engine_s(job) if self._is_shared else 0.0
-        entry = _Entry(job.first_attempt_at, self._sequence, job, engine_s)
+        entry = _Entry(_order_time(job), self._sequence, job, engine_s)
         self._entries[job] = entry
         name = self._line_name(job)
         tier = self._tiers.setdefault(job.rank, _Tier())
@@ -123,7 +124,10 @@
         tier = self._tiers[job.rank]
         tier.changed.add(name)
         line = tier.lines[name]
-        del line[bisect_left(line, entry)]
+        position = bisect_left(line, entry)
+        if position == len(line) or line[position] is not entry:
+            position = next(index for index, row in enumerate(line) if row is entry)
+        del line[position]
         if not line:
             del tier.lines[name]
             if not tier.lines:
@@ -208,5 +212,17 @@
         return job.organisation if self._is_shared else ""
 
 
+def _order_time(job: Job) -> float:
+    """Return the time by which a job is ordered in its line, in seconds.
+
+    A time that is not a number cannot be ordered: other jobs would then not be found. Ages
+    in messages may be invalid; jobs without any usable time go last.
+    """
+    for moment in (job.first_attempt_at, job.arrived_at):
+        if math.isfinite(moment):
+            return moment
+    return math.inf
+
+
 def _urgency_of_group(group: tuple[Urgency, object]) -> Urgency:
     return group[0]
--- a/tests/direct/test_service_queue.py
+++ b/tests/direct/test_service_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -174,6 +175,37 @@
     assert kept.ordered(0.1) == [row, other]
 
 
+invalid_times = st.sampled_from([0.0, 1.0, 2.0, math.nan, math.inf, -math.inf])
+
+
+@given(
+    attempts=st.lists(st.tuples(invalid_times, invalid_times), max_size=12),
+    seed=st.randoms(use_true_random=False),
+    rates=st.sampled_from([{}, {"a": 1000.0, "b": 1000.0}]),
+)
+def test_a_job_with_an_undefined_first_attempt_does_not_remove_another_one(
+    attempts: list[tuple[float, float]], seed: random.Random, rates: dict[str, float]
+) -> None:
+    shares = FairShares(endpoints(1))
+    shares.apply(organisations(rates))
+    queue = ServiceQueue("work", shares, dispatching._urgency)
+    rows = [
+        job(str(number), arrived_at=arrived_at, estimated_first_attempt_at=first_attempt_at)
+        for number, (first_attempt_at, arrived_at) in enumerate(attempts)
+    ]
+    for row in rows:
+        queue.add(row)
+    left = list(rows)
+    seed.shuffle(left)
+    while left:
+        queue.remove(left.pop())
+        assert set(queue.ordered(3.0)) == set(left)
+        times = [row.first_attempt_at for row in queue.ordered(3.0)]
+        finite = [at for at in times if math.isfinite(at)]
+        if len(finite) == len(times):
+            assert finite == sorted(finite)
+
+
 def shared_dispatcher(*slots: int, **rates: float) -> Dispatcher:
     queue = dispatcher(endpoints(*slots))
     queue.apply_organisations(organisations(rates or {"a": 1000.0, "b": 1000.0}))
