Weight requests of an earlier version by their part of the queue

Waiting requests of entries of an earlier version name no organisation and shared one start time with the mean weight. During an update, half of the load got one of seventeen slots.

While such requests wait in a tier, their weight is their number divided by the mean number of the other lines' requests, from 1 to the number of organisations. In the test, 160 of 320 waiting requests of 16 organisations are of an earlier version; they got 4 of 64 slots before, and 28 to 36 now.

--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -93,12 +93,14 @@
         changed: Those whose start times have changed since the queue asked last, also
             dropped ones.
         is_all_changed: Whether they are too many to be listed.
+        unnamed_weight: Weight of the requests without an organisation.
     """
 
     virtual_time: float = 0.0
     flows: dict[str, _Flow] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     is_all_changed: bool = False
+    unnamed_weight: float = MEAN_WEIGHT
 
     def mark_changed(self, organisation: str) -> None:
         """Note that an organisation's start time has changed."""
@@ -232,6 +234,23 @@
         """Return an organisation's weight; the mean of those with a rate is 1."""
         return self._weights.get(organisation, MEAN_WEIGHT)
 
+    def weigh_unnamed(self, service: str, rank: Rank, weight: float) -> None:
+        """Set the weight of a tier's requests without an organisation.
+
+        Those of entries of an earlier version belong to many organisations.
+
+        Args:
+            service: The service.
+            rank: The tier.
+            weight: The weight; it is bounded by 1 and the number of organisations.
+        """
+        weight = max(min(weight, float(len(self._weights))), MEAN_WEIGHT)
+        tier = self._service(service).tiers.get(rank) or _NEW_TIER
+        if weight != tier.unnamed_weight:
+            tier = self._tier(service, rank)
+            tier.unnamed_weight = weight
+            tier.mark_changed("")
+
     def engine_s(self, job: Job) -> float:
         """Return the engine time that a job is likely to take, in seconds.
 
@@ -274,14 +293,13 @@
         """
         tier = self._service(service).tiers.get(rank) or _NEW_TIER
         flows = tier.flows
-        weights = self._weights
         virtual_time = tier.virtual_time
         for name in organisations:
             flow = flows.get(name)
             start = virtual_time
             if flow is not None and flow.start > virtual_time:
                 start = flow.start
-            yield name, start, weights.get(name, MEAN_WEIGHT)
+            yield name, start, self._weight_in(tier, name)
 
     def take_changed(self, service: str, rank: Rank) -> set[str] | None:
         """Return whose start times in a tier have changed since the last call.
@@ -319,7 +337,9 @@
         engine_s = self._charges[job].engine_s
         deducted_s = min(flow.refund_s, engine_s)
         flow.refund_s -= deducted_s
-        flow.start = start + (engine_s - deducted_s) / self.weight(job.organisation)
+        flow.start = start + (engine_s - deducted_s) / self._weight_in(
+            tier, job.organisation
+        )
 
     def charge_held(self, job: Job, now: float) -> None:
         """Charge for a slot that another entry granted, of which this one just learned.
@@ -332,8 +352,9 @@
             return
         rank = job.rank or self._rank_of(job)
         flow = self._record_charge(job, rank, now)
-        virtual_time = self._tier(job.service, rank).virtual_time
-        after_running = virtual_time + flow.running_s / self.weight(job.organisation)
+        tier = self._tier(job.service, rank)
+        weight = self._weight_in(tier, job.organisation)
+        after_running = tier.virtual_time + flow.running_s / weight
         flow.start = max(flow.start, after_running)
 
     def release(self, job: Job) -> None:
@@ -398,7 +419,7 @@
             return
         tier = self._tier(job.service, charge.rank)
         tier.mark_changed(job.organisation)
-        weight = self.weight(job.organisation)
+        weight = self._weight_in(tier, job.organisation)
         balance_s = excess_s - flow.refund_s
         flow.refund_s = min(max(-balance_s, 0.0), MAX_CORRECTION_S)
         surplus_s = -balance_s - MAX_CORRECTION_S
@@ -421,6 +442,9 @@
             flow.running_s = left_s if flow.running else 0.0
         return flow
 
+    def _weight_in(self, tier: _Tier, organisation: str) -> float:
+        return self.weight(organisation) if organisation else tier.unnamed_weight
+
     def _rank_of(self, job: Job) -> Rank:
         """Return the rank of a job that was granted elsewhere, as its entry computes it."""
         tier = job.route.tier
--- a/dockreach/direct/service_queue.py
+++ b/dockreach/direct/service_queue.py
@@ -185,6 +185,7 @@
     def _update_tags(self, rank: Rank, tier: _Tier, now: float) -> None:
         """Compute the start times anew of the lines in which something has changed."""
         changed = tier.changed
+        self._shares.weigh_unnamed(self._service, rank, _unnamed_weight(tier))
         self._add_changed(changed, rank, tier, now)
         if not changed:
             return
@@ -224,5 +225,19 @@
     return math.inf
 
 
+def _unnamed_weight(tier: _Tier) -> float:
+    """Return the number of a tier's jobs of an earlier version by that of a mean line.
+
+    Entries of an earlier version report neither organisations nor halls.
+    """
+    others = len(tier.lines) - 1
+    unnamed = tier.lines.get("")
+    if unnamed is None or not others:
+        return 0.0
+    count = sum(1 for entry in unnamed if not entry.job.hall)
+    named = sum(len(line) for line in tier.lines.values()) - len(unnamed)
+    return count * others / named
+
+
 def _urgency_of_group(group: tuple[Urgency, object]) -> Urgency:
     return group[0]
--- a/tests/direct/test_service_queue.py
+++ b/tests/direct/test_service_queue.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Iterator
 
 import pytest
@@ -246,6 +247,33 @@
     assert placed(queue.run_round(0.2)) == ["a-0", "b-0", "a-1", "b-1", "a-2"]
 
 
+@pytest.mark.parametrize(
+    ("hall", "expected"), [("", range(28, 37)), ("hall2", range(2, 6))]
+)
+def test_jobs_of_an_earlier_version_get_slots_by_their_part_of_the_queue(
+    hall: str, expected: range
+) -> None:
+    # During a rolling update, half of the load names no organisation; with the weight of
+    # one organisation it got one of 17 slots.
+    names = [f"org-{number}" for number in range(16)]
+    queue = shared_dispatcher(1, **dict.fromkeys(names, 1000.0))
+    served: Counter[str] = Counter()
+    for number in range(10):
+        for name in [*names, *[""] * 16]:
+            row = job(f"{name}-{number}", arrived_at=1e3, queue_deadline=1e6)
+            row.organisation, row.hall = name, hall
+            row.is_admitted = True
+            queue.submit(row)
+    for number in range(64):
+        now = 1.0 + 0.1 * number
+        (decision,) = queue.run_round(now)
+        assert isinstance(decision, Placed)
+        served[decision.job.organisation] += 1
+        queue.release_slot(decision.job)
+    assert served[""] in expected
+    assert all(served[name] >= 1 for name in names)
+
+
 def test_the_surplus_of_one_organisation_is_rejected_early_and_not_the_others() -> None:
     queue = shared_dispatcher(10)
     for number in range(10):
