--- a/dockreach/direct/fair_shares.py
+++ b/dockreach/direct/fair_shares.py
@@ -58,6 +58,10 @@
 MIN_ENGINE_S = 0.001
 """Lower bound of the engine time of a request, in seconds."""
 
+MAX_ENGINE_S = 600.0
+"""Upper bound of the engine time of a request without a deadline or timeout, in seconds;
+the virtual time then stays small enough to add the shortest charges without rounding."""
+
 
 @dataclass(slots=True)
 class _Flow:
@@ -68,8 +72,8 @@
         running: Number of its requests with a slot.
         running_s: Their estimated engine time, in seconds.
         refund_s: Engine time that was charged and not used, in seconds; it is deducted from
-            the next charges. If the start time were set back, an organisation with many
-            short requests would be served several times in a row.
+            the next charges. If the start time were set back by all of it, an organisation
+            with many short requests would be served several times in a row.
     """
 
     start: float
@@ -86,12 +90,25 @@
         virtual_time: Start time of the request that got the last slot, in engine seconds of
             an organisation of mean weight.
         flows: Organisations that were charged; the one charged last is at the end.
-        changed: Those whose start times have changed since the queue asked last.
+        changed: Those whose start times have changed since the queue asked last, also
+            dropped ones.
+        is_all_changed: Whether they are too many to be listed.
+        unnamed_weight: Weight of the requests without an organisation.
     """
 
     virtual_time: float = 0.0
     flows: dict[str, _Flow] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    is_all_changed: bool = False
+    unnamed_weight: float = MEAN_WEIGHT
+
+    def mark_changed(self, organisation: str) -> None:
+        """Note that an organisation's start time has changed."""
+        if len(self.changed) >= MAX_ORGANISATIONS:
+            self.is_all_changed = True
+            self.changed.clear()
+        if not self.is_all_changed:
+            self.changed.add(organisation)
 
 
 _NEW_TIER = _Tier()
@@ -217,15 +234,39 @@
         """Return an organisation's weight; the mean of those with a rate is 1."""
         return self._weights.get(organisation, MEAN_WEIGHT)
 
+    def weigh_unnamed(self, service: str, rank: Rank, weight: float) -> None:
+        """Set the weight of a tier's requests without an organisation.
+
+        Those of entries of an earlier version belong to many organisations.
+
+        Args:
+            service: The service.
+            rank: The tier.
+            weight: The weight; it is bounded by 1 and the number of organisations.
+        """
+        weight = max(min(weight, float(len(self._weights))), MEAN_WEIGHT)
+        tier = self._service(service).tiers.get(rank) or _NEW_TIER
+        if weight != tier.unnamed_weight:
+            tier = self._tier(service, rank)
+            tier.unnamed_weight = weight
+            tier.mark_changed("")
+
     def engine_s(self, job: Job) -> float:
-        """Return the engine time that a job is likely to take, in seconds."""
+        """Return the engine time that a job is likely to take, in seconds.
+
+        It is finite, and at most the time from its arrival until its deadline: no slot is
+        held for longer.
+        """
         service = self._service(job.service)
         seconds = (
             service.mean_speed.stream_s(job.prompt_tokens, job.expected_events)
             if job.route.is_stream
             else service.mean_plain_s
         )
-        return max(seconds, MIN_ENGINE_S)
+        bound_s = _max_engine_s(job)
+        if not math.isfinite(seconds):
+            return bound_s
+        return max(min(seconds, bound_s), MIN_ENGINE_S)
 
     def virtual_time(self, service: str, rank: Rank) -> float:
         """Return the virtual time of a tier."""
@@ -252,20 +293,25 @@
         """
         tier = self._service(service).tiers.get(rank) or _NEW_TIER
         flows = tier.flows
-        weights = self._weights
         virtual_time = tier.virtual_time
         for name in organisations:
             flow = flows.get(name)
             start = virtual_time
             if flow is not None and flow.start > virtual_time:
                 start = flow.start
-            yield name, start, weights.get(name, MEAN_WEIGHT)
+            yield name, start, self._weight_in(tier, name)
+
+    def take_changed(self, service: str, rank: Rank) -> set[str] | None:
+        """Return whose start times in a tier have changed since the last call.
 
-    def take_changed(self, service: str, rank: Rank) -> set[str]:
-        """Return whose start times in a tier have changed since the last call."""
+        ``None`` if any may have changed.
+        """
         tier = self._service(service).tiers.get(rank)
-        if tier is None or not tier.changed:
+        if tier is None:
             return set()
+        if tier.is_all_changed:
+            tier.is_all_changed = False
+            return None
         changed, tier.changed = tier.changed, set()
         return changed
 
@@ -291,7 +337,9 @@
         engine_s = self._charges[job].engine_s
         deducted_s = min(flow.refund_s, engine_s)
         flow.refund_s -= deducted_s
-        flow.start = start + (engine_s - deducted_s) / self.weight(job.organisation)
+        flow.start = start + (engine_s - deducted_s) / self._weight_in(
+            tier, job.organisation
+        )
 
     def charge_held(self, job: Job, now: float) -> None:
         """Charge for a slot that another entry granted, of which this one just learned.
@@ -304,8 +352,9 @@
             return
         rank = job.rank or self._rank_of(job)
         flow = self._record_charge(job, rank, now)
-        virtual_time = self._tier(job.service, rank).virtual_time
-        after_running = virtual_time + flow.running_s / self.weight(job.organisation)
+        tier = self._tier(job.service, rank)
+        weight = self._weight_in(tier, job.organisation)
+        after_running = tier.virtual_time + flow.running_s / weight
         flow.start = max(flow.start, after_running)
 
     def release(self, job: Job) -> None:
@@ -361,7 +410,7 @@
 
     def _correct(self, job: Job, charge: _Charge, now: float) -> None:
         usage = self._service(job.service).usage
-        excess_s = now - job.slot_at - charge.engine_s
+        excess_s = _held_s(job, charge, now) - charge.engine_s
         usage.record(job.organisation, excess_s, now)
         if not job.for_peer:
             usage.record_end(job.organisation, now - charge.since)
@@ -369,11 +418,16 @@
         if flow is None:
             return
         tier = self._tier(job.service, charge.rank)
-        tier.changed.add(job.organisation)
+        tier.mark_changed(job.organisation)
+        weight = self._weight_in(tier, job.organisation)
         balance_s = excess_s - flow.refund_s
         flow.refund_s = min(max(-balance_s, 0.0), MAX_CORRECTION_S)
-        if balance_s > 0:
-            weight = self.weight(job.organisation)
+        surplus_s = -balance_s - MAX_CORRECTION_S
+        if surplus_s > 0:
+            # Callers that state an upper limit as the length are charged far too much. What
+            # the next charges cannot offset is returned at once.
+            flow.start = max(tier.virtual_time, flow.start - surplus_s / weight)
+        elif balance_s > 0:
             limit = tier.virtual_time + MAX_CORRECTION_S / weight
             flow.start = max(flow.start, min(flow.start + balance_s / weight, limit))
 
@@ -388,6 +442,9 @@
             flow.running_s = left_s if flow.running else 0.0
         return flow
 
+    def _weight_in(self, tier: _Tier, organisation: str) -> float:
+        return self.weight(organisation) if organisation else tier.unnamed_weight
+
     def _rank_of(self, job: Job) -> Rank:
         """Return the rank of a job that was granted elsewhere, as its entry computes it."""
         tier = job.route.tier
@@ -414,7 +471,7 @@
             service.flow_count += 1
             flow = _Flow(tier.virtual_time)
         tier.flows[organisation] = flow
-        tier.changed.add(organisation)
+        tier.mark_changed(organisation)
         return flow
 
     def _update_mean_speed(self, name: str, service: _Service, now: float) -> None:
@@ -431,6 +488,29 @@
         service.mean_plain_s = sum(row.plain_s for row in rows) / count
 
 
+def _held_s(job: Job, charge: _Charge, now: float) -> float:
+    """Return for how long a job held its slot, in seconds; finite and not negative.
+
+    The time at which another entry granted the slot is computed from an age in a message.
+    Without a usable one, the slot counts from when this entry learned of it.
+    """
+    held_s = now - job.slot_at
+    if not 0 <= held_s < math.inf:
+        held_s = now - charge.since
+    return max(held_s, 0.0)
+
+
+def _max_engine_s(job: Job) -> float:
+    """Return the longest time for which a job may hold a slot, in seconds.
+
+    Jobs that other entries granted have no deadline here; their route's timeout counts.
+    """
+    bound_s = job.deadline - job.arrived_at
+    if not math.isfinite(bound_s):
+        bound_s = job.route.timeout_s or MAX_ENGINE_S
+    return max(min(bound_s, MAX_ENGINE_S), MIN_ENGINE_S)
+
+
 def _evict_flow(service: _Service, rank: Rank) -> None:
     """Drop a flow of the fullest tier, one without running requests if there is one.
 
@@ -451,7 +531,8 @@
         ),
     )
     del tier.flows[dropped]
-    tier.changed.discard(dropped)
+    # Its waiting jobs still have the start times of the dropped flow.
+    tier.mark_changed(dropped)
     service.flow_count -= 1
     if not tier.flows and fullest != rank:
         del service.tiers[fullest]
--- a/tests/direct/test_service_queue.py
+++ b/tests/direct/test_service_queue.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
+from collections import Counter
 from collections.abc import Iterator
 
 import pytest
@@ -12,7 +14,7 @@
 from dockreach.direct import dispatching
 from dockreach.direct.dispatching import MAX_WAIT_FRACTION, Dispatcher
 from dockreach.direct.endpoint_selection import EndpointSelector, SelectionPolicy
-from dockreach.direct.fair_shares import FairShares
+from dockreach.direct.fair_shares import MAX_ORGANISATIONS, FairShares
 from dockreach.direct.jobs import Decision, Job, Placed
 from dockreach.direct.pressure import Rank
 from dockreach.direct.service_queue import ServiceQueue
@@ -152,6 +154,59 @@
             kept.remove(jobs[end])
 
 
+@pytest.mark.parametrize("further", [1, MAX_ORGANISATIONS + 1])
+def test_jobs_of_an_organisation_that_is_dropped_get_new_start_times(further: int) -> None:
+    # They kept those of the dropped flow, and waited behind all new organisations.
+    shares = FairShares(endpoints(1))
+    shares.apply(organisations({"a": 1000.0, "b": 1000.0}))
+    kept = ServiceQueue("work", shares, dispatching._urgency)
+    row, other = job("a-0", arrived_at=0.0), job("c-0", arrived_at=0.1)
+    row.organisation, other.organisation = "a", "c"
+    shares.charge(row, 0.0)
+    for waiting in (row, other):
+        kept.add(waiting)
+    assert kept.ordered(0.1) == [other, row]
+    for number in range(MAX_ORGANISATIONS - 1 + further):
+        filler = job(f"f-{number}")
+        filler.organisation = f"org-{number}"
+        shares.charge_held(filler, 0.1)
+        if number + 2 == MAX_ORGANISATIONS:
+            kept.ordered(0.1)
+    assert "a" not in shares._services["work"].tiers[row.rank].flows
+    assert kept.ordered(0.1) == [row, other]
+
+
+invalid_times = st.sampled_from([0.0, 1.0, 2.0, math.nan, math.inf, -math.inf])
+
+
+@given(
+    attempts=st.lists(st.tuples(invalid_times, invalid_times), max_size=12),
+    seed=st.randoms(use_true_random=False),
+    rates=st.sampled_from([{}, {"a": 1000.0, "b": 1000.0}]),
+)
+def test_a_job_with_an_undefined_first_attempt_does_not_remove_another_one(
+    attempts: list[tuple[float, float]], seed: random.Random, rates: dict[str, float]
+) -> None:
+    shares = FairShares(endpoints(1))
+    shares.apply(organisations(rates))
+    queue = ServiceQueue("work", shares, dispatching._urgency)
+    rows = [
+        job(str(number), arrived_at=arrived_at, estimated_first_attempt_at=first_attempt_at)
+        for number, (first_attempt_at, arrived_at) in enumerate(attempts)
+    ]
+    for row in rows:
+        queue.add(row)
+    left = list(rows)
+    seed.shuffle(left)
+    while left:
+        queue.remove(left.pop())
+        assert set(queue.ordered(3.0)) == set(left)
+        times = [row.first_attempt_at for row in queue.ordered(3.0)]
+        finite = [at for at in times if math.isfinite(at)]
+        if len(finite) == len(times):
+            assert finite == sorted(finite)
+
+
 def shared_dispatcher(*slots: int, **rates: float) -> Dispatcher:
     queue = dispatcher(endpoints(*slots))
     queue.apply_organisations(organisations(rates or {"a": 1000.0, "b": 1000.0}))
@@ -192,6 +247,33 @@
     assert placed(queue.run_round(0.2)) == ["a-0", "b-0", "a-1", "b-1", "a-2"]
 
 
+@pytest.mark.parametrize(
+    ("hall", "expected"), [("", range(28, 37)), ("hall2", range(2, 6))]
+)
+def test_jobs_of_an_earlier_version_get_slots_by_their_part_of_the_queue(
+    hall: str, expected: range
+) -> None:
+    # During a rolling update, half of the load names no organisation; with the weight of
+    # one organisation it got one of 17 slots.
+    names = [f"org-{number}" for number in range(16)]
+    queue = shared_dispatcher(1, **dict.fromkeys(names, 1000.0))
+    served: Counter[str] = Counter()
+    for number in range(10):
+        for name in [*names, *[""] * 16]:
+            row = job(f"{name}-{number}", arrived_at=1e3, queue_deadline=1e6)
+            row.organisation, row.hall = name, hall
+            row.is_admitted = True
+            queue.submit(row)
+    for number in range(64):
+        now = 1.0 + 0.1 * number
+        (decision,) = queue.run_round(now)
+        assert isinstance(decision, Placed)
+        served[decision.job.organisation] += 1
+        queue.release_slot(decision.job)
+    assert served[""] in expected
+    assert all(served[name] >= 1 for name in names)
+
+
 def test_the_surplus_of_one_organisation_is_rejected_early_and_not_the_others() -> None:
     queue = shared_dispatcher(10)
     for number in range(10):
