Let the coordinator refuse jobs at their queue deadline

The client refused a job with a Retry-After of 0.3 s one message delay before the coordinator's denial arrived, and the coordinator kept both refusals. The stated queue timeout is now shorter by the reply timeout.

--- a/dockreach/direct/slot_client.py
+++ b/dockreach/direct/slot_client.py
@@ -510,7 +510,8 @@
         prefix=job.prefix,
         age_s=now - job.arrived_at,
         first_attempt_age_s=now - job.first_attempt_at,
-        queue_timeout_s=job.queue_deadline - now,
+        # The coordinator's denial arrives before this entry's own deadline.
+        queue_timeout_s=max(job.queue_deadline - now - REPLY_TIMEOUT_S, 0.0),
         time_left_s=job.deadline - now,
         is_admitted=job.is_admitted,
         tried_endpoints=list(job.tried_endpoints),
--- a/tests/direct/test_recognised_retries.py
+++ b/tests/direct/test_recognised_retries.py
@@ -405,3 +405,31 @@
         state for at in (106.2, 106.4, 106.6) for _, state in one.client.due_states(at)
     ]
     assert "work" not in [state.service for state in states]
+
+
+def test_a_job_held_until_its_deadline_is_refused_by_the_coordinator_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a refusal of the client just before that of the coordinator.
+
+    Callers were then told to return after 0.3 s, and the coordinator kept two refusals.
+    """
+    coordinator, one = CoreEntry(1), CoreEntry(2, 1)
+    coordinator.fill(100.0)
+    schedule = coordinator.dispatcher.retry_schedule
+    monkeypatch.setattr(schedule, "expected_after_s", lambda job, ahead, now: 1.7)
+    held = attempt("first", 100.2)
+    held.queue_deadline = 100.5
+    # It lost an endpoint, and is not rejected early.
+    held.tried_endpoints = {"lost"}
+    assert one.client.request_slot(held, 100.2)
+    decisions: list[Decision] = []
+    for step in range(100):
+        now = 100.2 + 0.005 * step
+        decisions += one.client.expire(now)
+        send(one, coordinator, now)
+        decisions += answer(coordinator, one, now + 0.004)
+    (refused,) = decisions
+    assert isinstance(refused, Refused)
+    assert refused.refusal.retry_after_s == pytest.approx(1.7)
+    assert len(coordinator.dispatcher.returning) == 1
