Adopt promises only up to the retention time ahead

The time of a promise that a peer reports was not bounded: some thousand promises far ahead ended all promises of a service. Tiers without promises are now deleted, since their ranks come from peers as well.

--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -17,6 +17,7 @@
 from .pressure import Pressure, Rank
 from .returning_requests import (
     QUICK_REFUSAL_FRACTION,
+    RETENTION_S,
     PastRefusal,
     ReturningRequests,
     retry_kind,
@@ -156,8 +157,13 @@
         return RetryTime(after_s, is_promised)
 
     def adopt(self, refusal: PastRefusal, now: float) -> None:
-        """Take over a promise that another coordinator made."""
-        if refusal.is_promised and refusal.rank:
+        """Take over a promise that another coordinator made.
+
+        Times further ahead than callers wait are ignored: they would count as outstanding
+        for as long.
+        """
+        is_near = math.isfinite(refusal.retry_at) and refusal.retry_at <= now + RETENTION_S
+        if refusal.is_promised and refusal.rank and is_near:
             self._add(refusal.service, refusal.rank, refusal.retry_at, now)
 
     def redeem(self, refusal: PastRefusal, arrived_at: float) -> bool:
@@ -186,8 +192,10 @@
     def _current(self, service: str, now: float) -> dict[Rank, list[float]]:
         """Return the promises of a service without those that were not used."""
         tiers = self._promises.setdefault(service, {})
-        for times in tiers.values():
+        for rank, times in list(tiers.items()):
             del times[: bisect_left(times, now - PROMISE_GRACE_S)]
+            if not times:
+                del tiers[rank]
         return tiers
 
 
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -21,7 +21,7 @@
     PressureForecast,
     RetrySchedule,
 )
-from dockreach.direct.returning_requests import PastRefusal
+from dockreach.direct.returning_requests import RETENTION_S, PastRefusal
 from dockreach.verdict import Reason
 
 from .core_builders import dispatcher, endpoints, job
@@ -305,3 +305,18 @@
     assert decision.refusal.retry_after_s == pytest.approx(1.0)
     assert not decision.is_promised
     assert queue.retry_schedule.outstanding("work", 100.5) == 0
+
+
+@pytest.mark.parametrize("retry_at", [math.inf, math.nan, 1e9, 100.1 + RETENTION_S])
+def test_promises_far_ahead_are_not_adopted(retry_at: float) -> None:
+    """Guards against reports of a peer that end all promises of a service."""
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    schedule.adopt(past_refusal(retry_at), 100.0)
+    assert schedule.outstanding("work", 100.0) == 0
+
+
+def test_tiers_without_promises_are_dropped() -> None:
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    schedule.adopt(past_refusal(101.0), 100.0)
+    assert schedule.outstanding("work", 102.0) == 0
+    assert schedule._promises["work"] == {}  # noqa: SLF001
