Do not end promises by a time that a peer sent

The time of arrival of a retry is computed from a peer's message; one far ahead ended all promises of the service. Promises now expire only in methods that are passed the local time.

--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -173,7 +173,8 @@
         """
         if not refusal.is_promised:
             return False
-        times = self._current(refusal.service, arrived_at).get(refusal.rank, [])
+        # The time of arrival comes from a peer, so that it does not end other promises.
+        times = self._promises.get(refusal.service, {}).get(refusal.rank, [])
         index = bisect_left(times, refusal.retry_at)
         if index < len(times) and times[index] == refusal.retry_at:
             del times[index]
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -320,3 +320,10 @@
     schedule.adopt(past_refusal(101.0), 100.0)
     assert schedule.outstanding("work", 102.0) == 0
     assert schedule._promises["work"] == {}  # noqa: SLF001
+
+
+def test_a_time_that_a_peer_sent_drops_no_promises() -> None:
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    schedule.adopt(past_refusal(101.0), 100.0)
+    assert not schedule.redeem(past_refusal(102.0), 1e9)
+    assert schedule.outstanding("work", 100.0) == 1
