Use the promise of a refusal only once

A job that is submitted again, after a lost endpoint or a declined slot, used its promise again: it deleted another caller's promise of the same time and counted as a second kept one.

--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -170,18 +170,27 @@
         """Use the promise of a refusal; return whether its retry arrived at its time.
 
         A caller that comes before its time has used its retry, so that the promise ends.
+        A retry that is submitted again, as after a lost endpoint, uses no second one.
         """
         if not refusal.is_promised:
             return False
-        # The time of arrival comes from a peer, so that it does not end other promises.
+        earliest = refusal.retry_at - HEADER_RESOLUTION_S
+        is_due = earliest <= arrived_at <= refusal.retry_at + PROMISE_GRACE_S
+        if not refusal.is_redeemed:
+            refusal.is_redeemed = True
+            self._remove(refusal)
+            self.kept_count += is_due
+        return is_due
+
+    def _remove(self, refusal: PastRefusal) -> None:
+        """Remove the promise of a refusal.
+
+        Others do not expire here: the time of a retry's arrival comes from a peer.
+        """
         times = self._promises.get(refusal.service, {}).get(refusal.rank, [])
         index = bisect_left(times, refusal.retry_at)
         if index < len(times) and times[index] == refusal.retry_at:
             del times[index]
-        earliest = refusal.retry_at - HEADER_RESOLUTION_S
-        is_due = earliest <= arrived_at <= refusal.retry_at + PROMISE_GRACE_S
-        self.kept_count += is_due
-        return is_due
 
     def _add(self, service: str, rank: Rank, at: float, now: float) -> bool:
         """Add a promise; return ``False`` if there are too many."""
--- a/dockreach/direct/returning_requests.py
+++ b/dockreach/direct/returning_requests.py
@@ -59,6 +59,7 @@
         coordinator: The entry that decided; ``None`` if it was this one, or if another
             entry reported it.
         retry_rid: Id of the retry that was matched; empty if there was none so far.
+        is_redeemed: Whether its promise was used.
     """
 
     number: int
@@ -73,6 +74,7 @@
     rid: str = ""
     coordinator: Address | None = None
     retry_rid: str = ""
+    is_redeemed: bool = False
 
     @property
     def refused_at(self) -> float:
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -20,8 +20,10 @@
     PROMISED_FRACTION,
     PressureForecast,
     RetrySchedule,
+    recognise,
 )
-from dockreach.direct.returning_requests import RETENTION_S, PastRefusal
+from dockreach.direct.returning_requests import RETENTION_S, PastRefusal, ReturningRequests
+from dockreach.direct.slot_messages import RefusalReport
 from dockreach.verdict import Reason
 
 from .core_builders import dispatcher, endpoints, job
@@ -327,3 +329,29 @@
     schedule.adopt(past_refusal(101.0), 100.0)
     assert not schedule.redeem(past_refusal(102.0), 1e9)
     assert schedule.outstanding("work", 100.0) == 1
+
+
+def test_a_retry_that_is_submitted_again_uses_no_promise_of_another_caller() -> None:
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    returning = ReturningRequests()
+    for caller in (b"a", b"b"):
+        report = RefusalReport(
+            fingerprint=caller,
+            caller_time_left_s=12.0,
+            first_attempt_age_s=0.1,
+            retry_in_s=1.0,
+            is_promised=True,
+            held_s=0.1,
+            rank=(0,),
+            number=1,
+        )
+        refusal = returning.merge("work", report, caller.decode(), 100.0)
+        assert refusal is not None
+        schedule.adopt(refusal, 100.0)
+    retry = first_attempt("retry", arrived_at=101.0, left_s=11.0)
+    retry.retry_key = b"a"
+    for _ in range(2):
+        recognise(retry, returning, schedule)
+        assert retry.retry_kind is RetryKind.DUE
+    assert schedule.outstanding("work", 101.0) == 1
+    assert schedule.kept_count == 1
