--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -149,6 +149,9 @@
         if not math.isfinite(after_s):
             return RetryTime(math.inf, is_promised=False)
         after_s = max(after_s, MIN_PROMISE_S)
+        longest_s = max(job.deadline - now, MIN_PROMISE_S)
+        if after_s > longest_s:
+            return RetryTime(longest_s, is_promised=False)
         after_s = math.ceil(after_s / HEADER_RESOLUTION_S) * HEADER_RESOLUTION_S
         is_promised = _can_promise(job, after_s, now) and self._add(
             job.service, job.rank, now + after_s, now
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -368,3 +368,10 @@
     (decision,) = queue.run_round(100.5)
     assert isinstance(decision, Refused)
     assert decision.refusal.retry_after_s == MIN_RETRY_AFTER_S
+
+
+def test_a_time_in_the_far_future_is_bounded_by_the_time_left() -> None:
+    """Guards against an overflow when the time is rounded."""
+    schedule = RetrySchedule(SteadyForecast(1e-307))
+    time = schedule.plan_retry(first_attempt(), 0, 100.0)
+    assert (time.after_s, time.is_promised) == (12.0, False)
