--- a/dockreach/direct/first_attempts.py
+++ b/dockreach/direct/first_attempts.py
@@ -61,8 +61,12 @@
         return age_s if is_valid and age_s > MIN_DIFFERENCE_S else 0.0
 
     def callers_differ(self, route: str) -> bool:
-        """Return whether callers of a route wait for different times, as far as known."""
-        return route in self._sorted and not _agree(self._sorted[route])
+        """Return whether callers of a route wait for different times, as far as known.
+
+        Few deadlines, the latest of which is that of the current request, do not show it.
+        """
+        ascending = self._sorted.get(route, [])
+        return len(ascending) > FEW_SAMPLES and not _agree(ascending)
 
     def keep_only(self, routes: set[str]) -> None:
         """Forget routes that are no longer declared."""
--- a/tests/direct/test_first_attempts.py
+++ b/tests/direct/test_first_attempts.py
@@ -113,3 +113,13 @@
         estimator.first_attempt_age_s("different", 6.0 * (0.85 + 0.3 * (number % 10) / 9))
     assert not estimator.callers_differ("same")
     assert estimator.callers_differ("different")
+
+
+def test_callers_count_as_different_only_after_several_deadlines() -> None:
+    """Guards against changed Retry-After times after two deadlines that differ."""
+    estimator = FirstAttemptEstimator()
+    for number in range(FEW_SAMPLES):
+        estimator.first_attempt_age_s("a", 6.0 + number / 10)
+        assert not estimator.callers_differ("a")
+    estimator.first_attempt_age_s("a", 9.0)
+    assert estimator.callers_differ("a")
