Bound the refusals of one body and the scans for reports

Matching was linear in the refusals of one fingerprint; the latest 32 are now kept. A service without refusals of its own scanned those of all services at each state; the newest number is now taken as known.

--- a/dockreach/direct/returning_requests.py
+++ b/dockreach/direct/returning_requests.py
@@ -40,6 +40,10 @@
 """Number of refusals in one state; the others go with the next ones. These are some 9 KB of
 a datagram that may hold 65 KB."""
 
+MAX_SAME_BODY = 32
+"""Number of refusals of one fingerprint that are kept; the latest ones are. Each request
+with this fingerprint is compared with all of them."""
+
 
 @dataclass(slots=True)
 class PastRefusal:
@@ -232,21 +236,23 @@
             now: Monotonic time, in seconds.
 
         Returns:
-            The reports, and the number of the last refusal that they include.
+            The reports, and the number of the last refusal that was considered: the newest
+            one, unless there are more than `MAX_REPORTS`.
         """
         reports: list[RefusalReport] = []
+        newest = max(after, self._own[-1].number) if self._own else after
         last = after
         newer = itertools.takewhile(lambda one: one.number > after, reversed(self._own))
         for refusal in reversed(list(newer)):
             if refusal.service != service:
                 continue
             if len(reports) == MAX_REPORTS:
-                break
+                return reports, last
             last = refusal.number
             is_recent = now - refusal.refused_at <= RETENTION_S
             if is_recent and refusal.coordinator != coordinator:
                 reports.append(refusal.report(now))
-        return reports, last
+        return reports, newest
 
     def last_decided_here(self, service: str) -> int:
         """Return the number of the last refusal that this entry decided; 0 if none."""
@@ -258,7 +264,10 @@
 
     def _add(self, refusal: PastRefusal, now: float) -> None:
         self._refusals[refusal.number] = refusal
-        self._by_fingerprint.setdefault(refusal.fingerprint, []).append(refusal)
+        same = self._by_fingerprint.setdefault(refusal.fingerprint, [])
+        same.append(refusal)
+        if len(same) > MAX_SAME_BODY:
+            del self._refusals[same.pop(0).number]
         while len(self._refusals) > MAX_REFUSALS or self._has_expired(now):
             self._drop_oldest()
 
--- a/tests/direct/test_returning_requests.py
+++ b/tests/direct/test_returning_requests.py
@@ -11,6 +11,7 @@
     DEADLINE_TOLERANCE_S,
     MAX_REFUSALS,
     MAX_REPORTS,
+    MAX_SAME_BODY,
     RETENTION_S,
     ReturningRequests,
     retry_kind,
@@ -182,3 +183,24 @@
     expired = RefusalReport(b"same", -0.1, 9.0, -5.0, is_promised=False, number=3)
     assert returning.merge("work", expired, "10.0.0.2#1", 100.0) is None
     assert len(returning) == 0
+
+
+def test_only_the_latest_refusals_of_one_body_are_kept() -> None:
+    """Guards against work that grows with the callers that send the same body."""
+    returning = ReturningRequests()
+    for number in range(MAX_SAME_BODY + 8):
+        returning.remember(attempt(f"r{number}"), 1.0, 100.0 + number / 1000)
+    assert len(returning) == MAX_SAME_BODY
+    matched = 0
+    for number in range(MAX_SAME_BODY + 8):
+        retry = attempt(f"s{number}", arrived_at=101.2)
+        matched += returning.match(retry, 101.2) is not None
+    assert matched == MAX_SAME_BODY
+    reports, _ = returning.reports("work", 0, OWN, 100.1)
+    assert len(reports) == MAX_SAME_BODY + 8
+
+
+def test_refusals_of_other_services_are_scanned_once() -> None:
+    returning = after_refusal()
+    reports, last = returning.reports("other", 0, OWN, 100.2)
+    assert (reports, last) == ([], 1)
