Merge promises of tokens that have the same time

The promises of an organisation were not bounded for requests of 0 tokens and were summed at each refusal. Equal times are merged and a total is kept.

The test that no two callers are promised the same tokens now also requires a promise with one entry; it passed when nothing was promised.

--- a/dockreach/direct/token_quota.py
+++ b/dockreach/direct/token_quota.py
@@ -146,21 +146,28 @@
     Several callers may be given the same time, but each tokens of its own.
     """
 
-    __slots__ = ("_promises",)
+    __slots__ = ("_promises", "_total")
 
     def __init__(self) -> None:
         self._promises: deque[tuple[float, int]] = deque()
+        self._total = 0
 
     def total(self, now: float) -> int:
         """Return the tokens of the promises that may still be used."""
         while self._promises and self._promises[0][0] + PROMISE_GRACE_S < now:
-            self._promises.popleft()
-        return sum(tokens for _, tokens in self._promises)
+            self._total -= self._promises.popleft()[1]
+        return self._total
 
     def add(self, at: float, tokens: int) -> None:
-        """Add a promise; the times never fall."""
-        latest = self._promises[-1][0] if self._promises else at
-        self._promises.append((max(at, latest), tokens))
+        """Add a promise, merged with others of its time; the times never fall."""
+        if tokens <= 0:
+            return
+        self._total += tokens
+        latest, before = self._promises[-1] if self._promises else (-math.inf, 0)
+        if at > latest:
+            self._promises.append((at, tokens))
+        else:
+            self._promises[-1] = (latest, before + tokens)
 
 
 class QuotaTable:
@@ -412,8 +419,7 @@
 
         Returns:
             The time in seconds, at most the length of the window. Without a promise it is
-            the time of room for this request alone,
-            and no later than the caller honours.
+            the time of room for this request alone, and no later than the caller honours.
         """
         promised = self._promised.setdefault(organisation.name, _PromisedTokens())
         needed = (promised.total(now) + tokens) * (len(self._peers) + 1)
--- a/tests/direct/test_token_quota.py
+++ b/tests/direct/test_token_quota.py
@@ -14,6 +14,7 @@
     MIN_DIGEST_INTERVAL_S,
     PeerTable,
 )
+from dockreach.direct.retry_schedule import PROMISE_GRACE_S
 from dockreach.direct.token_quota import (
     ADMIT_FACTOR,
     BUCKET_S,
@@ -22,6 +23,7 @@
     LimitRule,
     QuotaTable,
     QuotaTolerance,
+    _PromisedTokens,
 )
 
 from .core_builders import address, digest, organisation, peers
@@ -499,7 +501,22 @@
             promised.extend(promises._promises)  # noqa: SLF001
     share = 720 // (entries - 1 or 1) * (entries - 1 or 1)
     limit = QUOTA * ADMIT_FACTOR
+    if entries == 1:
+        assert promised
     for at, _ in promised:
         buckets_left = int((at - 20.0) / BUCKET_S + 1e-6)
         room = limit - 16 * share + buckets_left * share
         assert sum(tokens for time, tokens in promised if time <= at) <= room
+
+
+def test_promises_of_one_time_are_merged_and_none_is_made_for_no_tokens() -> None:
+    """Guards against a list that grows with each refusal."""
+    promises = _PromisedTokens()
+    for _ in range(1000):
+        promises.add(21.0, 0)
+        promises.add(21.0, 2)
+    promises.add(22.0, 5)
+    assert len(promises._promises) == 2  # noqa: SLF001
+    assert promises.total(20.0) == 2005
+    assert promises.total(21.0 + 2 * PROMISE_GRACE_S - 0.1) == 5
+    assert promises.total(30.0) == 0
