--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from .jobs import Job, RetryKind
-from .pressure import Pressure, Rank
+from .pressure import Rank
 from .returning_requests import (
     QUICK_REFUSAL_FRACTION,
     RETENTION_S,
@@ -45,7 +45,7 @@
 """Number of promises for a service that are kept; no further ones are made."""
 
 
-class SlotForecast(Protocol):
+class SlotSource(Protocol):
     """Expects slots from what is known of a service."""
 
     def expected_slots(
@@ -57,28 +57,6 @@
         """Return the time until that many slots are expected, in seconds; may be inf."""
 
 
-class PressureForecast:
-    """Expects slots at the rate of the last second's assignments.
-
-    Args:
-        pressure: Recent arrivals and assignments.
-    """
-
-    def __init__(self, pressure: Pressure) -> None:
-        self._pressure = pressure
-
-    def expected_slots(
-        self, service: str, rank: Rank, span_s: float, now: float
-    ) -> float | None:
-        """Return how many slots a tier gets within a span; ``None`` if not known."""
-        return self._pressure.expected_slots(service, rank, span_s, now)
-
-    def time_until(self, service: str, rank: Rank, slots: float, now: float) -> float:
-        """Return the time until that many slots are expected, in seconds; may be inf."""
-        per_second = self._pressure.expected_slots(service, rank, 1.0, now)
-        return slots / per_second if per_second else math.inf
-
-
 @dataclass(frozen=True, slots=True)
 class RetryTime:
     """When a refused caller is to retry.
@@ -103,7 +81,7 @@
         kept_count: Number of promised retries that arrived at their time.
     """
 
-    def __init__(self, forecast: SlotForecast) -> None:
+    def __init__(self, forecast: SlotSource) -> None:
         self.forecast = forecast
         self.promised_count = 0
         self.kept_count = 0
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -10,7 +10,7 @@
 
 from dockreach.direct.dispatching import Dispatcher
 from dockreach.direct.jobs import MIN_RETRY_AFTER_S, Job, Placed, Refused, RetryKind
-from dockreach.direct.pressure import Pressure, Rank
+from dockreach.direct.pressure import Rank
 from dockreach.direct.retry_schedule import (
     HEADER_RESOLUTION_S,
     HONOURED_FRACTION,
@@ -18,7 +18,6 @@
     MIN_PROMISE_S,
     PROMISE_GRACE_S,
     PROMISED_FRACTION,
-    PressureForecast,
     RetrySchedule,
     recognise,
 )
@@ -169,16 +168,6 @@
         assert time.after_s <= HONOURED_FRACTION * 12.0
 
 
-def test_the_rate_of_the_last_second_is_expected_to_go_on() -> None:
-    pressure = Pressure()
-    forecast = PressureForecast(pressure)
-    assert forecast.time_until("work", (0,), 1.0, 100.0) == math.inf
-    for number in range(10):
-        pressure.record_assignment("work", (0,), 0.0, 99.5 + number / 100)
-    assert forecast.time_until("work", (0,), 5.0, 100.0) == pytest.approx(0.5)
-    assert forecast.expected_slots("work", (0,), 0.5, 100.0) == pytest.approx(5.0)
-
-
 def busy_queue(per_second: int = 20, *, now: float = 100.0) -> tuple[Dispatcher, list[Job]]:
     """Return a queue whose slots are all taken, and the jobs that hold them."""
     queue = dispatcher(endpoints(per_second))
