--- a/dockreach/direct/retry_schedule.py
+++ b/dockreach/direct/retry_schedule.py
@@ -14,9 +14,10 @@
 from typing import Protocol
 
 from .jobs import Job, RetryKind
-from .pressure import Pressure, Rank
+from .pressure import Rank
 from .returning_requests import (
     QUICK_REFUSAL_FRACTION,
+    RETENTION_S,
     PastRefusal,
     ReturningRequests,
     retry_kind,
@@ -44,7 +45,7 @@
 """Number of promises for a service that are kept; no further ones are made."""
 
 
-class SlotForecast(Protocol):
+class SlotSource(Protocol):
     """Expects slots from what is known of a service."""
 
     def expected_slots(
@@ -56,28 +57,6 @@
         """Return the time until that many slots are expected, in seconds; may be inf."""
 
 
-class PressureForecast:
-    """Expects slots at the rate of the last second's assignments.
-
-    Args:
-        pressure: Recent arrivals and assignments.
-    """
-
-    def __init__(self, pressure: Pressure) -> None:
-        self._pressure = pressure
-
-    def expected_slots(
-        self, service: str, rank: Rank, span_s: float, now: float
-    ) -> float | None:
-        """Return how many slots a tier gets within a span; ``None`` if not known."""
-        return self._pressure.expected_slots(service, rank, span_s, now)
-
-    def time_until(self, service: str, rank: Rank, slots: float, now: float) -> float:
-        """Return the time until that many slots are expected, in seconds; may be inf."""
-        per_second = self._pressure.expected_slots(service, rank, 1.0, now)
-        return slots / per_second if per_second else math.inf
-
-
 @dataclass(frozen=True, slots=True)
 class RetryTime:
     """When a refused caller is to retry.
@@ -102,7 +81,7 @@
         kept_count: Number of promised retries that arrived at their time.
     """
 
-    def __init__(self, forecast: SlotForecast) -> None:
+    def __init__(self, forecast: SlotSource) -> None:
         self.forecast = forecast
         self.promised_count = 0
         self.kept_count = 0
@@ -148,6 +127,9 @@
         if not math.isfinite(after_s):
             return RetryTime(math.inf, is_promised=False)
         after_s = max(after_s, MIN_PROMISE_S)
+        longest_s = max(job.deadline - now, MIN_PROMISE_S)
+        if after_s > longest_s:
+            return RetryTime(longest_s, is_promised=False)
         after_s = math.ceil(after_s / HEADER_RESOLUTION_S) * HEADER_RESOLUTION_S
         is_promised = _can_promise(job, after_s, now) and self._add(
             job.service, job.rank, now + after_s, now
@@ -156,26 +138,41 @@
         return RetryTime(after_s, is_promised)
 
     def adopt(self, refusal: PastRefusal, now: float) -> None:
-        """Take over a promise that another coordinator made."""
-        if refusal.is_promised and refusal.rank:
+        """Take over a promise that another coordinator made.
+
+        Times further ahead than callers wait are ignored: they would count as outstanding
+        for as long.
+        """
+        is_near = math.isfinite(refusal.retry_at) and refusal.retry_at <= now + RETENTION_S
+        if refusal.is_promised and refusal.rank and is_near:
             self._add(refusal.service, refusal.rank, refusal.retry_at, now)
 
     def redeem(self, refusal: PastRefusal, arrived_at: float) -> bool:
         """Use the promise of a refusal; return whether its retry arrived at its time.
 
         A caller that comes before its time has used its retry, so that the promise ends.
+        A retry that is submitted again, as after a lost endpoint, uses no second one.
         """
         if not refusal.is_promised:
             return False
-        times = self._current(refusal.service, arrived_at).get(refusal.rank, [])
-        index = bisect_left(times, refusal.retry_at)
-        if index < len(times) and times[index] == refusal.retry_at:
-            del times[index]
         earliest = refusal.retry_at - HEADER_RESOLUTION_S
         is_due = earliest <= arrived_at <= refusal.retry_at + PROMISE_GRACE_S
-        self.kept_count += is_due
+        if not refusal.is_redeemed:
+            refusal.is_redeemed = True
+            self._remove(refusal)
+            self.kept_count += is_due
         return is_due
 
+    def _remove(self, refusal: PastRefusal) -> None:
+        """Remove the promise of a refusal.
+
+        Others do not expire here: the time of a retry's arrival comes from a peer.
+        """
+        times = self._promises.get(refusal.service, {}).get(refusal.rank, [])
+        index = bisect_left(times, refusal.retry_at)
+        if index < len(times) and times[index] == refusal.retry_at:
+            del times[index]
+
     def _add(self, service: str, rank: Rank, at: float, now: float) -> bool:
         """Add a promise; return ``False`` if there are too many."""
         if self.outstanding(service, now) >= MAX_PROMISES:
@@ -186,8 +183,10 @@
     def _current(self, service: str, now: float) -> dict[Rank, list[float]]:
         """Return the promises of a service without those that were not used."""
         tiers = self._promises.setdefault(service, {})
-        for times in tiers.values():
+        for rank, times in list(tiers.items()):
             del times[: bisect_left(times, now - PROMISE_GRACE_S)]
+            if not times:
+                del tiers[rank]
         return tiers
 
 
--- a/tests/direct/test_retry_schedule.py
+++ b/tests/direct/test_retry_schedule.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from dockreach.direct.dispatching import Dispatcher
-from dockreach.direct.jobs import Job, Placed, Refused, RetryKind
-from dockreach.direct.pressure import Pressure, Rank
+from dockreach.direct.jobs import MIN_RETRY_AFTER_S, Job, Placed, Refused, RetryKind
+from dockreach.direct.pressure import Rank
 from dockreach.direct.retry_schedule import (
     HEADER_RESOLUTION_S,
     HONOURED_FRACTION,
@@ -18,10 +18,11 @@
     MIN_PROMISE_S,
     PROMISE_GRACE_S,
     PROMISED_FRACTION,
-    PressureForecast,
     RetrySchedule,
+    recognise,
 )
-from dockreach.direct.returning_requests import PastRefusal
+from dockreach.direct.returning_requests import RETENTION_S, PastRefusal, ReturningRequests
+from dockreach.direct.slot_messages import RefusalReport
 from dockreach.verdict import Reason
 
 from .core_builders import dispatcher, endpoints, job
@@ -167,16 +168,6 @@
         assert time.after_s <= HONOURED_FRACTION * 12.0
 
 
-def test_the_rate_of_the_last_second_is_expected_to_go_on() -> None:
-    pressure = Pressure()
-    forecast = PressureForecast(pressure)
-    assert forecast.time_until("work", (0,), 1.0, 100.0) == math.inf
-    for number in range(10):
-        pressure.record_assignment("work", (0,), 0.0, 99.5 + number / 100)
-    assert forecast.time_until("work", (0,), 5.0, 100.0) == pytest.approx(0.5)
-    assert forecast.expected_slots("work", (0,), 0.5, 100.0) == pytest.approx(5.0)
-
-
 def busy_queue(per_second: int = 20, *, now: float = 100.0) -> tuple[Dispatcher, list[Job]]:
     """Return a queue whose slots are all taken, and the jobs that hold them."""
     queue = dispatcher(endpoints(per_second))
@@ -305,3 +296,71 @@
     assert decision.refusal.retry_after_s == pytest.approx(1.0)
     assert not decision.is_promised
     assert queue.retry_schedule.outstanding("work", 100.5) == 0
+
+
+@pytest.mark.parametrize("retry_at", [math.inf, math.nan, 1e9, 100.1 + RETENTION_S])
+def test_promises_far_ahead_are_not_adopted(retry_at: float) -> None:
+    """Guards against reports of a peer that end all promises of a service."""
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    schedule.adopt(past_refusal(retry_at), 100.0)
+    assert schedule.outstanding("work", 100.0) == 0
+
+
+def test_tiers_without_promises_are_dropped() -> None:
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    schedule.adopt(past_refusal(101.0), 100.0)
+    assert schedule.outstanding("work", 102.0) == 0
+    assert schedule._promises["work"] == {}  # noqa: SLF001
+
+
+def test_a_time_that_a_peer_sent_drops_no_promises() -> None:
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    schedule.adopt(past_refusal(101.0), 100.0)
+    assert not schedule.redeem(past_refusal(102.0), 1e9)
+    assert schedule.outstanding("work", 100.0) == 1
+
+
+def test_a_retry_that_is_submitted_again_uses_no_promise_of_another_caller() -> None:
+    schedule = RetrySchedule(SteadyForecast(20.0))
+    returning = ReturningRequests()
+    for caller in (b"a", b"b"):
+        report = RefusalReport(
+            fingerprint=caller,
+            caller_time_left_s=12.0,
+            first_attempt_age_s=0.1,
+            retry_in_s=1.0,
+            is_promised=True,
+            held_s=0.1,
+            rank=(0,),
+            number=1,
+        )
+        refusal = returning.merge("work", report, caller.decode(), 100.0)
+        assert refusal is not None
+        schedule.adopt(refusal, 100.0)
+    retry = first_attempt("retry", arrived_at=101.0, left_s=11.0)
+    retry.retry_key = b"a"
+    for _ in range(2):
+        recognise(retry, returning, schedule)
+        assert retry.retry_kind is RetryKind.DUE
+    assert schedule.outstanding("work", 101.0) == 1
+    assert schedule.kept_count == 1
+
+
+def test_a_job_held_in_vain_gets_the_shortest_time_if_no_slot_is_expected() -> None:
+    """Guards against a third of the caller's time where nothing is known."""
+    queue, _ = busy_queue(4)
+    queue.retry_schedule.forecast = SteadyForecast(0.0)
+    waiting = first_attempt("a", arrived_at=100.0, left_s=12.0)
+    waiting.queue_deadline = 100.5
+    waiting.is_admitted = True
+    queue.submit(waiting)
+    (decision,) = queue.run_round(100.5)
+    assert isinstance(decision, Refused)
+    assert decision.refusal.retry_after_s == MIN_RETRY_AFTER_S
+
+
+def test_a_time_in_the_far_future_is_bounded_by_the_time_left() -> None:
+    """Guards against an overflow when the time is rounded."""
+    schedule = RetrySchedule(SteadyForecast(1e-307))
+    time = schedule.plan_retry(first_attempt(), 0, 100.0)
+    assert (time.after_s, time.is_promised) == (12.0, False)
