Know after five deadlines that callers of a route differ

Among five to sixteen deadlines the longest three have to differ: on a route whose callers wait equally long they are those of first attempts, and equal.

--- a/dockreach/direct/first_attempts.py
+++ b/dockreach/direct/first_attempts.py
@@ -5,6 +5,7 @@
 import math
 from bisect import insort
 from collections import deque
+from itertools import pairwise
 
 DEADLINE_SAMPLES = 64
 """Number of recent deadlines kept per route: those of a second or two on a busy route."""
@@ -25,6 +26,10 @@
 """Number of deadlines below which both quantiles may be the same or the next deadline. All
 from the median to the ninth decile, at least three of them, have to agree then."""
 
+MIN_DIFFERENT = 5
+"""Number of deadlines from which callers can count as different: an entry with one request
+a second on a route knows them after some seconds."""
+
 MIN_DIFFERENCE_S = 0.2
 """A deadline that is shorter than usual by more than this belongs to a retry, in seconds:
 the smallest Retry-After is 0.25 s."""
@@ -63,10 +68,18 @@
     def callers_differ(self, route: str) -> bool:
         """Return whether callers of a route wait for different times, as far as known.
 
-        Few deadlines, the latest of which is that of the current request, do not show it.
+        Where callers wait equally long, the longest deadlines are those of first attempts,
+        and equal. Among few deadlines, retries may have different ones too, so that the
+        longest three have to differ.
         """
         ascending = self._sorted.get(route, [])
-        return len(ascending) > FEW_SAMPLES and not _agree(ascending)
+        if len(ascending) < MIN_DIFFERENT:
+            return False
+        if len(ascending) > FEW_SAMPLES:
+            return not _agree(ascending)
+        longest = ascending[-3:]
+        gaps = (after - before for before, after in pairwise(longest))
+        return min(gaps) > AGREEMENT_S
 
     def keep_only(self, routes: set[str]) -> None:
         """Forget routes that are no longer declared."""
