--- a/benchmarks/replays/forecasting.py
+++ b/benchmarks/replays/forecasting.py
@@ -96,8 +96,10 @@
 
     def make_job(self, req: Request, now: float) -> Job:
         """Return the job of a request; no retry of it is recognised."""
+        assert isinstance(self.replay, ForecastReplay)
         job = super().make_job(req, now)
-        job.retry_key = id(req).to_bytes(8)
+        self.replay.job_count += 1
+        job.retry_key = self.replay.job_count.to_bytes(8)
         return job
 
     def run_round(self, now: float) -> None:
@@ -157,6 +159,7 @@
         entries: int = ENTRIES,
         engines: int = ENGINES,
     ) -> None:
+        self.job_count = 0
         super().__init__(pattern.load, entries=entries, engines=engines, seed=seed)
         self._overload = pattern
         self._has_estimates = has_estimates
