Log the software versions of endpoints, and which stream a request continues

From the record of streams that went on at another build it can't be told whether an entry resumed the stream itself, or a caller took it up elsewhere, or the entry's list of endpoints lagged: no log line names a version, and the record's field was dropped when it was decoded. Records that a peer of an earlier version relays have no version, which is told apart from an empty one. No decision changes.

--- a/dockreach/direct/attempt.py
+++ b/dockreach/direct/attempt.py
@@ -61,6 +61,7 @@
         granted_by: IP address of the entry that granted the slot; empty if it was this one.
         load_percent: How long work took there, in percent of the usual, as the entry that
             granted the slot knew it; 0 if it did not.
+        software_version: Version of the endpoint's software; ``None`` if it is not known.
     """
 
     endpoint: str
@@ -70,6 +71,7 @@
     slots: int
     granted_by: str = ""
     load_percent: int = 0
+    software_version: str | None = None
 
 
 NO_PLACEMENT = Placement(
--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -43,6 +43,7 @@
                 service=published.service,
                 leaving=published.leaving,
                 cold_s=published.cold_s,
+                version=published.software_version,
             )
         self._ctx.scheduler.run_round()
 
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -65,6 +65,8 @@
         born: Unix time of its start by its own clock, in milliseconds; 0 if unknown.
         sequence: Increases with each record of one incarnation.
         cold_s: How much longer it is cold, as the endpoint itself reports, in seconds.
+        software_version: Version of its software; ``None`` if a peer of an earlier version
+            relayed the record without it.
     """
 
     id: str
@@ -76,6 +78,7 @@
     born: int = 0
     sequence: int = 0
     cold_s: float = 0.0
+    software_version: str | None = None
 
     def is_older_than(self, known: Published) -> bool:
         """Return whether this was written before another record of the same endpoint."""
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -181,6 +181,7 @@
             slots=row.published.slots,
             granted_by=self._job.granted_by,
             load_percent=self._job.load_percent,
+            software_version=row.published.software_version,
         )
 
     def _may_retry(self, attempt: Attempt) -> bool:
@@ -497,6 +498,8 @@
             rid=self._req.rid,
             fingerprint=self._fingerprint.hex(),
             endpoint=attempt.endpoint,
+            version=self.placement.software_version if self.placement else None,
+            resumed_after=self._last_event_id,
             fate=attempt.outcome.value,
             detail=attempt.detail,
             held_ms=round((self._ctx.now() - self._req.arrived_at) * 1000),
--- a/dockreach/direct/request_summary.py
+++ b/dockreach/direct/request_summary.py
@@ -125,4 +125,13 @@
             "slots": placement.slots,
             "granted_by": placement.granted_by,
             "load_percent": placement.load_percent,
+            "version": placement.software_version,
+            **self._resumption_fields(),
         }
+
+    def _resumption_fields(self) -> dict[str, Any]:
+        """Return the log fields of a request that continues a stream."""
+        req = self._req
+        if not req.last_event_id:
+            return {}
+        return {"stream_rid": req.stream_rid, "resumed_after": req.last_event_id}
--- a/dockreach/direct/requests.py
+++ b/dockreach/direct/requests.py
@@ -29,6 +29,8 @@
         prefix: Ids and token counts of the prompt's parts, in order.
         last_event_id: Id of the last event that the caller has; empty if it sent none.
         arrived_at: Monotonic time at which it was complete, in seconds.
+        stream_rid: Id of the attempt that brought the first event of the stream that it
+            continues; empty if the caller did not name one.
     """
 
     rid: str
@@ -47,6 +49,7 @@
     last_event_id: str
     arrived_at: float
     has_body: bool = True
+    stream_rid: str = ""
 
     @property
     def path(self) -> str:
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -282,10 +282,23 @@
 
 
 def published(
-    name: str, address: str, *, slots: int = 4, leaving: bool = False
+    name: str,
+    address: str,
+    *,
+    slots: int = 4,
+    leaving: bool = False,
+    software_version: str | None = None,
 ) -> Published:
     """Return an endpoint of the service ``work``."""
-    return Published(name, "work", address, "hall1", slots, leaving)
+    return Published(
+        name,
+        "work",
+        address,
+        "hall1",
+        slots,
+        leaving,
+        software_version=software_version,
+    )
 
 
 def entry_settings(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -46,6 +46,17 @@
     )
     assert found.expected_output_tokens == 64
     assert found.prefix == (("5c", 800), ("91", 410))
+    assert found.stream_rid == ""
+
+
+def test_a_request_that_continues_a_stream_names_the_attempt_that_began_it() -> None:
+    found = ADAPTER.read_request(
+        raw_request(
+            (b"Request-Id", b"r-2"), (b"Last-Event-Id", b"7"), (b"Resumes", b"r-1")
+        ),
+        3.0,
+    )
+    assert (found.last_event_id, found.stream_rid) == ("7", "r-1")
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -80,6 +80,12 @@
     assert not read_endpoint("i-1", endpoint_record()).leaving
 
 
+@pytest.mark.parametrize("version", ["v1.2", "", "\u00e9 / 7"])
+def test_the_software_version_is_decoded_as_it_is(version: str) -> None:
+    found = read_endpoint("i-1", endpoint_record(version=version))
+    assert found.software_version == version
+
+
 def test_start_time_sequence_and_remaining_warm_up_are_decoded() -> None:
     text = endpoint_record(born=1_700_000_000_123, sequence=4, cold_remaining_ms=1500)
     found = read_endpoint("i-1", text)
