--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -16,14 +16,18 @@
 from dockreach.verdict import Reason, Verdict
 
 from .core_builders import dispatcher, job, placed, versioned_endpoints
+from .standins import status_of
 from .versioned_engines import (
     STREAM_EVENTS,
     VersionedEngine,
+    begin_stream,
     start_fleet,
+    take_up_stream,
     versions_in,
     whole_stream,
 )
 
+STREAMS = 6
 SOFTWARE_VERSIONS = ("v1", "v1.2")
 
 
@@ -47,6 +51,19 @@
         engines.append(engines.pop(0))
 
 
+def test_a_stream_is_taken_up_at_another_entry_at_the_version_that_began_it() -> None:
+    engines = engines_of(*SOFTWARE_VERSIONS * 2, pause_s=0.3)
+    first, second = start_fleet(engines, entries=2)
+    begun = [(rid, *begin_stream(first, rid)) for rid in map(str, range(STREAMS))]
+    assert {version for _, _, version in begun} == set(SOFTWARE_VERSIONS)
+    for _, caller, _ in begun:
+        caller.close()
+    for rid, _, version in reversed(begun):
+        response = take_up_stream(second, f"t-{rid}", stream_rid=rid)
+        assert status_of(response) == 200
+        assert versions_in(response) == [version] * (STREAM_EVENTS - 1)
+
+
 def pinned(rid: str, version: str) -> Job:
     found = job(rid)
     found.software_version = version
