Soak: several software versions side by side, with streams that are taken up

Endpoints are replaced in overlapping series by any of three versions, restart in place, break streams off and crash, while entries are killed, paused, stopped and cut off; callers take a broken stream up at another entry. Checked from what callers see: no stream holds events of two versions, over all its attempts; and where two endpoints of a version serve, at undisrupted entries, streams go on at least half as often as new ones begin.

--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -164,7 +164,9 @@
 
 
 def reset(sock: Any) -> None:  # noqa: ANN401
-    """Reset a connection."""
+    """Reset a connection, unless it is closed."""
+    if sock.fileno() < 0:
+        return
     linger = struct.pack("ii", 1, 0)
     sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
     wake_waiting_greenlets(sock)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,6 +47,13 @@
     type=Theme,
     help="More requests than slots.",
 )
+@click.option(
+    "--versions",
+    "theme",
+    flag_value=Theme.SOFTWARE_VERSIONS,
+    type=Theme,
+    help="Software versions side by side.",
+)
 @click.option("--all", "theme", flag_value=Theme.ALL, type=Theme, help="All three.")
 @click.option("--one", type=int, help="Run only this seed, in this process.")
 def main(
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -50,6 +51,11 @@
 HONOURED_FRACTION = 1 / 3
 """Fraction of the time left for which a refused caller waits before it comes back."""
 
+MAX_TAKE_UPS = 2
+"""How often a caller takes a broken stream up."""
+
+_EVENT_NUMBER = re.compile(rb"^id: (\d+)\n[^\0]*?\n\n", re.MULTILINE)
+
 ROUTE_KINDS = ("once", "safe", "draft", "brief", "new")
 """Kinds of routes; ``new`` stands for one that a recent configuration added."""
 
@@ -74,6 +80,8 @@
         is_crashing: Whether its body crashes every endpoint that starts it.
         deadline_s: How long the endpoint is told that the caller waits, in seconds.
         organisation: Name of the organisation, if it competes for slots.
+        after: Number of the last event of the stream that it continues; 0 for none.
+        stream_rid: The attempt that brought the first event of that stream.
     """
 
     rid: str
@@ -93,6 +101,25 @@
     is_crashing: bool = False
     deadline_s: float = RESPONSE_TIMEOUT_S - 0.5
     organisation: str = ""
+    after: int = 0
+    stream_rid: str = ""
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last complete event that was received; 0 for none."""
+        numbers = _EVENT_NUMBER.findall(self.response_body)
+        return int(numbers[-1]) if numbers else 0
+
+    @property
+    def is_broken_stream(self) -> bool:
+        """Whether the response is a resumable stream that broke off after an event."""
+        return (
+            self.kind == "brief"
+            and self.status == 200
+            and not self.is_whole
+            and not self.abandoned_at
+            and self.last_event > 0
+        )
 
     @property
     def is_abandoned_early(self) -> bool:
@@ -114,6 +141,8 @@
         has_distinct_bodies: Whether most requests have bodies that differ from each other.
         comes_back: Whether refused callers come back once, and differ in how long they
             wait.
+        takes_up: Whether callers take broken streams up at another entry.
+        kinds: Kinds of routes, of which each request draws one.
     """
 
     addresses: Callable[[], list[tuple[str, str]]]
@@ -124,6 +153,8 @@
     is_stopped: bool = False
     has_distinct_bodies: bool = False
     comes_back: bool = False
+    takes_up: bool = False
+    kinds: tuple[str, ...] = ROUTE_KINDS
     _requests_made: int = 0
 
     def run_caller(self, key: str) -> None:
@@ -143,6 +174,8 @@
             self.outcomes.append(outcome)
             if self.comes_back and outcome.status == 503 and outcome.retry_after:
                 self._come_back(outcome, key)
+            if self.takes_up and outcome.is_broken_stream:
+                self._take_up(outcome, key)
 
     def run_surge(self, key: str, callers: int, for_s: float) -> None:
         """Let callers of one organisation send a stream each, one after the other."""
@@ -177,6 +210,23 @@
         again.deadline_s = refused.sent_at + refused.deadline_s - again.sent_at
         self._send_once(again, address, key)
 
+    def _take_up(self, broken: Outcome, key: str) -> None:
+        """Take a broken stream up at another entry, again if it breaks there."""
+        for _ in range(MAX_TAKE_UPS):
+            if not broken.is_broken_stream:
+                return
+            others = [pair for pair in self.addresses() if pair[0] != broken.entry]
+            entry, address = self.rng.choice(others)
+            self._requests_made += 1
+            again = Outcome(
+                f"brief-{self._requests_made}", "brief", entry, time.monotonic()
+            )
+            again.after = broken.last_event
+            again.stream_rid = broken.stream_rid or broken.rid
+            again.request_body = broken.request_body
+            self._send_once(again, address, key)
+            broken = again
+
     def _send_once(self, outcome: Outcome, address: str, key: str) -> None:
         """Send a request on a connection of its own."""
         conn = _Connection(outcome.entry, address)
@@ -217,7 +267,7 @@
 
     def _next_request(self, entry: str) -> Outcome:
         self._requests_made += 1
-        kind = self.rng.choice(ROUTE_KINDS)
+        kind = self.rng.choice(self.kinds)
         outcome = Outcome(f"{kind}-{self._requests_made}", kind, entry, time.monotonic())
         if kind == "new":
             outcome.path = f"/new-{self.newest_version()}/x"
@@ -269,6 +319,7 @@
                 ("X-Api-Key", key),
                 ("Token-Counts", "16,4"),
                 ("Content-Length", str(len(outcome.request_body))),
+                *_take_up_headers(outcome),
             ],
         )
         data = self._http.send(head) or b""
@@ -302,3 +353,10 @@
         """Close the connection."""
         if self._sock is not None:
             self._sock.close()
+
+
+def _take_up_headers(outcome: Outcome) -> list[tuple[str, str]]:
+    """Return the headers of a request that continues a stream."""
+    if not outcome.after:
+        return []
+    return [("Last-Event-Id", str(outcome.after)), ("Resumes", outcome.stream_rid)]
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -5,13 +5,14 @@
 import json
 import random
 import time
+from collections import Counter
 from pathlib import Path
 
 import eventlet
 
 from tests.platform.store_standin import StoreStandIn, endpoint_record
 
-from .clients import Callers
+from .clients import ROUTE_KINDS, Callers
 from .entries import FRONT_PORT, EntryProcess
 from .invariants import COLD_RATE, CONFIG_APPLY_S, Observations, Span
 from .proxy import LinkFault, Proxy
@@ -36,6 +37,14 @@
 SERVICES = ("work-a", "work-b")
 WORKERS_PER_SERVICE = 3
 
+RESUMABLE_SERVICE = SERVICES[1]
+"""The service whose streams may be resumed."""
+
+RESUMABLE_KINDS = ("brief",) * 6
+"""Kinds of requests besides all others while several software versions serve."""
+
+SOFTWARE_VERSIONS = ("v1", "v1.2", "v2")
+
 QUOTA_WINDOW_S = 4.0
 QUOTA_TOKENS_PER_S = 400.0
 QUOTA_BURST_TOKENS = 400.0
@@ -120,6 +129,10 @@
         )
         self.callers.has_distinct_bodies = theme.has_distinct_bodies
         self.callers.comes_back = theme.has_overload
+        self.callers.takes_up = theme.has_software_versions
+        if theme.has_software_versions:
+            self.callers.kinds = (*ROUTE_KINDS, *RESUMABLE_KINDS)
+        self.software_version = SOFTWARE_VERSIONS[0] if theme.has_software_versions else ""
         self.observations.outcomes = self.callers.outcomes
 
     def start(self) -> None:
@@ -128,6 +141,9 @@
         for service in SERVICES:
             for _ in range(WORKERS_PER_SERVICE):
                 self.add_worker(service)
+        if self.theme.has_software_versions:
+            for _ in range(WORKERS_PER_SERVICE):
+                self.add_worker(RESUMABLE_SERVICE)
         for entry in self.entries:
             entry.start()
         eventlet.spawn(self._restart_exited_entries)
@@ -222,10 +238,15 @@
                 self._endpoint_log,
                 self.rng,
                 hall=HALLS[number % len(HALLS)],
-                born=FIRST_START_MS if self.theme.has_restarts else 0,
+                born=FIRST_START_MS if self._publishes_starts else 0,
+                software_version=self.software_version,
             )
         )
 
+    @property
+    def _publishes_starts(self) -> bool:
+        return self.theme.has_restarts or self.theme.has_software_versions
+
     def _start_worker(self, worker: Worker, *, cold_s: float = 0.0) -> None:
         if self.theme.has_crashing_requests:
             worker.on_crashing_request = self._crash_once
@@ -237,6 +258,24 @@
             now = time.monotonic()
             self.observations.cold_spans.append(Span(worker.name, now, now + cold_s))
         self._publish(worker, "ready", cold_s=cold_s)
+        self._record_versions()
+
+    def resumable_workers(self) -> list[str]:
+        """Return the names of the endpoints that serve resumable streams."""
+        return sorted(
+            name
+            for name, worker in self.workers.items()
+            if worker.service == RESUMABLE_SERVICE
+        )
+
+    def _record_versions(self) -> None:
+        """Record how many endpoints of each software version serve resumable streams."""
+        names = [
+            worker.software_version
+            for worker in self.workers.values()
+            if worker.service == RESUMABLE_SERVICE
+        ]
+        self.observations.version_changes.append((time.monotonic(), Counter(names)))
 
     def _publish(self, worker: Worker, state: str, *, cold_s: float = 0.0) -> None:
         self._records_written += 1
@@ -249,12 +288,14 @@
             born=worker.born,
             sequence=self._records_written,
             cold_remaining_ms=cold_s * 1000,
+            version=worker.software_version or "v1",
         )
         self.store.put(f"servers/{worker.name}", record)
 
     def replace_worker(self, name: str) -> None:
         """Start another endpoint, then let this one drain and leave."""
         worker = self.workers.pop(name)
+        self._record_versions()
         self.add_worker(worker.service)
         self._publish(worker, "draining")
         self.observations.draining_since[name] = time.monotonic()
@@ -269,6 +310,7 @@
     def crash_worker(self, name: str) -> None:
         """Crash an endpoint; its record stays for a while, then another replaces it."""
         worker = self.workers.pop(name)
+        self._record_versions()
         self.record_disruption("", 1.0, is_engine_fault=True)
         worker.crash()
         eventlet.sleep(CRASH_EXPIRY_S)
@@ -283,6 +325,7 @@
             is_silent: Whether its connections fall silent instead of being reset.
         """
         old = self.workers.pop(name)
+        self._record_versions()
         self.record_disruption("", 1.0)
         if is_silent:
             old.go_silent()
@@ -296,7 +339,11 @@
             self.rng,
             hall=old.hall,
             born=old.born + 1000,
+            software_version=self.software_version,
         )
+        if not self.theme.has_restarts:
+            self._start_worker(new)
+            return
         self._start_worker(new, cold_s=COLD_S)
         eventlet.sleep(COLD_S)
         if self.workers.get(name) is new:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,13 @@
 from tests.platform.store_standin import endpoint_record
 
 from .clients import RESPONSE_TIMEOUT_S
-from .cluster import COMPETING_KEYS, HALLS, OVERLOAD_SLOTS, Cluster
+from .cluster import (
+    COMPETING_KEYS,
+    HALLS,
+    OVERLOAD_SLOTS,
+    SOFTWARE_VERSIONS,
+    Cluster,
+)
 from .entries import GRACE_S, EntryProcess
 from .proxy import LinkFault
 from .theme import Theme
@@ -227,6 +233,37 @@
     worker.backoff_s = 0.0
 
 
+def _release(cluster: Cluster) -> None:
+    """Replace endpoints one after another by ones of another software version."""
+    cluster.software_version = cluster.rng.choice(SOFTWARE_VERSIONS)
+    names = cluster.resumable_workers()
+    for name in names[: cluster.rng.randint(1, len(names) + 1)]:
+        if name in cluster.workers:
+            eventlet.spawn(cluster.replace_worker, name)
+        eventlet.sleep(cluster.rng.uniform(0.0, 0.8))
+
+
+def _break_streams(cluster: Cluster) -> None:
+    """Reset the connections of one entry's callers, so that they take streams up."""
+    number = cluster.rng.randrange(len(cluster.entries))
+    cluster.record_disruption(cluster.entries[number].name, AFTERMATH_S)
+    cluster.caller_proxies[number].set_fault(LinkFault.RESET)
+    eventlet.sleep(0.05)
+    cluster.caller_proxies[number].set_fault(LinkFault.NONE)
+
+
+def _break_off(cluster: Cluster) -> None:
+    """Let some endpoints break off streams for a while."""
+    names = cluster.resumable_workers()
+    workers = [cluster.workers[name] for name in names if cluster.rng.random() < 0.5]
+    cluster.record_disruption("", 2.0 + AFTERMATH_S, is_engine_fault=True)
+    for worker in workers:
+        worker.broken_fraction = cluster.rng.choice((0.3, 0.9))
+    eventlet.sleep(2.0)
+    for worker in workers:
+        worker.broken_fraction = 0.0
+
+
 def _slow_moments(cluster: Cluster) -> None:
     """Let an endpoint be slow for moments, and report it."""
     worker = cluster.workers[_worker_name(cluster)]
@@ -339,11 +376,33 @@
 )
 """Faults of soaks with more requests than slots, separate for the same reason."""
 
+SOFTWARE_VERSION_FAULTS: tuple[Fault, ...] = (
+    _release,
+    _release,
+    _break_streams,
+    _break_streams,
+    _break_off,
+    _break_off,
+    _crash_worker,
+    _restart_worker,
+    _kill,
+    _kill_all,
+    _pause,
+    _stop,
+    _harm_callers,
+    _harm_worker,
+    _harm_store,
+    _harm_store_link,
+    _signals,
+)
+"""Faults of soaks with several software versions, separate for the same reason."""
+
 THEME_FAULTS: dict[Theme, tuple[Fault, ...]] = {
     Theme.RESTARTS: RESTART_FAULTS,
     Theme.CRASHING_REQUESTS: CRASHING_REQUEST_FAULTS,
     Theme.ENDPOINT_NOTICES: NOTICE_FAULTS,
     Theme.OVERLOAD: OVERLOAD_FAULTS,
+    Theme.SOFTWARE_VERSIONS: SOFTWARE_VERSION_FAULTS,
     Theme.ALL: (*RESTART_FAULTS, *CRASHING_REQUEST_FAULTS, *NOTICE_FAULTS),
 }
 """Faults of each theme; a soak without a theme draws some kinds from `FAULTS`."""
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 from .clients import Outcome
 from .notice_invariants import NoticeChecker
@@ -55,6 +58,14 @@
 """Allowed sends of such a request later than `CONVERGENCE_S` after that, however long it
 keeps arriving."""
 
+MIN_TAKE_UPS = 12
+"""Take-ups of broken streams from which the fraction that goes on means something."""
+
+MIN_ENDPOINTS = 2
+"""Endpoints of a software version that must serve for its streams to go on."""
+
+_VERSION_COMMENT = re.compile(rb"^:.*\n?", re.MULTILINE)
+
 MAX_SHOWN = 5
 """Cases that a violation lists as examples."""
 
@@ -105,6 +116,8 @@
         internal_errors: Internal errors that entries logged.
         stalled_s: For how long the soak's own process stalled, in seconds.
         recovered_from: Time at which all entries must have recovered from the last fault.
+        version_changes: Numbers of ready endpoints of the service with resumable streams,
+            by software version, each with the time from which they hold.
     """
 
     outcomes: list[Outcome]
@@ -123,6 +136,13 @@
     internal_errors: list[str] = field(default_factory=list)
     stalled_s: float = 0.0
     recovered_from: float = 0.0
+    version_changes: list[tuple[float, dict[str, int]]] = field(default_factory=list)
+
+    def version_counts(self) -> Iterator[tuple[float, float, dict[str, int]]]:
+        """Return spans of time, each with the number of endpoints by software version."""
+        changes = [*self.version_changes, (math.inf, {})]
+        for (start, counts), (end, _) in pairwise(changes):
+            yield start, end, counts
 
 
 def violations(observed: Observations) -> list[str]:
@@ -133,6 +153,8 @@
     checker = _notice_checker(observed)
     found = {
         "a response is not the complete one of its own request": _wrong_responses(observed),
+        "a stream holds events of several software versions": mixed_streams(observed),
+        "too few streams were taken up": _rarely_taken_up(observed),
         "ran more than once": _repeated_runs(observed, by_rid),
         "refused as not run, but ran": _false_refusals(observed, by_rid),
         "an endpoint received work long after it started draining": _work_while_draining(
@@ -207,11 +229,59 @@
     """
     if row.kind in ("once", "safe", "new"):
         return not row.is_whole or row.response_body == plain_body(row.rid)
-    events = [stream_event(row.rid, number + 1) for number in range(stream_length(row.rid))]
-    whole = b"".join(events)
-    return (
-        row.response_body == whole if row.is_whole else whole.startswith(row.response_body)
-    )
+    numbers = range(row.after + 1, stream_length(row.rid) + 1)
+    whole = b"".join(stream_event(row.rid, number) for number in numbers)
+    body = _VERSION_COMMENT.sub(b"", row.response_body)
+    return body == whole if row.is_whole else whole.startswith(body)
+
+
+def mixed_streams(observed: Observations) -> list[str]:
+    """Return streams whose events, over all their attempts, are of several versions."""
+    versions: dict[str, set[bytes]] = {}
+    for row in observed.outcomes:
+        found = _VERSION_COMMENT.findall(row.response_body)
+        versions.setdefault(row.stream_rid or row.rid, set()).update(found)
+    return [
+        f"{rid}: {sorted(name.decode().strip() for name in names)}"
+        for rid, names in versions.items()
+        if len(names) > 1
+    ]
+
+
+def _rarely_taken_up(observed: Observations) -> list[str]:
+    """Return streams that did not go on where new ones begin, if there are too many.
+
+    Only requests of undisrupted entries count, while two endpoints of the version serve.
+    """
+    rows = [
+        row
+        for row in observed.outcomes
+        if row.kind == "brief"
+        and not row.is_abandoned_early
+        and _is_undisrupted(observed, row)
+    ]
+    new = [row for row in rows if not row.after]
+    taken_up = [row for row in rows if row.after and _has_two_endpoints(observed, row)]
+    if len(taken_up) < MIN_TAKE_UPS or not new:
+        return []
+    begun = sum(row.status == 200 for row in new) / len(new)
+    stopped = [row for row in taken_up if row.status != 200]
+    if 1 - len(stopped) / len(taken_up) >= begun / 2:
+        return []
+    return [_describe(row) for row in stopped]
+
+
+def _has_two_endpoints(observed: Observations, row: Outcome) -> bool:
+    """Return whether two endpoints of a continued stream's version serve throughout."""
+    first = next(item for item in observed.outcomes if item.rid == row.stream_rid)
+    (version, *_) = _VERSION_COMMENT.findall(first.response_body)
+    name = version.decode()[2:].strip()
+    counts = [
+        counts.get(name, 0)
+        for start, end, counts in observed.version_counts()
+        if start <= row.ended_at and end >= row.sent_at
+    ]
+    return min(counts, default=0) >= MIN_ENDPOINTS
 
 
 def _repeated_runs(observed: Observations, by_rid: dict[str, list[Run]]) -> list[str]:
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -299,3 +299,36 @@
     for row in rows[:80:2]:
         row.status, row.response_body = 200, whole_body(row.rid)
     assert violations(observe(*rows)) == []
+
+
+def versioned_body(rid: str, numbers: range, version: str) -> bytes:
+    return b"".join(stream_event(rid, number, version) for number in numbers)
+
+
+def broken_stream(version: str = "v1") -> Outcome:
+    body = versioned_body("brief-1", range(1, 3), version)
+    return make_outcome("brief-1", is_whole=False, response_body=body)
+
+
+def take_up(number: int, version: str, *, status: int = 200) -> Outcome:
+    rid = f"brief-{number}"
+    body = versioned_body(rid, range(3, stream_length(rid) + 1), version)
+    row = make_outcome(rid, status=status, after=2, stream_rid="brief-1")
+    row.response_body = body if status == 200 else b""
+    return row
+
+
+def test_a_stream_of_two_software_versions_over_two_attempts_is_found() -> None:
+    assert violations(observe(broken_stream(), take_up(2, "v1"))) == []
+    (found,) = violations(observe(broken_stream(), take_up(2, "v2")))
+    assert "several software versions" in found
+
+
+def test_streams_that_are_rarely_taken_up_are_found_while_two_endpoints_serve() -> None:
+    rows = [broken_stream(), *(take_up(n, "v1", status=503) for n in range(2, 14))]
+    observed = observe(*rows)
+    observed.version_changes = [(0.0, {"v1": 2})]
+    (found,) = violations(observed)
+    assert "too few streams were taken up: 12" in found
+    observed.version_changes.append((10.2, {"v1": 1}))
+    assert violations(observed) == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -72,6 +72,15 @@
     assert result.served > 100
 
 
+@pytest.mark.parametrize("seed", [100, 103])
+def test_invariants_hold_while_software_versions_serve_side_by_side(
+    tmp_path: Path, seed: int
+) -> None:
+    result = run_soak(seed, LONG_S, tmp_path, theme=Theme.SOFTWARE_VERSIONS)
+    assert result.violations == [], "\n".join([*result.faults, *result.logs])
+    assert result.served > 100
+
+
 def test_invariants_hold_with_all_themes_at_once(tmp_path: Path) -> None:
     result = run_soak(9, LONG_S, tmp_path, theme=Theme.ALL)
     assert result.violations == [], "\n".join([*result.faults, *result.logs])
--- a/tests/soak/theme.py
+++ b/tests/soak/theme.py
@@ -27,6 +27,10 @@
     """Organisations compete for few slots, endpoints report a load that changes, and
     refused callers, who differ in how long they wait, come back at another entry."""
 
+    SOFTWARE_VERSIONS = "versions"
+    """Endpoints of several software versions serve side by side while they are replaced,
+    and callers take broken streams up at other entries."""
+
     ALL = "all"
     """Restarts, crashing requests and notices at once."""
 
@@ -40,6 +44,11 @@
         """Whether most requests have distinct bodies, as in production."""
         return self not in (Theme.ORDINARY, Theme.RESTARTS)
 
+    @property
+    def has_software_versions(self) -> bool:
+        """Whether endpoints of several software versions serve side by side."""
+        return self is Theme.SOFTWARE_VERSIONS
+
     @property
     def has_overload(self) -> bool:
         """Whether requests exceed the slots, and refused callers come back."""
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -25,6 +25,9 @@
 EVENT_GAP_S = 0.02
 """Time between the events of a stream, in seconds."""
 
+BREAK_CHANCE = 0.2
+"""Chance that a stream that breaks off does so before its next event."""
+
 NO_LIMIT = math.inf
 
 MAX_WAITING = 6
@@ -110,9 +113,16 @@
     return 5 + sum(rid.encode()) % 20
 
 
-def stream_event(rid: str, number: int) -> bytes:
-    """Return one event of the stream of a request."""
-    return f"id: {number}\ndata: {rid} {number}\n\n".encode()
+def stream_event(rid: str, number: int, software_version: str = "") -> bytes:
+    """Return one event of the stream of a request.
+
+    Args:
+        rid: The id of the request.
+        number: The event's number.
+        software_version: Version that writes it, as a comment; empty for none.
+    """
+    comment = f": {software_version}\n" if software_version else ""
+    return f"id: {number}\n{comment}data: {rid} {number}\n\n".encode()
 
 
 def plain_body(rid: str) -> bytes:
@@ -127,7 +137,9 @@
         name: The id under which the endpoint is published.
         hall: The data hall of the endpoint.
         born: Start time, in milliseconds; 0 if it does not publish one.
+        software_version: Version of its software; empty if events do not name it.
         failure_fraction: Fraction of its requests to which it responds with 500.
+        broken_fraction: Fraction of its streams that it breaks off.
         slowdown: Factor by which it is slower than usual.
         limit_per_s: Requests per second that it advertises; `NO_LIMIT` for none.
         limited_until: Monotonic time until which it advertises that limit, in seconds.
@@ -149,12 +161,15 @@
         *,
         hall: str = "hall1",
         born: int = 0,
+        software_version: str = "",
     ) -> None:
         self.name = name
+        self.software_version = software_version
         self.hall = hall
         self.born = born
         self.service = service
         self.failure_fraction = 0.0
+        self.broken_fraction = 0.0
         self.slowdown = 1.0
         self.limit_per_s = NO_LIMIT
         self.limited_until = 0.0
@@ -279,7 +294,11 @@
         rid = dialog.rid.decode()
         after = int(header_of(dialog.request, b"last-event-id") or 0)
         dialog.start_stream(self._notice_headers(dialog))
+        is_broken = self.broken_fraction and self._rng.random() < self.broken_fraction
         for number in range(after + 1, stream_length(rid) + 1):
+            if is_broken and self._rng.random() < BREAK_CHANCE:
+                dialog.reset()
+                return
             eventlet.sleep(EVENT_GAP_S * self.slowdown)
-            dialog.chunk(stream_event(rid, number))
+            dialog.chunk(stream_event(rid, number, self.software_version))
         dialog.chunk(b"")
