Take a stream that ends inside an event for broken off, however it is framed

What callers saw: the part of an event, and then the regular end of the response, where an endpoint ended a chunked stream or one with a length inside an event. Cause: only a response whose end is that of its connection was checked; of others the remainder was passed on and the response ended as complete. Evidence: the new tests fail on the code before for chunks and for a length (4 of 6), and hold for the end of the connection. Change: a stream whose last event is not complete is truncated, so that it is resumed or cut; line ends after the last event are none. Looked at beside it: a plain response without a length that is reset was already refused, one that ends in order is complete; both have tests.

--- a/dockreach/direct/event_stream.py
+++ b/dockreach/direct/event_stream.py
@@ -38,6 +38,11 @@
         """Bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the last event is not complete; line ends between events are none."""
+        return bool(self._remainder.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes; return the events that are now complete."""
         data = self._remainder + data
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -522,8 +522,8 @@
             for event in events:
                 self._last_event_id = event.id or self._last_event_id
             self._caller.send_data(b"".join(event.data for event in events))
-        if splitter.remainder and not conn.is_framed:
-            raise ResponseError(f"{conn.address}: connection closed within an event")
+        if splitter.is_inside_event:
+            raise ResponseError(f"{conn.address}: stream ended within an event")
         self._start_stream(head)
         self._caller.send_data(splitter.remainder)
         self._caller.end()
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -9,6 +9,7 @@
     Caller,
     Dialog,
     EndpointStandIn,
+    Script,
     body_of,
     header_of,
     headers_of,
@@ -267,6 +268,88 @@
     assert len(endpoint.requests) == 1
 
 
+def end_inside_an_event(dialog: Dialog) -> None:
+    """Send two events and a part of the third, then end the response in order."""
+    dialog.start_stream()
+    dialog.chunk(event(1))
+    dialog.chunk(event(2) + b"id: 3\nda")
+    dialog.chunk(b"")
+
+
+def end_inside_an_event_by_length(dialog: Dialog) -> None:
+    dialog.respond(
+        events(1, 2) + b"id: 3\nda", extra=b"Content-Type: text/event-stream\r\n"
+    )
+
+
+def end_inside_an_event_with_the_connection(dialog: Dialog) -> None:
+    dialog.send(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: "
+        + dialog.rid
+        + b"\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+        + events(1, 2)
+        + b"id: 3\nda"
+    )
+    dialog.sock.shutdown(2)
+    dialog.sock.close()
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        end_inside_an_event,
+        end_inside_an_event_by_length,
+        end_inside_an_event_with_the_connection,
+    ],
+)
+def test_a_stream_that_ends_inside_an_event_does_not_look_complete(script: Script) -> None:
+    caller = Caller(start_entry(EndpointStandIn(script)))
+    caller.send("/draft/a", body=b"prompt")
+    data = b""
+    with pytest.raises(OSError, match="reset"):
+        while True:
+            data += caller.sock.fd.recv(65536) if _wait_until_readable(caller) else b""
+    assert event(2) in data
+    assert b"id: 3" not in data
+    assert not data.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        end_inside_an_event,
+        end_inside_an_event_by_length,
+        end_inside_an_event_with_the_connection,
+    ],
+)
+def test_a_resumable_stream_that_ends_inside_an_event_is_resumed(script: Script) -> None:
+    def send_remaining_events(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(3))
+        dialog.chunk(b"")
+
+    scripts = [script, send_remaining_events]
+
+    def run_next_script(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(run_next_script) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a", body=b"prompt")
+    assert body_of(caller.read_response()) == events(1, 2, 3)
+
+
+def test_line_ends_after_the_last_event_do_not_break_a_stream_off() -> None:
+    def send_line_ends(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(1) + b"\n")
+        dialog.chunk(b"")
+
+    caller = Caller(start_entry(EndpointStandIn(send_line_ends)))
+    caller.send("/draft/a", body=b"prompt")
+    assert body_of(caller.read_response()) == event(1) + b"\n"
+
+
 def _wait_until_readable(caller: Caller) -> bool:
     from eventlet.hubs import trampoline  # noqa: PLC0415
 
