Prefer endpoints that have certainly not restarted when a stream goes on

An endpoint that keeps its id over a restart is listed with its earlier software version until its new record arrives, and accepts requests that expect its id. Where a connection to it broke in the last 5 s, a stream that must go on at a version goes to another endpoint of that version if one is free. All remain if there is no other, since connections also break for other reasons. Ruled out: refusing such endpoints, which would end most streams after a reset of many connections.

--- a/dockreach/direct/endpoint_selection.py
+++ b/dockreach/direct/endpoint_selection.py
@@ -112,6 +112,8 @@
             return None
         in_time = _meeting_deadline(job, _without_long_stalls(job, fresh, now), now)
         candidates = [row for row in in_time if row.id in accepting]
+        if job.software_version is not None:
+            candidates = _with_certain_version(candidates, now)
         return min(candidates, key=lambda row: self._cost_s(job, row, now), default=None)
 
     def has_free_slot(self, job: Job, now: float) -> bool:
@@ -296,6 +298,14 @@
     return quick or rows
 
 
+def _with_certain_version(rows: list[EndpointRow], now: float) -> list[EndpointRow]:
+    """Return the endpoints that have certainly not restarted at another software version.
+
+    All are returned if there is none: a connection also breaks for other reasons.
+    """
+    return [row for row in rows if row.restarted_until <= now] or rows
+
+
 def _reserved_slots(row: EndpointRow, higher_tiers: int) -> int:
     return round(row.published.slots * RESERVED_FRACTION * higher_tiers)
 
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -38,6 +38,9 @@
 PREFIX_CACHED_S = 30.0
 """How long a part of a prompt is assumed to stay cached at an endpoint, in seconds."""
 
+RECORD_LAG_S = 5.0
+"""How long an endpoint's record may lag behind its restart, in seconds."""
+
 MAX_SAMPLES = 16
 """Maximum number of an endpoint's measurements that wait to be sent: what one entry
 measures in half a second, while measurements are sent four times a second."""
@@ -143,6 +146,8 @@
         held_by: Jobs that hold its slots, of this entry and granted by it, in the order in
             which they got them.
         load: The load that it reported last.
+        restarted_until: Monotonic time until which it may have restarted without a new
+            record, since a connection to it broke, in seconds.
     """
 
     published: Published
@@ -164,6 +169,7 @@
     connections: set[Connection] = field(default_factory=set)
     held_by: dict[Job, None] = field(default_factory=dict)
     load: EndpointLoad = field(default_factory=EndpointLoad)
+    restarted_until: float = -math.inf
 
     @property
     def id(self) -> str:
@@ -290,8 +296,13 @@
         """Open the circuit: connecting to the endpoint failed, and it may have crashed."""
         self._queue_sample(SampleKind.UNREACHABLE)
         self.warm_up.mark_unreachable()
+        self.mark_connection_broken(now)
         self.open_circuit(now)
 
+    def mark_connection_broken(self, now: float) -> None:
+        """Record that a connection broke: the endpoint may have restarted."""
+        self.restarted_until = now + RECORD_LAG_S
+
     def open_circuit(self, now: float) -> None:
         """Open the circuit: send the endpoint no requests for some time (back-off)."""
         wait = min(FIRST_CIRCUIT_OPEN_S * 2**self.consecutive_failures, MAX_CIRCUIT_OPEN_S)
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -306,9 +306,10 @@
             keep_alive_s = head.keep_alive_s
         except (ResponseError, _ReadTimeoutError) as exc:
             row.record_failure(self._ctx.now())
-            self._report_unanswered(
-                row, sent_at, is_connection_broken=isinstance(exc, ResponseError)
-            )
+            is_broken = isinstance(exc, ResponseError)
+            if is_broken:
+                row.mark_connection_broken(self._ctx.now())
+            self._report_unanswered(row, sent_at, is_connection_broken=is_broken)
             if conn.was_reused and isinstance(exc, _ReadTimeoutError):
                 # Idle connections stall together, for example when a middlebox loses its
                 # state: without this, each of them would cost one more request.
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -21,7 +21,7 @@
 
 from ..rendezvous import ranked
 from .digest import Address
-from .endpoints import Published
+from .endpoints import RECORD_LAG_S, Published
 from .peers import PeerTable
 from .software_versions import SoftwareVersions
 from .stream_messages import BegunStream, StreamQuestion, StreamReport, stream_key
@@ -42,9 +42,6 @@
 """Interval at which running streams are reported again, in seconds: holders restart, and
 datagrams are lost."""
 
-RECORD_LAG_S = 5.0
-"""How long an endpoint's record may lag behind its start, in seconds: a few heartbeats."""
-
 HOLDERS_ANSWER_S = 0.04
 """Time after which all entries are asked and not only the holders, in seconds: ten round
 trips between data halls."""
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -10,7 +10,7 @@
 
 from dockreach import clock
 from dockreach.direct.endpoints import EndpointTable
-from dockreach.direct.jobs import Job, Refused
+from dockreach.direct.jobs import Job, Placed, Refused
 from dockreach.direct.software_versions import (
     MAX_VERSIONS,
     VERSION_MEMORY_S,
@@ -181,6 +181,19 @@
     assert placed(queue.run_round(0.1)) == ["r-0"]
 
 
+def test_a_stream_prefers_endpoints_that_have_certainly_not_restarted() -> None:
+    table = versioned_endpoints("v1", "v1", "v1.2")
+    row = table.get("e-0")
+    assert row is not None
+    row.mark_connection_broken(0.0)
+    queue = dispatcher(table)
+    for number in range(2):
+        queue.submit(pinned(f"r-{number}", "v1"))
+    decisions = queue.run_round(0.1)
+    endpoints = [item.endpoint.id for item in decisions if isinstance(item, Placed)]
+    assert endpoints == ["e-1", "e-0"]
+
+
 def test_a_version_counts_for_a_while_after_its_last_endpoint_has_gone() -> None:
     table = versioned_endpoints("v1", "v1.2")
     table.remove("e-0")
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -13,7 +13,7 @@
 from dockreach import clock
 from dockreach.direct.datagrams import decode, encode
 from dockreach.direct.digest import Address
-from dockreach.direct.endpoints import Published
+from dockreach.direct.endpoints import RECORD_LAG_S, Published
 from dockreach.direct.peers import PeerTable
 from dockreach.direct.software_versions import SoftwareVersions
 from dockreach.direct.stream_messages import (
@@ -28,7 +28,6 @@
     HOLDERS,
     HOLDERS_ANSWER_S,
     MAX_STREAMS,
-    RECORD_LAG_S,
     StreamOrigin,
     StreamVersions,
     UnknownVersion,
