--- a/tests/direct/crashing_engines.py
+++ b/tests/direct/crashing_engines.py
@@ -1,4 +1,4 @@
-"""Engines that crash as they begin a marked body and restart, behind several entries."""
+"""Engines that crash as they begin a marked request and restart, behind several entries."""
 
 from __future__ import annotations
 
@@ -15,11 +15,15 @@
     Dialog,
     EndpointStandIn,
     entry_settings,
+    header_of,
     published,
     start_entry,
 )
 
 CRASHING_BODY = b"a body that ends whatever runs it"
+CRASHING_PART = "dead"
+"""Part of a prompt that crashes whatever begins to respond to it."""
+
 CRASH_DELAY_S = 0.02
 """Time from a request's arrival to the crash of its engine, in seconds."""
 
@@ -85,7 +89,9 @@
 
         def run(dialog: Dialog) -> None:
             eventlet.sleep(CRASH_DELAY_S)
-            if not dialog.request.endswith(CRASHING_BODY):
+            parts = header_of(dialog.request, b"prompt-prefix-hash") or b""
+            has_crashing_part = f"{CRASHING_PART}:".encode() in parts
+            if not dialog.request.endswith(CRASHING_BODY) and not has_crashing_part:
                 dialog.respond(b"fine")
                 return
             self.crashed.append(name)
@@ -98,10 +104,26 @@
         for entry in self.entries:
             entry.apply_endpoint(published(name, engine.address))
 
-    def request(self, entry: Entry, body: bytes, *, path: str = "/once/a") -> bytes:
-        """Send a request with an id of its own; return the response."""
+    def request(
+        self,
+        entry: Entry,
+        body: bytes,
+        *,
+        path: str = "/once/a",
+        parts: tuple[str, ...] = (),
+    ) -> bytes:
+        """Send a request with an id of its own; return the response.
+
+        Args:
+            entry: Where to send it.
+            body: Its body.
+            path: Its path.
+            parts: The parts of its prompt, in order.
+        """
         caller = Caller(entry)
-        caller.send(path, rid=f"r-{next(self._rids)}", body=body)
+        listed = ",".join(f"{part}:20" for part in parts)
+        extra = f"Prompt-Prefix-Hash: {listed}\r\n" if parts else ""
+        caller.send(path, rid=f"r-{next(self._rids)}", body=body, extra=extra)
         response = caller.read_response()
         caller.close()
         return response
