Log the shared prompt parts of a request whose engine crashed

In the record no fingerprint repeats, and from the log it can't be told whether the requests under which engines crash have a part in common. Now the line lists the shared parts of the prompt. No decision changes.

--- a/dockreach/direct/crash_reporter.py
+++ b/dockreach/direct/crash_reporter.py
@@ -93,6 +93,7 @@
             seconds.
         is_connection_broken: Whether the connection broke; otherwise the entry abandoned
             the request.
+        parts: The shared parts of its prompt.
     """
 
     path: str
@@ -102,6 +103,7 @@
     sent_at: float
     ended_at: float
     is_connection_broken: bool = True
+    parts: tuple[str, ...] = ()
 
 
 class CrashReporter:
@@ -221,6 +223,7 @@
             fingerprint=fingerprint.hex(),
             organisation=request.organisation,
             path=request.path,
+            parts=",".join(request.parts),
             is_barred=is_quarantined,
         )
         if is_quarantined:
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -400,7 +400,13 @@
             return
         crashes = self._ctx.crashes
         unanswered = UnansweredRequest(
-            self._req.path, self._fingerprint, self._organisation, row, sent_at, now
+            self._req.path,
+            self._fingerprint,
+            self._organisation,
+            row,
+            sent_at,
+            now,
+            parts=self._req.shared_parts,
         )
         if is_connection_broken:
             crashes.record_lost(unanswered)
--- a/dockreach/direct/requests.py
+++ b/dockreach/direct/requests.py
@@ -51,6 +51,11 @@
     has_body: bool = True
     stream_rid: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts without the last, which is the request's own."""
+        return tuple(part for part, _ in self.prefix[:-1])
+
     @property
     def path(self) -> str:
         """The target without its query."""
