Quarantine prompt parts that crash engines, not only whole requests

What callers saw: engines crashed one after the other under requests of one organisation, 24 in one stretch of the record, and everything that ran on them broke off. Cause: requests are known by path, organisation and body; of requests that differ none crashes a second engine, so that nothing is ever quarantined. Ruled out: news that spread too slowly, and blame that is spread too widely; both would show repeated fingerprints. Change: a crash is recorded for the request and each shared part of its prompt. A part is cleared of the crashes before the first event of any response that went well, at all entries. Of suspects that share crashes the one with more explains them; suspects with the same crashes are told apart by requests that have only some of them. Parts are probed twice in all, counted by probes that failed. Requests in the queue, granted or in their next attempt are refused. Half of the places in digests are for what is restricted. Reports have the same form for parts and requests, so that entries of earlier landings pass them on.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -373,7 +373,7 @@
     Edit(
         "waiting callers of a quarantined request are refused at once",
         "direct/entry.py",
-        "        self.ctx.scheduler.refuse(fingerprint, QUARANTINED_REFUSAL)\n",
+        "        self.ctx.scheduler.refuse(refusal_of)\n",
         "        return\n",
     ),
     Edit(
@@ -393,14 +393,14 @@
     Edit(
         "overlapping runs count once",
         "direct/crash_history.py",
-        "            if not sequential or run.sent_at >= sequential[-1].crashed_at:\n",
-        "            if True:\n",
+        "        if not sequential or run.sent_at >= sequential[-1].crashed_at:\n",
+        "        if True:\n",
     ),
     Edit(
         "after simultaneous crashes one copy is run at a time",
         "direct/quarantine.py",
-        "if is_quarantined else history.probed_at + COPY_GAP_S",
-        "if is_quarantined else now",
+        "            return history.probed_at + COPY_GAP_S\n",
+        "            return -math.inf\n",
     ),
     Edit(
         "simultaneous crashes leave room for later ones",
--- a/dockreach/direct/crash_history.py
+++ b/dockreach/direct/crash_history.py
@@ -1,6 +1,6 @@
-"""Crash history of one request: the engines that crashed while they ran it.
+"""Crash history of a request or a prompt part: engines that crashed while they ran it.
 
-A request may crash several engines, one after another or all at once, while engines also
+It may crash several engines, one after another or all at once, while engines also
 exit for other reasons during harmless requests.
 """
 
@@ -33,12 +33,14 @@
         request_age_s: Time since the request was sent to it, in seconds.
         crash_age_s: Time since it crashed, in seconds.
         is_sudden: Whether it may have been dead before the request was sent to it.
+        is_probe: Whether the request was a probe.
     """
 
     incarnation: str
     request_age_s: float
     crash_age_s: float
     is_sudden: bool = False
+    is_probe: bool = False
 
 
 class CrashReport(msgspec.Struct, array_like=True):
@@ -66,12 +68,14 @@
         sent_at: Monotonic time at which the request was sent to it, in seconds.
         crashed_at: Monotonic time of the crash, in seconds.
         is_sudden: Whether the engine may have been dead before the request was sent to it.
+        is_probe: Whether the request was a probe.
     """
 
     incarnation: str
     sent_at: float
     crashed_at: float
     is_sudden: bool = False
+    is_probe: bool = False
 
     @classmethod
     def from_report(cls, crash: ReportedCrash, now: float) -> CrashedRun:
@@ -81,6 +85,7 @@
             now - crash.request_age_s,
             now - crash.crash_age_s,
             crash.is_sudden,
+            crash.is_probe,
         )
 
 
@@ -112,35 +117,26 @@
         Args:
             crashed_at: Earliest known monotonic time of each engine's crash, in seconds.
         """
-        sequential: list[CrashedRun] = []
-        for run in self._suspected_runs(crashed_at):
-            if not sequential or run.sent_at >= sequential[-1].crashed_at:
-                sequential.append(run)
-        return sequential
+        return _sequential(self.suspected_runs(crashed_at))
 
     def evidence(self, crashed_at: Mapping[str, float]) -> float:
         """Return the sum of the weights of the sequential runs."""
-        return sum(
-            SUDDEN_CRASH_WEIGHT if run.is_sudden else 1.0
-            for run in self.sequential_runs(crashed_at)
-        )
+        return evidence_of(self.suspected_runs(crashed_at))
 
     def late_runs(self, crashed_at: Mapping[str, float]) -> int:
         """Return how many suspected runs were sent after `SERIALIZE_AFTER` crashes."""
-        runs = self._suspected_runs(crashed_at)
+        runs = self.suspected_runs(crashed_at)
         if len(runs) < SERIALIZE_AFTER:
             return 0
         since = runs[SERIALIZE_AFTER - 1].crashed_at
         return sum(run.sent_at >= since for run in runs)
 
-    def is_serialized(self, crashed_at: Mapping[str, float]) -> bool:
-        """Return whether only one copy may run at a time, after `SERIALIZE_AFTER` crashes.
-
-        Unlike in `evidence`, each engine counts, even if all crashed at once.
-        """
-        return len(self.crashes) >= SERIALIZE_AFTER <= len(self._suspected_runs(crashed_at))
+    @property
+    def failed_probes(self) -> int:
+        """How many of the runs were probes."""
+        return sum(run.is_probe for run in self.crashes.values())
 
-    def _suspected_runs(self, crashed_at: Mapping[str, float]) -> list[CrashedRun]:
+    def suspected_runs(self, crashed_at: Mapping[str, float]) -> list[CrashedRun]:
         """Return the runs that may have crashed their engines, the earliest crash first.
 
         A request that was sent to an engine after its crash was lost there and is not the
@@ -180,8 +176,37 @@
         del self.crashes[incarnation]
         self.cleared.discard(incarnation)
 
+    def clear_until(self, harmless_at: float) -> bool:
+        """Mark the crashes up to a monotonic time as not caused; return whether any is new.
+
+        Args:
+            harmless_at: Time at which a run began that ended well, in seconds.
+        """
+        return self.clear(
+            incarnation
+            for incarnation, run in self.crashes.items()
+            if run.crashed_at < harmless_at
+        )
+
     def clear(self, incarnations: Iterable[str]) -> bool:
         """Mark crashes as not caused by the request; return whether any is new."""
         newly_cleared = set(incarnations) & self.crashes.keys() - self.cleared
         self.cleared |= newly_cleared
         return bool(newly_cleared)
+
+
+def evidence_of(runs: Iterable[CrashedRun]) -> float:
+    """Return the sum of the weights of some runs, of which overlapping ones count once.
+
+    Args:
+        runs: The runs, the earliest crash first.
+    """
+    return sum(SUDDEN_CRASH_WEIGHT if run.is_sudden else 1.0 for run in _sequential(runs))
+
+
+def _sequential(runs: Iterable[CrashedRun]) -> list[CrashedRun]:
+    sequential: list[CrashedRun] = []
+    for run in runs:
+        if not sequential or run.sent_at >= sequential[-1].crashed_at:
+            sequential.append(run)
+    return sequential
--- a/dockreach/direct/crash_reporter.py
+++ b/dockreach/direct/crash_reporter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import eventlet
@@ -94,6 +94,8 @@
         is_connection_broken: Whether the connection broke; otherwise the entry abandoned
             the request.
         parts: The shared parts of its prompt.
+        part_fingerprints: Their fingerprints.
+        is_probe: Whether it was the probe of a quarantined request.
     """
 
     path: str
@@ -104,6 +106,13 @@
     ended_at: float
     is_connection_broken: bool = True
     parts: tuple[str, ...] = ()
+    part_fingerprints: tuple[bytes, ...] = ()
+    is_probe: bool = False
+
+    @property
+    def suspects(self) -> tuple[bytes, ...]:
+        """Fingerprints of the request and of the shared parts of its prompt."""
+        return (self.fingerprint, *self.part_fingerprints)
 
 
 class CrashReporter:
@@ -205,33 +214,53 @@
                 self._add_pending(request)
 
     def _record_crash(self, request: UnansweredRequest) -> None:
-        fingerprint, incarnation = request.fingerprint, request.row.incarnation
-        is_new = self.quarantine.record_crash(
-            fingerprint,
-            incarnation,
-            sent_at=request.sent_at,
-            crashed_at=request.ended_at,
-            is_connection_broken=request.is_connection_broken,
-        )
-        if not is_new:
+        before = self.quarantine.quarantined()
+        new = [
+            fingerprint
+            for fingerprint in request.suspects
+            if self.quarantine.record_crash(
+                fingerprint,
+                request.row.incarnation,
+                sent_at=request.sent_at,
+                crashed_at=request.ended_at,
+                is_connection_broken=request.is_connection_broken,
+                is_probe=request.is_probe,
+            )
+        ]
+        if not new:
             return
-        is_quarantined = self.quarantine.is_quarantined(fingerprint)
-        self.record_source(fingerprint, Source(request.path, request.organisation))
+        source = Source(request.path, request.organisation)
+        for fingerprint in new:
+            self._sources[fingerprint] = source
+        quarantined = self.quarantine.quarantined()
         log(
             Event.REQUEST_CRASHED,
             endpoint=request.row.id,
-            fingerprint=fingerprint.hex(),
+            fingerprint=request.fingerprint.hex(),
             organisation=request.organisation,
             path=request.path,
             parts=",".join(request.parts),
-            is_barred=is_quarantined,
+            is_barred=not quarantined.keys().isdisjoint(new),
         )
-        if is_quarantined:
-            log(Event.REQUEST_BARRED, fingerprint=fingerprint.hex(), path=request.path)
-            self._refuse(fingerprint)
+        for fingerprint in quarantined:
+            if fingerprint not in before:
+                self._log_quarantined(fingerprint, request)
+                self._refuse(fingerprint)
+        barred = [fingerprint for fingerprint in new if fingerprint in quarantined]
+        if barred:
             for delay_s in RESEND_DELAYS_S:
-                eventlet.spawn_after(delay_s, self._send_report, fingerprint)
-        self._send_report(fingerprint)
+                eventlet.spawn_after(delay_s, self._send_reports, barred)
+        self._send_reports(new)
+
+    @staticmethod
+    def _log_quarantined(fingerprint: bytes, request: UnansweredRequest) -> None:
+        parts = dict(zip(request.part_fingerprints, request.parts, strict=False))
+        log(
+            Event.REQUEST_BARRED,
+            fingerprint=fingerprint.hex(),
+            path=request.path,
+            part=parts.get(fingerprint, ""),
+        )
 
     def _has_exited(self, row: EndpointRow) -> bool:
         """Return whether the engine no longer listens at its address.
@@ -257,9 +286,17 @@
     def _is_current(self, row: EndpointRow) -> bool:
         return self._endpoints.get(row.id) is row
 
-    def record_source(self, fingerprint: bytes, source: Source) -> None:
-        """Record the source of a request that has crashed engines."""
-        self._sources[fingerprint] = source
+    def record_sources(self, suspects: Iterable[bytes], source: Source) -> None:
+        """Record the source of a request that is quarantined, by itself or for its prompt.
+
+        Args:
+            suspects: Fingerprints of the request and of its shared prompt parts.
+            source: Where it comes from.
+        """
+        quarantined = self.quarantine.quarantined()
+        for fingerprint in suspects:
+            if fingerprint in quarantined:
+                self._sources[fingerprint] = source
 
     def quarantined(self) -> list[QuarantinedRequest]:
         """Return the quarantined requests, the one with the latest crash first."""
@@ -277,10 +314,26 @@
     def record_completion(self, fingerprint: bytes) -> None:
         """Record that a request completed: it is harmless."""
         if self.quarantine.record_completion(fingerprint):
-            self._send_report(fingerprint)
+            self._send_reports([fingerprint])
+
+    def record_harmless_parts(self, parts: Iterable[bytes], began_at: float) -> None:
+        """Record that an engine responded to a request with some prompt parts.
 
-    def _send_report(self, fingerprint: bytes) -> None:
-        reports = self.quarantine.report(fingerprint)
+        Args:
+            parts: Fingerprints of the parts.
+            began_at: Monotonic time at which the engine began to respond, in seconds.
+        """
+        cleared = [
+            part for part in parts if self.quarantine.record_harmless_part(part, began_at)
+        ]
+        self._send_reports(cleared)
+
+    def _send_reports(self, fingerprints: Iterable[bytes]) -> None:
+        reports = [
+            report
+            for fingerprint in fingerprints
+            for report in self.quarantine.report(fingerprint)
+        ]
         if reports:
             self._send_all(CrashUpdate(reports))
 
@@ -296,4 +349,4 @@
                 log(Event.REQUEST_BARRED, fingerprint=report.fingerprint.hex(), path="")
                 self._refuse(report.fingerprint)
             if self.quarantine.reconfirm_harmless(report.fingerprint):
-                self._send_report(report.fingerprint)
+                self._send_reports([report.fingerprint])
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -17,6 +17,7 @@
 from ..events import Event, log
 from ..metrics import Metrics
 from ..rendezvous import choose
+from ..verdict import Refusal
 from .context import Context
 from .coordinator_selection import CoordinatorSelector
 from .crash_reporter import CrashReporter
@@ -31,13 +32,14 @@
 from .evacuated_halls import EvacuatedHalls
 from .feeds import OUTAGE_FRACTION, Feed, Feeds
 from .gossip import Gossip
+from .jobs import Job
 from .listening import listen
 from .loops import run_forever
 from .notice_tracker import NoticeTracker
 from .peers import PeerTable
 from .pool import ConnectionPool
 from .protocol_adapter import ProtocolAdapter
-from .quarantine import QUARANTINED_REFUSAL, RequestQuarantine
+from .quarantine import RequestQuarantine
 from .readers import CONFIGURATION, ENDPOINTS, EVACUATIONS, ReaderSelector
 from .relayed_notice import NoticeUpdate
 from .retry_budget import RetryBudget
@@ -471,8 +473,15 @@
         return choose(fingerprint.hex(), names) == names[0]
 
     def _refuse_quarantined(self, fingerprint: bytes) -> None:
-        """Refuse at once all waiting copies of a request that was quarantined."""
-        self.ctx.scheduler.refuse(fingerprint, QUARANTINED_REFUSAL)
+        """Refuse at once all waiting requests that have just been quarantined."""
+        quarantine = self.ctx.crashes.quarantine
+
+        def refusal_of(job: Job) -> Refusal | None:
+            if fingerprint in job.suspects and quarantine.is_quarantined(*job.suspects):
+                return quarantine.refusal(*job.suspects)
+            return None
+
+        self.ctx.scheduler.refuse(refusal_of)
 
     def _send_startup_report(self, peer: Address) -> None:
         """Report to an entry that has just started what must not run, and where.
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -23,7 +23,7 @@
 from .notice import InvalidValue
 from .outcomes import DeliveryProgress
 from .pool import MAX_IDLE_WITHOUT_RETRY_S
-from .quarantine import HARMLESS_EVENTS, HARMLESS_RUN_S, QUARANTINED_REFUSAL
+from .quarantine import HARMLESS_EVENTS, HARMLESS_RUN_S
 from .requests import ExecutionStatus, InboundRequest, ResponseHead
 from .response_sink import ResponseSink
 from .routing_config import RetryMode
@@ -80,7 +80,8 @@
         req: The request.
         caller: Where the response goes.
         organisation: Name of the organisation that sent it; empty on a public route.
-        fingerprint: Identifies the request; the same for all attempts of its caller.
+        suspects: Fingerprints of the request, the same for all attempts of its caller, and
+            of the shared parts of its prompt.
         is_probe: Whether it is the half-open probe of a quarantined request, which shows
             if engines crashed for other reasons; a probe is sent once.
         max_idle: Maximum number of idle connections to one endpoint.
@@ -94,7 +95,7 @@
         caller: ResponseSink,
         *,
         organisation: str,
-        fingerprint: bytes,
+        suspects: tuple[bytes, ...],
         is_probe: bool,
         max_idle: int,
     ) -> None:
@@ -104,7 +105,10 @@
         self._req = req
         self._caller = caller
         self._organisation = organisation
-        self._fingerprint = fingerprint
+        self._suspects = suspects
+        self._fingerprint, *parts = suspects
+        self._part_fingerprints = tuple(parts)
+        self._has_proven_parts = False
         self._is_probe = is_probe
         self._deadline = job.deadline
         self._max_idle = max_idle
@@ -116,6 +120,7 @@
         self.placement: Placement | None = None
         self._first_event_at: float | None = None
         self._event_count = 0
+        self._attempt_sent_at = -math.inf
         self.may_have_run = False
         self._origin: StreamOrigin | None = None
 
@@ -160,6 +165,7 @@
             if attempt.outcome is AttemptOutcome.DELIVERED:
                 if not self.progress.is_failure:
                     self._ctx.crashes.record_completion(self._fingerprint)
+                    self._record_harmless_parts()
                 return None
             self._log_attempt(attempt)
             if attempt.outcome is AttemptOutcome.NOT_SENT:
@@ -190,7 +196,7 @@
                 # While it waited, engines crashed that ran copies of it for other entries;
                 # or one crashed during its previous attempt.
                 self._ctx.scheduler.release_slot(job)
-                return QUARANTINED_REFUSAL
+                return self._ctx.crashes.quarantine.refusal(*self._suspects)
             if job.fits(found) and not self._must_know_version():
                 return found
             # While it waited, the endpoint's record has changed, or a second software
@@ -297,8 +303,10 @@
             return Attempt(AttemptOutcome.NOT_SENT, row.id, str(exc))
         keep_alive_s: float | None = 0.0
         sent_at = self._ctx.now()
+        self._attempt_sent_at = sent_at
         self._first_event_at = None
         self._event_count = 0
+        self._has_proven_parts = False
         row.connections.add(conn)
         try:
             head = self._send(conn, row, sent_at)
@@ -380,7 +388,7 @@
     def _is_quarantined(self) -> bool:
         if self._is_probe and not self.attempts:
             return False
-        return self._ctx.crashes.quarantine.is_quarantined(self._fingerprint)
+        return self._ctx.crashes.quarantine.is_quarantined(*self._suspects)
 
     def _report_unanswered(
         self, row: EndpointRow, sent_at: float, *, is_connection_broken: bool
@@ -395,8 +403,7 @@
             is_connection_broken: Whether the connection to the engine broke.
         """
         now = self._ctx.now()
-        ran_s = now - self._first_event_at if self._first_event_at is not None else 0.0
-        if self._event_count >= HARMLESS_EVENTS or ran_s >= HARMLESS_RUN_S:
+        if self._has_run_without_harm(now):
             return
         crashes = self._ctx.crashes
         unanswered = UnansweredRequest(
@@ -407,12 +414,28 @@
             sent_at,
             now,
             parts=self._req.shared_parts,
+            part_fingerprints=self._part_fingerprints,
+            is_probe=self._is_probe,
         )
         if is_connection_broken:
             crashes.record_lost(unanswered)
         else:
             crashes.record_abandoned(unanswered)
 
+    def _has_run_without_harm(self, now: float) -> bool:
+        """Return whether the stream has run for a while without a crash."""
+        ran_s = now - self._first_event_at if self._first_event_at is not None else 0.0
+        return self._event_count >= HARMLESS_EVENTS or ran_s >= HARMLESS_RUN_S
+
+    def _record_harmless_parts(self) -> None:
+        """Record, once in an attempt, that the prompt's parts crash no engine."""
+        if not self._has_proven_parts and self._part_fingerprints:
+            self._has_proven_parts = True
+            began_at = self._attempt_sent_at
+            if self._first_event_at is not None:
+                began_at = self._first_event_at
+            self._ctx.crashes.record_harmless_parts(self._part_fingerprints, began_at)
+
     @property
     def _has_another_attempt(self) -> bool:
         """Whether the request may be sent again if the current attempt fails."""
@@ -523,6 +546,8 @@
                 self._record_origin(row, sent_at)
             pace.count(len(events), now)
             self._event_count += len(events)
+            if self._has_run_without_harm(now):
+                self._record_harmless_parts()
             self._job.record_events(self._job.events + len(events), now)
             self.progress.record(len(events), now)
             self._start_stream(head)
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -95,8 +95,8 @@
         granted_by: IP address of the entry that granted the slot; empty if this entry
             assigned it.
         allowed_halls: Data halls in which it may run; ``None`` for all.
-        fingerprint: The same for each attempt of its request; empty if it is another
-            entry's.
+        suspects: Fingerprints of the request, the same for each of its attempts, and of
+            the shared parts of its prompt; empty if it is another entry's.
         blocked_until: Endpoints at which the requesting entry declines slots, each with the
             time until which it does; empty if the job is this entry's own.
         organisation: Name of the organisation that sent it; empty for none.
@@ -142,7 +142,7 @@
     for_peer: bool = False
     granted_by: str = ""
     allowed_halls: frozenset[str] | None = None
-    fingerprint: bytes = b""
+    suspects: tuple[bytes, ...] = ()
     blocked_until: dict[str, float] = field(default_factory=dict)
     organisation: str = ""
     hall: str = ""
--- a/dockreach/direct/quarantine.py
+++ b/dockreach/direct/quarantine.py
@@ -1,9 +1,10 @@
-"""Quarantine of requests that crash the engines that run them.
+"""Quarantine of requests and prompt parts that crash the engines that run them.
 
-A client may repeat such a request every second, each time under a new id and at another
-entry, and every engine that starts it crashes. Harmless requests are in flight at the same
-engines, and engines also exit for other reasons. All entries share what they observe and
-together decide which requests to quarantine.
+A client may repeat a request every second, each time under a new id and at another entry,
+and every engine that starts it crashes. Or no two requests are alike, but one part of their
+prompts crashes engines. Harmless requests are in flight at the same engines, harmless parts
+stand in the same prompts, and engines also exit for other reasons. All entries share what
+they observe and together decide what to quarantine.
 """
 
 from __future__ import annotations
@@ -16,6 +17,8 @@
 
 from ..verdict import Reason, Refusal, Verdict
 from .crash_history import CrashedRun, CrashHistory, CrashReport, ReportedCrash
+from .fingerprint import is_part
+from .restrictions import Restriction, find_restrictions
 from .round_robin import RoundRobin
 
 MAX_RUNS = 2
@@ -38,6 +41,10 @@
 in seconds: a harmless request that is sent all the time may be in flight at two crashes by
 chance, and would otherwise be refused for good."""
 
+PART_PROBE_DELAY_S = 3.0
+"""The same for a prompt part, in seconds: many callers share one, so that a harmless part
+under suspicion costs more than a harmless request."""
+
 PROBE_BACKOFF_FACTOR = 4.0
 """Factor by which the delay grows after each probe that crashed an engine."""
 
@@ -69,10 +76,20 @@
 arriving it stays quarantined, unless a probe completes. After the engines were replaced by
 a healthy version, it runs again once it has not arrived for ten minutes."""
 
-MAX_HISTORIES = 256
-"""Maximum number of requests with a crash history, some 0.2 MB; the least recently seen
-ones are dropped. Searching them for a digest, at most twenty times a second, takes 0.7 ms
-where each has one crash, and 3.2 and 5.1 ms with two and four (best of five runs)."""
+PART_MAX_PROBES = 2
+"""The same for a prompt part: requests with it come at all entries, and one may already be
+on its way to an engine when it is quarantined."""
+
+MAX_HISTORIES = 512
+"""Maximum number of requests and prompt parts with a crash history, some 0.4 MB; the least
+recently seen ones are dropped."""
+
+MAX_PROVEN_PARTS = 2048
+"""Maximum number of prompt parts that are remembered as harmless, some 0.6 MB."""
+
+PROVEN_TTL_S = 30.0
+"""How long a prompt part is remembered as harmless, in seconds: until reports of crashes
+before that arrive, at the latest when the platform reports the engine's exit."""
 
 MAX_COMPLETED = 1024
 """Maximum number of completed requests that are remembered, some 0.3 MB: 200 a second at
@@ -87,7 +104,12 @@
 or paused is reachable again within this time."""
 
 MAX_REPORTS_PER_DIGEST = 4
-"""Maximum number of requests in one digest, some 90 bytes each. All are sent in turn."""
+"""Maximum number of requests and prompt parts in one digest, some 90 bytes each. All are
+sent in turn."""
+
+MIN_RESTRICTED_PER_DIGEST = 2
+"""Places among them for what is quarantined or serialized: an entry that was cut off must
+not wait for all other suspects to have their turn."""
 
 
 COPY_GAP_S = 2.0
@@ -125,13 +147,24 @@
     """It is quarantined."""
 
 
+def part_refusal(retry_after_s: float) -> Refusal:
+    """Return the refusal of a request with a quarantined prompt part.
+
+    Args:
+        retry_after_s: Time until it may be tried whether the part is harmless, in seconds.
+    """
+    return QUARANTINED_REFUSAL._replace(
+        detail="a part of the prompt crashes engines", retry_after_s=retry_after_s
+    )
+
+
 def _expires_at(_: bytes, history: CrashHistory, now: float) -> float:
     """Return the time at which a crash history is dropped."""
     return min(history.last_seen_at, now) + RETENTION_S
 
 
 class RequestQuarantine:
-    """Decides which requests are quarantined because they crash engines.
+    """Decides which requests and prompt parts are quarantined because they crash engines.
 
     Args:
         clock: Returns the monotonic time, in seconds.
@@ -159,43 +192,104 @@
         self._crashed_at: TTLCache[str, float] = TTLCache(
             MAX_CRASHED_INCARNATIONS, ttl=RETENTION_S, timer=clock
         )
-        self._round_robin = RoundRobin()
+        self._proven: TTLCache[bytes, float] = TTLCache(
+            MAX_PROVEN_PARTS, ttl=PROVEN_TTL_S, timer=clock
+        )
+        self._restricted_turns = RoundRobin()
+        self._changed_turns = RoundRobin()
+        self._restrictions: dict[bytes, Restriction] | None = None
 
     def __len__(self) -> int:
         return len(self._histories)
 
-    def _meets_threshold(self, history: CrashHistory) -> bool:
-        if len(history.crashes) < self._max_runs:
-            return False
-        return history.evidence(self._crashed_at) >= self._max_runs
+    def _restricted(self) -> dict[bytes, Restriction]:
+        """Return what is quarantined or serialized, by fingerprint."""
+        if self._restrictions is None:
+            self._restrictions = find_restrictions(
+                self._histories, self._crashed_at, max_runs=self._max_runs
+            )
+        elif self._restrictions:
+            self._restrictions = {
+                fingerprint: restriction
+                for fingerprint, restriction in self._restrictions.items()
+                if fingerprint in self._histories
+            }
+        return self._restrictions
 
     def quarantined(self) -> dict[bytes, float]:
-        """Return quarantined requests with the monotonic time of the last crash of each."""
+        """Return what is quarantined, with the monotonic time of the last crash of each."""
         return {
-            fingerprint: max(run.crashed_at for run in history.crashes.values())
-            for fingerprint, history in self._histories.items()
-            if self._meets_threshold(history)
+            fingerprint: max(
+                run.crashed_at for run in self._histories[fingerprint].crashes.values()
+            )
+            for fingerprint, restriction in self._restricted().items()
+            if restriction.is_quarantined
         }
 
-    def admit(self, fingerprint: bytes) -> Admission:
-        """Decide on a request that has arrived."""
-        history = self._histories.get(fingerprint)
-        if history is None:
-            return Admission.ALLOWED
+    def _blocking(self, suspects: tuple[bytes, ...]) -> dict[bytes, Restriction]:
+        """Return the restrictions that apply to a request.
+
+        A prompt part that always came together with others when engines crashed only
+        blocks requests with all of them: whether it is harmless, the others show.
+
+        Args:
+            suspects: Fingerprints of the request and of its shared prompt parts.
+        """
+        if not self._histories:
+            return {}
+        restricted = self._restricted()
+        return {
+            fingerprint: restricted[fingerprint]
+            for fingerprint in suspects
+            if fingerprint in restricted
+            and (
+                not is_part(fingerprint)
+                or restricted[fingerprint].tied <= frozenset(suspects)
+            )
+        }
+
+    def admit(self, *suspects: bytes) -> Admission:
+        """Decide on a request that has arrived.
+
+        Args:
+            suspects: Fingerprints of the request and of its shared prompt parts.
+        """
         now = self._clock()
-        history.last_seen_at = now
-        self._histories[fingerprint] = history
-        is_quarantined = self._meets_threshold(history)
-        if not is_quarantined and not history.is_serialized(self._crashed_at):
+        for fingerprint in suspects if self._histories else ():
+            history = self._histories.get(fingerprint)
+            if history is not None:
+                history.last_seen_at = now
+                self._histories[fingerprint] = history
+        blocking = self._blocking(suspects)
+        if not blocking:
             return Admission.ALLOWED
-        due = self._probe_at(history) if is_quarantined else history.probed_at + COPY_GAP_S
-        if now < due or not self._is_probe_owner(fingerprint):
+        is_quarantined = any(item.is_quarantined for item in blocking.values())
+        due = max(self._probe_at(*item) for item in blocking.items())
+        if now < due or not self._is_probe_owner(min(blocking)):
             return Admission.QUARANTINED if is_quarantined else Admission.SERIALIZED
-        history.probed_at = now
+        for fingerprint in blocking:
+            self._histories[fingerprint].probed_at = now
         return Admission.PROBE if is_quarantined else Admission.ALLOWED
 
-    def _probe_at(self, history: CrashHistory) -> float:
-        """Return when a quarantined request may be probed, in seconds."""
+    def refusal(self, *suspects: bytes) -> Refusal:
+        """Return the refusal of a quarantined request, with a time to come back."""
+        blocking = self._blocking(suspects)
+        if not blocking or not all(map(is_part, blocking)):
+            return QUARANTINED_REFUSAL
+        due_s = max(self._probe_at(*item) for item in blocking.items()) - self._clock()
+        return part_refusal(min(max(due_s, COPY_GAP_S), RETENTION_S))
+
+    def _probe_at(self, fingerprint: bytes, restriction: Restriction) -> float:
+        """Return when a restricted request or prompt part may run once, in seconds."""
+        history = self._histories[fingerprint]
+        if not restriction.is_quarantined:
+            return history.probed_at + COPY_GAP_S
+        last = max(history.probed_at, *(run.crashed_at for run in history.crashes.values()))
+        if is_part(fingerprint):
+            return last + _part_probe_delay_s(history)
+        return last + self._probe_delay_s(history)
+
+    def _probe_delay_s(self, history: CrashHistory) -> float:
         if history.late_runs(self._crashed_at) >= MAX_LATE_RUNS:
             return math.inf
         # Counts runs and not evidence: if the request crashes engines at once, each probe
@@ -203,13 +297,15 @@
         if len(history.sequential_runs(self._crashed_at)) >= self._max_runs + MAX_PROBES:
             return math.inf
         failed = math.floor(history.evidence(self._crashed_at) - self._max_runs)
-        last = max(history.probed_at, *(run.crashed_at for run in history.crashes.values()))
-        return last + PROBE_DELAY_S * PROBE_BACKOFF_FACTOR**failed
+        return PROBE_DELAY_S * PROBE_BACKOFF_FACTOR**failed
 
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Return whether a request is quarantined."""
-        history = self._histories.get(fingerprint)
-        return history is not None and self._meets_threshold(history)
+    def is_quarantined(self, *suspects: bytes) -> bool:
+        """Return whether a request is quarantined, by itself or for its prompt.
+
+        Args:
+            suspects: Fingerprints of the request and of its shared prompt parts.
+        """
+        return any(item.is_quarantined for item in self._blocking(suspects).values())
 
     def record_crash(
         self,
@@ -219,28 +315,33 @@
         sent_at: float,
         crashed_at: float,
         is_connection_broken: bool = True,
+        is_probe: bool = False,
     ) -> bool:
         """Record a crash of an engine during a request; return whether to report it.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the request, or of a shared part of its prompt.
             incarnation: Id of the engine's incarnation; each counts once.
             sent_at: Monotonic time at which the request was sent to the engine, in seconds.
             crashed_at: Monotonic time of the crash, in seconds.
             is_connection_broken: Whether the connection broke at that time; otherwise the
                 caller left or the deadline passed, while the engine was running the
                 request.
+            is_probe: Whether the request was a probe.
         """
         if fingerprint in self._completed:
             # This crash is not reported to peers, so it must not change anything here
             # either: all entries have to reach the same decision.
             return False
+        if self._proven.get(fingerprint, -math.inf) > crashed_at:
+            return False
         self._record_crash_time(incarnation, crashed_at)
         run = CrashedRun(
             incarnation,
             sent_at,
             crashed_at,
             is_sudden=is_connection_broken and crashed_at - sent_at < SUDDEN_S,
+            is_probe=is_probe,
         )
         return self._update(
             fingerprint, crashed_at, lambda history: history.add(run, self._crashed_at)
@@ -259,16 +360,41 @@
         history = self._histories.get(fingerprint)
         if history is None or fingerprint not in self._completed:
             return False
-        if not history.clear(history.crashes):
+        return self._record_cleared(history, has_changed=history.clear(history.crashes))
+
+    def record_harmless_part(self, fingerprint: bytes, began_at: float) -> bool:
+        """Record that an engine responded to a request with a prompt part without harm.
+
+        Returns:
+            Whether to report that to peers.
+
+        Args:
+            fingerprint: Fingerprint of the part.
+            began_at: Monotonic time at which the engine began to respond, in seconds. The
+                part may have caused later crashes: an engine may be replaced by a version
+                that the part crashes.
+        """
+        self._proven[fingerprint] = max(began_at, self._proven.get(fingerprint, began_at))
+        return self._clear_proven(fingerprint)
+
+    def _clear_proven(self, fingerprint: bytes) -> bool:
+        """Clear a prompt part of crashes before an engine responded to it here."""
+        history = self._histories.get(fingerprint)
+        if history is None or fingerprint not in self._proven:
             return False
-        history.changed_at = self._clock()
-        return True
+        harmless_at = self._proven[fingerprint]
+        return self._record_cleared(history, has_changed=history.clear_until(harmless_at))
+
+    def _record_cleared(self, history: CrashHistory, *, has_changed: bool) -> bool:
+        if has_changed:
+            history.changed_at = self._clock()
+            self._restrictions = None
+        return has_changed
 
     def merge(self, report: CrashReport) -> bool:
-        """Merge a peer's report; return whether that quarantines the request."""
+        """Merge a peer's report; return whether that quarantines its subject."""
         now = self._clock()
-        previous = self._histories.get(report.fingerprint)
-        was_quarantined = previous is not None and self._meets_threshold(previous)
+        was_quarantined = self._is_quarantined_alone(report.fingerprint)
 
         def change(history: CrashHistory) -> bool:
             changes = [
@@ -281,25 +407,34 @@
         for crash in report.crashes:
             self._record_crash_time(crash.incarnation, now - crash.crash_age_s)
         self._update(report.fingerprint, now - report.last_seen_age_s, change)
-        history = self._histories.get(report.fingerprint)
-        if history is None or report.fingerprint in self._completed:
+        self._clear_proven(report.fingerprint)
+        if report.fingerprint in self._completed:
             return False
-        return self._meets_threshold(history) and not was_quarantined
+        return self._is_quarantined_alone(report.fingerprint) and not was_quarantined
+
+    def _is_quarantined_alone(self, fingerprint: bytes) -> bool:
+        """Return whether a request or prompt part is quarantined, tied to others or not."""
+        restriction = self._restricted().get(fingerprint)
+        return restriction is not None and restriction.is_quarantined
 
     def _record_crash_time(self, incarnation: str, crashed_at: float) -> None:
         """Keep the earliest known time of an engine's crash."""
-        self._crashed_at[incarnation] = min(
-            crashed_at, self._crashed_at.get(incarnation, crashed_at)
-        )
+        known = self._crashed_at.get(incarnation)
+        if known is None or crashed_at < known:
+            self._crashed_at[incarnation] = crashed_at
+            self._restrictions = None
 
     def _update(
         self, fingerprint: bytes, seen_at: float, change: Callable[[CrashHistory], bool]
     ) -> bool:
         now = self._clock()
         history = self._histories.get(fingerprint) or CrashHistory(seen_at, now)
+        crashes = dict(history.crashes)
         is_new = change(history)
         if is_new:
             history.changed_at = now
+        if is_new or crashes != history.crashes:
+            self._restrictions = None
         history.last_seen_at = max(history.last_seen_at, seen_at)
         self._histories[fingerprint] = history
         return is_new
@@ -315,29 +450,25 @@
         Args:
             max_reports: Maximum number of reports.
         """
-        restricted = [
-            item for item in self._histories.items() if self._is_restricted(item[1])
-        ]
-        return [self._to_report(*item) for item in restricted[-max_reports:]]
-
-    def _is_restricted(self, history: CrashHistory) -> bool:
-        """Return whether a request is quarantined or serialized."""
-        return self._meets_threshold(history) or history.is_serialized(self._crashed_at)
+        restricted = list(self._restricted())[-max_reports:]
+        return [self._to_report(item, self._histories[item]) for item in restricted]
 
     def next_reports(self) -> list[CrashReport]:
-        """Return the next reports for a digest: of restricted or changed requests."""
+        """Return the next reports for a digest: of what is restricted or has changed."""
         if not self._histories:
             return []
         now = self._clock()
-        due = [
-            (fingerprint, history)
+        restricted = list(self._restricted())
+        changed = [
+            fingerprint
             for fingerprint, history in self._histories.items()
-            if now - history.changed_at < GOSSIP_S or self._is_restricted(history)
-        ]
-        return [
-            self._to_report(*item)
-            for item in self._round_robin.next_items(due, MAX_REPORTS_PER_DIGEST)
+            if now - history.changed_at < GOSSIP_S and fingerprint not in restricted
         ]
+        places = MAX_REPORTS_PER_DIGEST
+        for_restricted = max(places - len(changed), MIN_RESTRICTED_PER_DIGEST)
+        due = self._restricted_turns.next_items(restricted, for_restricted)
+        due = due + self._changed_turns.next_items(changed, places - len(due))
+        return [self._to_report(item, self._histories[item]) for item in due]
 
     def _to_report(self, fingerprint: bytes, history: CrashHistory) -> CrashReport:
         now = self._clock()
@@ -345,10 +476,26 @@
             fingerprint,
             [
                 ReportedCrash(
-                    run.incarnation, now - run.sent_at, now - run.crashed_at, run.is_sudden
+                    run.incarnation,
+                    now - run.sent_at,
+                    now - run.crashed_at,
+                    run.is_sudden,
+                    run.is_probe,
                 )
                 for run in history.crashes.values()
             ],
             sorted(history.cleared),
             now - history.last_seen_at,
         )
+
+
+def _part_probe_delay_s(history: CrashHistory) -> float:
+    """Return the time until a quarantined prompt part is probed, in seconds.
+
+    Counts the probes that failed and not the crashes: a harmless part that many requests
+    share may be in flight at any number of them.
+    """
+    failed = history.failed_probes
+    if failed >= PART_MAX_PROBES:
+        return math.inf
+    return PART_PROBE_DELAY_S * PROBE_BACKOFF_FACTOR**failed
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -9,12 +9,12 @@
 from ..verdict import Reason, Refusal, Verdict
 from .context import Context
 from .crash_reporter import Source
-from .fingerprint import fingerprint_of
+from .fingerprint import fingerprint_of, part_fingerprints
 from .forwarder import Forwarder
 from .jobs import Job, queue_timeout_s
 from .outcomes import Outcome, classify_response
 from .pool import idle_share
-from .quarantine import QUARANTINED_REFUSAL, SERIALIZED_REFUSAL, Admission
+from .quarantine import SERIALIZED_REFUSAL, Admission
 from .request_plan import RequestPlan
 from .request_summary import RequestSummary
 from .requests import InboundRequest
@@ -96,12 +96,12 @@
         ):
             return Refusal(Verdict.NOT_RUN, Reason.NO_REGION, "no region may run it")
         self._ctx.retry_budget.record_request(plan.service, self._ctx.now())
-        admission = self._ctx.crashes.quarantine.admit(plan.fingerprint)
+        quarantine = self._ctx.crashes.quarantine
+        admission = quarantine.admit(*plan.suspects)
         if admission is Admission.QUARANTINED:
-            self._ctx.crashes.record_source(
-                plan.fingerprint, Source(req.path, plan.organisation_name)
-            )
-            return QUARANTINED_REFUSAL
+            source = Source(req.path, plan.organisation_name)
+            self._ctx.crashes.record_sources(plan.suspects, source)
+            return quarantine.refusal(*plan.suspects)
         if admission is Admission.SERIALIZED:
             return SERIALIZED_REFUSAL
         refusal = self._charge_quota(plan)
@@ -119,14 +119,16 @@
         since_first_attempt_s = self._ctx.first_attempts.first_attempt_age_s(
             route.name, req.deadline_s
         )
+        service = route.service_for(req.rid)
         return RequestPlan(
             route=route,
-            service=route.service_for(self._req.rid),
+            service=service,
             organisation=organisation,
             quota_tokens=self._quota_tokens(organisation),
             deadline=deadline,
             first_attempt_at=req.arrived_at - since_first_attempt_s,
             fingerprint=fingerprint_of(req, organisation.name if organisation else ""),
+            part_fingerprints=part_fingerprints(req, service),
             permitted_regions=_permitted_regions(route, organisation),
             callers_differ=self._ctx.first_attempts.callers_differ(route.name),
         )
@@ -170,7 +172,7 @@
             self._req,
             self._caller,
             organisation=plan.organisation_name,
-            fingerprint=plan.fingerprint,
+            suspects=plan.suspects,
             is_probe=is_probe,
             max_idle=self._max_idle(plan.service),
         )
@@ -203,7 +205,7 @@
             allowed_halls=None
             if plan.permitted_regions is None
             else self._ctx.halls_in(plan.permitted_regions),
-            fingerprint=plan.fingerprint,
+            suspects=plan.suspects,
             retry_key=plan.fingerprint if plan.callers_differ else b"",
             organisation=plan.organisation_name,
             hall=self._ctx.hall,
--- a/dockreach/direct/request_plan.py
+++ b/dockreach/direct/request_plan.py
@@ -19,6 +19,7 @@
         first_attempt_at: Monotonic time of its caller's first attempt, in seconds: an
             estimate at first, then what the entry that decided on the request knows.
         fingerprint: Identifies the request; the same for all attempts of its caller.
+        part_fingerprints: Fingerprints of the shared parts of its prompt, in order.
         permitted_regions: Regions in which it may run; ``None`` for all.
         callers_differ: Whether callers of its route wait for different times.
         counts_from: Monotonic time from which its objective counts, in seconds; ``None``
@@ -35,11 +36,17 @@
     first_attempt_at: float
     fingerprint: bytes
     permitted_regions: frozenset[str] | None = None
+    part_fingerprints: tuple[bytes, ...] = ()
     callers_differ: bool = False
     counts_from: float | None = None
     retry_kind: RetryKind = RetryKind.UNKNOWN
     is_promised: bool = False
 
+    @property
+    def suspects(self) -> tuple[bytes, ...]:
+        """Fingerprints of the request and of the shared parts of its prompt."""
+        return (self.fingerprint, *self.part_fingerprints)
+
     @property
     def objective_from(self) -> float:
         """Monotonic time from which the objective counts, in seconds."""
--- a/dockreach/direct/scheduling.py
+++ b/dockreach/direct/scheduling.py
@@ -100,13 +100,18 @@
         """Remember a refusal that this entry decided without a scheduling round."""
         self._slot_client.remember_refusal(job, retry_after_s, clock.now())
 
-    def refuse(self, fingerprint: bytes, refusal: Refusal) -> None:
-        """Refuse a request if it waits here for a slot.
+    def refuse(self, refusal_of: Callable[[Job], Refusal | None]) -> None:
+        """Refuse some of the requests that wait here for a slot.
 
-        If it has a slot already, its upstream attempt goes on.
+        If one has a slot already, its upstream attempt goes on.
+
+        Args:
+            refusal_of: Returns the refusal of a request; ``None`` if it goes on waiting.
         """
         for job, waiter in list(self._waiters.values()):
-            if job.fingerprint == fingerprint and not waiter.ready():
+            refusal = None if waiter.ready() else refusal_of(job)
+            # A refusal is falsy, so compare with `None` instead of testing its truth.
+            if refusal is not None:
                 self._dispatcher.withdraw(job)
                 self._slot_client.drop(job)
                 waiter.send(refusal)
--- a/tests/direct/test_quarantine.py
+++ b/tests/direct/test_quarantine.py
@@ -460,6 +460,26 @@
     assert not first.is_quarantined(BODY)
 
 
+def test_a_harmless_request_in_flight_at_another_ones_crashes_is_not_quarantined() -> None:
+    """Guards against refusing a harmless request for the crashes of another one.
+
+    In a soak run a harmless body was in flight at five of the engines that a crashing body
+    ended within 4 s, and was refused after all faults had ended.
+    """
+    clock = FakeClock()
+    quarantine = new_quarantine(clock)
+    harmless = b"harmless"
+    for number in range(MAX_CRASHES):
+        clock.advance(0.7)
+        for body in (BODY, harmless) if number else (BODY,):
+            quarantine.record_crash(
+                body, f"life-{number}", sent_at=clock.now - 0.1, crashed_at=clock.now
+            )
+    assert quarantine.is_quarantined(BODY)
+    assert not quarantine.is_quarantined(harmless)
+    assert quarantine.admit(harmless) is Admission.ALLOWED
+
+
 def test_a_request_sent_after_the_crash_did_not_cause_it() -> None:
     """Guards against quarantining harmless requests for crashes before they were sent.
 
