Close some new connections unread while the event loop has no idle time

What callers see without it: while most new connections of a data hall go to one entry, it reads all of them and serves less than half in time. Cause: nothing bounds what an entry reads. Change: an entry whose event loop is busy for over nine tenths of 0.1 s takes a smaller share of the new connections, at least a tenth, and resets the rest unread, so that their callers turn to another entry at once. Not measured: the memory of many open connections; a trial of it hung and was given up.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import errno
-import struct
 from typing import Any
 
 import eventlet
 import h11
-from eventlet.green import socket
 
 from ..errors import CallerGoneError
 from .http1 import (
@@ -17,6 +14,7 @@
     RawHead,
     RawRequest,
     receive,
+    reset,
     set_socket_options,
 )
 from .routing_config import CallerLimits
@@ -223,13 +221,7 @@
 
     def abort(self) -> None:
         """Reset the connection, so that a partial response cannot look complete."""
-        linger = struct.pack("ii", 1, 0)
-        try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        except OSError as exc:
-            if exc.errno != errno.EBADF:
-                raise
-        self.close()
+        reset(self._sock)
 
     def close(self) -> None:
         """Close the connection."""
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -18,6 +18,7 @@
 from ..metrics import Metrics
 from ..rendezvous import choose
 from ..verdict import Refusal
+from .connection_admission import ConnectionAdmission, IdleMeter
 from .context import Context
 from .coordinator_selection import CoordinatorSelector
 from .crash_reporter import CrashReporter
@@ -183,6 +184,8 @@
         )
         self._endpoint_sync = EndpointSync(self.ctx)
         self.callers = CallerServer(self)
+        meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
+        self.admission = ConnectionAdmission(clock.now, meter)
 
     def start(self) -> None:
         """Start listening and exchanging state with the other entries."""
@@ -197,6 +200,7 @@
             self._listen(settings.metrics_address, partial(serve_page, page=pages.metrics))
         self._view_sync.start()
         eventlet.spawn(run_forever, self._run_maintenance)
+        eventlet.spawn(run_forever, self.admission.measure)
         log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_predecessor)
 
     @staticmethod
@@ -208,7 +212,7 @@
         deadline = self.started_at + STARTUP_WAIT_S
         while clock.now() < deadline and not self._is_ready_for_callers:
             eventlet.sleep(STARTUP_POLL_INTERVAL_S)
-        accept_all(listener, self.callers.serve)
+        accept_all(listener, self.callers.serve, self.admission.admit)
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply changed settings; addresses and names stay until a restart."""
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import errno
+import struct
 from typing import Any, NamedTuple
 
 from eventlet.green import socket
@@ -124,6 +126,17 @@
         raise TimeoutError(f"no data for {timeout_s:.1f} s") from exc
 
 
+def reset(sock: Any) -> None:  # noqa: ANN401
+    """Reset a connection, so that the peer takes nothing for complete."""
+    linger = struct.pack("ii", 1, 0)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    except OSError as exc:
+        if exc.errno != errno.EBADF:
+            raise
+    sock.close()
+
+
 def set_socket_options(sock: Any) -> None:  # noqa: ANN401
     """Send small pieces without delay, and detect a peer that has lost power."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -16,7 +16,7 @@
 from ..verdict import Reason, Refusal, Verdict
 from .caller_connection import CallerConnection
 from .context import Context
-from .http1 import BadRequestError, RawHead, RawRequest
+from .http1 import BadRequestError, RawHead, RawRequest, reset
 from .request_handler import RequestHandler
 from .routing_config import CallerLimits, ConfigRevision
 
@@ -46,8 +46,18 @@
     ctx: Context
 
 
-def accept_all(listener: socket.socket, serve: Callable[[Any], None]) -> None:
-    """Accept connections forever; serve each in a greenlet of its own."""
+def accept_all(
+    listener: socket.socket,
+    serve: Callable[[Any], None],
+    admit: Callable[[], bool] = lambda: True,
+) -> None:
+    """Accept connections forever; serve each in a greenlet of its own.
+
+    Args:
+        listener: The listening socket.
+        serve: Serves one connection.
+        admit: Returns whether to serve the next connection, or to reset it unread.
+    """
     green_listener = GreenSocket(listener)
     while True:
         try:
@@ -56,7 +66,10 @@
             log(Event.ACCEPT_FAILED, str(exc))
             eventlet.sleep(ACCEPT_RETRY_DELAY_S)
             continue
-        eventlet.spawn_n(serve, sock)
+        if admit():
+            eventlet.spawn_n(serve, sock)
+        else:
+            reset(sock)
 
 
 class CallerServer:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,10 @@
 import pytest
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+SOAK_FILE = "test_soak.py"
+PARALLEL_SOAKS = 4
+"""Soaks that run at the same time: each has four busy processes."""
+
 MAX_KNOWN_RED = 3
 """Maximum number of tests that may be listed at once."""
 
@@ -39,8 +43,14 @@
     return known
 
 
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Mark the listed tests as expected failures."""
+    """Start the soaks first, and mark the listed tests as expected failures."""
+    items.sort(key=lambda item: item.path.name != SOAK_FILE)
+    for number, item in enumerate(items):
+        if item.path.name == SOAK_FILE:
+            group = f"soak-{number % PARALLEL_SOAKS}"
+            item.add_marker(pytest.mark.xdist_group(group))
     known = {red.test: red for red in _read_known_red()}
     for item in items:
         red = known.get(item.nodeid) or known.get(item.nodeid.partition("[")[0])
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -145,6 +145,11 @@
         self._listener.close()
 
 
+def respond_fine(dialog: Dialog) -> None:
+    """Respond to a request at once."""
+    dialog.respond(b"fine")
+
+
 def listen_locally() -> Any:  # noqa: ANN401
     """Return a listening socket on a free port."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
