--- a/tests/direct/test_connection_admission.py
+++ b/tests/direct/test_connection_admission.py
@@ -78,8 +78,8 @@
 def test_an_entry_resets_connections_that_it_does_not_take() -> None:
     entry = start_entry(EndpointStandIn(respond_fine))
     entry.admission.share = 0.0
-    caller = Caller(entry)
     with pytest.raises(ConnectionResetError):
+        caller = Caller(entry)
         caller.send("/once/a")
         caller.read_response()
     assert entry.ctx.counters.requests == 0
