Take a new connection each half second, however busy the event loop is

An entry whose open connections alone keep it busy could close every new connection for seconds, at a share of a tenth: of seven tries in 3 s, all with a chance of 0.48. A load balancer or its callers would take it for broken. Found by reading the decision, not in a run. The test has a connection taken each 0.5 s at the least.

--- a/dockreach/direct/connection_admission.py
+++ b/dockreach/direct/connection_admission.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -27,8 +28,11 @@
 """Increase of that share after each other tick."""
 
 MIN_SHARE = 0.1
-"""Smallest share of new connections that are taken: the load balancer takes an entry that
-takes none for broken."""
+"""Smallest share of new connections that are taken."""
+
+MAX_PAUSE_S = 0.5
+"""Longest time without a connection that is taken while callers try, in seconds: an entry
+that takes none seems broken."""
 
 
 class IdleMeter:
@@ -88,6 +92,7 @@
         self.share = 1.0
         self.busy = 0.0
         self.closed = 0
+        self._admitted_at = -math.inf
 
     def measure(self) -> None:
         """Measure how busy the event loop is for one tick, and adjust the share."""
@@ -108,7 +113,10 @@
 
     def admit(self) -> bool:
         """Return whether to take a new connection; otherwise it is to be closed unread."""
-        if self.share >= 1.0 or self._rng.random() < self.share:
+        now = self._clock()
+        has_paused = now - self._admitted_at >= MAX_PAUSE_S
+        if has_paused or self.share >= 1.0 or self._rng.random() < self.share:
+            self._admitted_at = now
             return True
         self.closed += 1
         return False
--- a/tests/direct/test_connection_admission.py
+++ b/tests/direct/test_connection_admission.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import random
+from itertools import pairwise
 
+import eventlet
 import pytest
 
 from dockreach.direct.connection_admission import (
     MAX_BUSY,
+    MAX_PAUSE_S,
     MIN_SHARE,
     ConnectionAdmission,
     IdleMeter,
@@ -66,6 +69,20 @@
     assert 0.05 < share_admitted(admission) < 0.15
 
 
+def test_a_busy_entry_takes_a_connection_each_half_second() -> None:
+    hub = FakeHub()
+    admission = ConnectionAdmission(hub.clock, IdleMeter(hub, hub.clock))
+    admission.share = 0.0
+    taken = []
+    for _ in range(50):
+        hub.now += 0.1
+        if admission.admit():
+            taken.append(hub.now)
+    gaps = [after - before for before, after in pairwise(taken)]
+    assert len(taken) >= 9
+    assert max(gaps) <= MAX_PAUSE_S + 0.11
+
+
 def test_all_are_taken_again_some_seconds_after_the_load_has_gone() -> None:
     admission = new_admission(FakeHub())
     for _ in range(100):
@@ -77,6 +94,8 @@
 
 def test_an_entry_resets_connections_that_it_does_not_take() -> None:
     entry = start_entry(EndpointStandIn(respond_fine))
+    Caller(entry).close()
+    eventlet.sleep(0.05)
     entry.admission.share = 0.0
     with pytest.raises(ConnectionResetError):
         caller = Caller(entry)
