Look for the crashes of the test's own engines in the shared log

Trace: it is an entry of an earlier test in the same process that reports its last crash late; all fleets named their engines alike, and the log is the process's. Engines are now numbered over the process, and the test compares the crashes of its own engines, all of them and in order, as before.

--- a/tests/direct/crashing_engines.py
+++ b/tests/direct/crashing_engines.py
@@ -31,6 +31,10 @@
 """Time within which entries on one machine receive each other's messages, in seconds."""
 
 
+_lives = itertools.count()
+"""Numbers of engines, unique in a process: entries of earlier tests still log theirs."""
+
+
 def queue_at_full_engine(serve: Callable[[Dialog], None]) -> tuple[Entry, list[Caller]]:
     """Start an entry with one engine, and callers of which the last waits for a slot.
 
@@ -68,7 +72,6 @@
     def __init__(self, *, entries: int, engines: int) -> None:
         self.crashed: list[str] = []
         self.entries: list[Entry] = []
-        self._numbers = itertools.count()
         self._rids = itertools.count()
         for _ in range(entries):
             self.add_entry()
@@ -84,7 +87,7 @@
         return entry
 
     def _start_engine(self) -> None:
-        name = f"life-{next(self._numbers)}"
+        name = f"life-{next(_lives)}"
         engine: EndpointStandIn
 
         def run(dialog: Dialog) -> None:
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -161,8 +161,10 @@
     for _ in range(2):
         fleet.request(fleet.entries[0], CRASHING_BODY)
         eventlet.sleep(GOSSIP_S)
-    crashed = [vars(row) for row in caplog.records if row.message == "request crashed"]
-    assert [row["endpoint"] for row in crashed] == ["life-0", "life-1"]
+    rows = [vars(row) for row in caplog.records if row.message == "request crashed"]
+    crashed = [row for row in rows if row["endpoint"] in fleet.crashed]
+    assert len(fleet.crashed) == 2
+    assert [row["endpoint"] for row in crashed] == fleet.crashed
     assert {(row["path"], row["organisation"]) for row in crashed} == {
         ("/once/a", "assessors")
     }
