Keep the crashes of probes when a crash history is full

Found by reading the change, reproduced by a test: a prompt part that had crashed six engines or more, one after the other, before it was quarantined was probed every 3 s without end, 200 times in 600 s in place of 2; each probe crashes an engine. Cause: probes are bounded by counting those that failed, and the latest crash, which is the probe's, was the one that a full history of six dropped. Change: crashes of probes are dropped after all others. A comment is worded anew besides.

--- a/dockreach/direct/connection_admission.py
+++ b/dockreach/direct/connection_admission.py
@@ -16,7 +16,7 @@
 import eventlet
 
 TICK_S = 0.1
-"""Interval at which the idle time of the event loop is measured, in seconds."""
+"""Interval between readings of the event loop's idle time, in seconds."""
 
 MAX_BUSY = 0.9
 """Busy part of the time from which the entry takes fewer connections."""
--- a/dockreach/direct/crash_history.py
+++ b/dockreach/direct/crash_history.py
@@ -165,12 +165,14 @@
     def _evict_one(self, crashed_at: Mapping[str, float]) -> None:
         """Drop a cleared crash, else the latest one that is not among the sequential runs.
 
-        Otherwise six engines that crash at once would hide all later crashes.
+        Probes are kept, since they are counted to bound them. Otherwise six engines that
+        crash at once would hide all later crashes.
         """
         counted = self.sequential_runs(crashed_at)
 
-        def priority(run: CrashedRun) -> tuple[bool, bool, float]:
-            return run.incarnation not in self.cleared, run in counted, -run.crashed_at
+        def priority(run: CrashedRun) -> tuple[bool, bool, bool, float]:
+            is_suspected = run.incarnation not in self.cleared
+            return is_suspected, run.is_probe, run in counted, -run.crashed_at
 
         incarnation = min(self.crashes.values(), key=priority).incarnation
         del self.crashes[incarnation]
--- a/tests/direct/test_quarantine.py
+++ b/tests/direct/test_quarantine.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from dockreach.direct.crash_history import MAX_CRASHES, SERIALIZE_AFTER, CrashReport
+from dockreach.direct.fingerprint import PART_MARK
 from dockreach.direct.quarantine import (
     COPY_GAP_S,
     GOSSIP_S,
@@ -18,6 +19,7 @@
     MAX_PROBES,
     MAX_REPORTS_PER_DIGEST,
     MAX_RUNS,
+    PART_MAX_PROBES,
     PROBE_BACKOFF_FACTOR,
     PROBE_DELAY_S,
     RETENTION_S,
@@ -27,6 +29,7 @@
 )
 
 BODY = b"request1"
+PART = PART_MARK + b"partpart"
 
 MAY_RUN = (Admission.ALLOWED, Admission.PROBE)
 
@@ -460,6 +463,27 @@
     assert not first.is_quarantined(BODY)
 
 
+@pytest.mark.parametrize("crashes", [MAX_RUNS, MAX_CRASHES, 2 * MAX_CRASHES])
+def test_probes_of_a_part_are_bounded_however_many_engines_it_crashed(crashes: int) -> None:
+    """Guards against probes without end, once as many crashes are kept as there is room."""
+    clock = FakeClock()
+    quarantine = new_quarantine(clock, is_probe_owner=True)
+    record_crashes(quarantine, clock, crashes, PART)
+    probes = 0
+    for _ in range(600):
+        clock.advance(1.0)
+        if quarantine.admit(PART) is Admission.PROBE:
+            probes += 1
+            quarantine.record_crash(
+                PART,
+                f"probe-{probes}",
+                sent_at=clock.now,
+                crashed_at=clock.now + 0.1,
+                is_probe=True,
+            )
+    assert probes == PART_MAX_PROBES
+
+
 def test_a_harmless_request_in_flight_at_another_ones_crashes_is_not_quarantined() -> None:
     """Guards against refusing a harmless request for the crashes of another one.
 
