Review: show that one spoilt answer makes an entry stand still

Cause: EventSplitter keeps bytes without an event's end and searches all of them at each read, and the relaying loop doesn't give way to the event loop while there is data.

--- /dev/null
+++ b/review/standins.py
@@ -0,0 +1,423 @@
+"""Small stand-ins for the review cases: the platform's store, workers, and HTTP parts.
+
+They follow the users' pages; where a page is silent, they behave like a sound store, worker
+or requester. They use the standard library only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+HISTORY_S = 20.0
+"""How long the store keeps its history of changes, in seconds."""
+
+Headers = dict[str, str]
+
+
+@dataclass(slots=True)
+class Request:
+    """A request as a stand-in has read it."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, Headers] | None:
+    """Read a start line and headers; ``None`` if the peer closed the connection."""
+    try:
+        text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    line, *rest = text[:-4].split("\r\n")
+    headers = {}
+    for item in rest:
+        name, _, value = item.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    return line, headers
+
+
+async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Read a request whose body, if any, has a length."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    method, target, _ = head[0].split(" ", 2)
+    length = int(head[1].get("content-length", "0"))
+    try:
+        body = await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return Request(method, target, head[1], body)
+
+
+def response(status: str, body: bytes = b"", **headers: str) -> bytes:
+    """Return a whole response with its length; header names are written with ``_``."""
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Store:
+    """The platform's store: pages, and watches that wait for changes.
+
+    Attributes:
+        address: IP address and port on which it listens.
+        cut_watches: Number of waiting watches that were cut.
+    """
+
+    def __init__(self, ip: str) -> None:
+        self._ip = ip
+        self.address = ""
+        self.cut_watches = 0
+        self._revision = 1
+        self._items: dict[str, dict[str, Any]] = {}
+        self._changes: list[tuple[float, dict[str, Any]]] = []
+        self._changed = asyncio.Event()
+        self._watching: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Start to listen on a free port."""
+        server = await asyncio.start_server(self._serve, self._ip, 0)
+        self.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+    def put(self, key: str, value: dict[str, Any]) -> float:
+        """Write an item; return the monotonic time of the acknowledgement."""
+        self._revision += 1
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        created = self._items.get(key, {}).get("created_rev", self._revision)
+        item = {
+            "tls_key": key,
+            "value": text,
+            "revision": self._revision,
+            "created_rev": created,
+            "lease": 0,
+        }
+        self._items[key] = item
+        return self._record(item)
+
+    def delete(self, key: str) -> float:
+        """Delete an item; return the monotonic time of the acknowledgement."""
+        self._revision += 1
+        del self._items[key]
+        return self._record({"tls_key": key, "revision": self._revision, "deleted": True})
+
+    def _record(self, change: dict[str, Any]) -> float:
+        now = time.monotonic()
+        self._changes.append((now, change))
+        while self._changes[0][0] < now - HISTORY_S:
+            del self._changes[0]
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        return now
+
+    def cut_waiting_watches(self) -> None:
+        """Close the connections of the watches that wait now."""
+        for writer in list(self._watching):
+            self.cut_watches += 1
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while (req := await read_request(reader)) is not None:
+                parts = urlsplit(req.target)
+                query = {key: item[0] for key, item in parse_qs(parts.query).items()}
+                if parts.path == "/api/kv-range":
+                    answer = self._page(query)
+                elif parts.path == "/api/kv-watch":
+                    self._watching.add(writer)
+                    try:
+                        answer = await self._watch(query)
+                    finally:
+                        self._watching.discard(writer)
+                else:
+                    answer = response("404 Not Found")
+                if writer.is_closing():
+                    break
+                writer.write(answer)
+                await writer.drain()
+        writer.close()
+
+    def _page(self, query: dict[str, str]) -> bytes:
+        prefix, start = query.get("path_prefix", ""), query.get("since_revision", "")
+        keys = sorted(key for key in self._items if key.startswith(prefix) and key > start)
+        body = {
+            "items": [self._items[key] for key in keys[:500]],
+            "has_more": len(keys) > 500,
+            "store_revision": self._revision,
+        }
+        return response("200 OK", json.dumps(body).encode())
+
+    async def _watch(self, query: dict[str, str]) -> bytes:
+        since = int(query["since_revision"])
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        while not (events := self._events(query["path_prefix"], since)):
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                break
+            changed = self._changed
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), left_s)
+        body = {"events": events, "store_revision": self._revision}
+        return response("200 OK", json.dumps(body).encode())
+
+    def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        return [
+            change
+            for _, change in self._changes
+            if change["revision"] > since and change["tls_key"].startswith(prefix)
+        ]
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request that arrived at a worker and was addressed to it.
+
+    Attributes:
+        at: Monotonic time of its arrival, in seconds.
+        is_done: Whether the worker has sent its whole answer.
+    """
+
+    rid: str
+    at: float
+    is_done: bool = False
+
+
+@dataclass(slots=True)
+class Plan:
+    """How a worker answers.
+
+    Attributes:
+        work_s: Time that a request takes, in seconds.
+        events: Events of a stream; 0 for a plain answer.
+        slots: Requests that it works on at a time.
+    """
+
+    work_s: float
+    events: int = 0
+    slots: int = 5
+
+
+class Worker:
+    """One lifetime of a worker.
+
+    Attributes:
+        id: Its id, new with each start.
+        arrivals: Requests that it ran.
+        spoil: Sends a spoilt answer to the next request, if set; it is used once.
+    """
+
+    def __init__(self, store: Store, ip: str, name: str, service: str, zone: str) -> None:
+        self._store = store
+        self._ip = ip
+        self.id = name
+        self.service = service
+        self.zone = zone
+        self.plan = Plan(0.045)
+        self.address = ""
+        self.arrivals: list[Arrival] = []
+        self.spoil: Callable[[Request, asyncio.StreamWriter], Any] | None = None
+        self._sequence = 0
+        self._places = asyncio.Semaphore(1)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._beat: asyncio.Task[None] | None = None
+
+    async def start(self, heartbeat_s: float = 1.2) -> None:
+        """Start to listen on a free port, and to write the record in the store."""
+        self._places = asyncio.Semaphore(self.plan.slots)
+        self._server = await asyncio.start_server(self._serve, self._ip, 0, limit=1 << 20)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+        self._beat = asyncio.create_task(self._write_records(heartbeat_s))
+
+    async def _write_records(self, heartbeat_s: float) -> None:
+        while True:
+            self._sequence += 1
+            record = {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.plan.slots,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "sequence": self._sequence,
+            }
+            self._store.put(f"servers/{self.id}", record)
+            await asyncio.sleep(heartbeat_s)
+
+    def leave(self) -> float:
+        """Withdraw the record without saying ``draining``; return the store's ack time."""
+        if self._beat is not None:
+            self._beat.cancel()
+        return self._store.delete(f"servers/{self.id}")
+
+    def end(self) -> None:
+        """End: stop to listen, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError):
+                while (req := await read_request(reader)) is not None:
+                    await self._answer(req, writer)
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, req: Request, writer: asyncio.StreamWriter) -> None:
+        rid = req.headers.get("request-id", "")
+        if req.target == "/health":
+            writer.write(response("200 OK", Instance_Id=self.id))
+            return
+        if req.headers.get("expected-instance", self.id) != self.id:
+            writer.write(response("421 Misdirected Request", Request_Id=rid))
+            return
+        arrival = Arrival(rid, time.monotonic())
+        self.arrivals.append(arrival)
+        async with self._places:
+            spoil, self.spoil = self.spoil, None
+            if spoil is not None:
+                await spoil(req, writer)
+                return
+            if self.plan.events:
+                await self._stream(rid, writer)
+            else:
+                await asyncio.sleep(self.plan.work_s)
+                body = f"answer to {rid}".encode()
+                writer.write(response("200 OK", body, Request_Id=rid, Response_Seal="s"))
+            await writer.drain()
+        arrival.is_done = True
+
+    async def _stream(self, rid: str, writer: asyncio.StreamWriter) -> None:
+        writer.write(stream_head(rid))
+        for number in range(1, self.plan.events + 1):
+            await asyncio.sleep(self.plan.work_s)
+            writer.write(chunk(f"id: {number}\ndata: {rid}\n\n".encode()))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+def stream_head(rid: str) -> bytes:
+    """Return the head of a stream whose body comes in chunks."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+        f"Request-Id: {rid}",
+        "Response-Seal: s",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a requester saw of one request.
+
+    Attributes:
+        status: Status of the answer; 0 if there was none.
+        is_whole: Whether the answer was complete.
+        sent_at: Monotonic time at which it was sent, in seconds.
+        ended_at: Monotonic time of the end of the answer, or of the requester's own end.
+        entry: Name of the entry that it was sent to.
+        error: How the connection ended; empty if there was an answer.
+    """
+
+    rid: str
+    route: str
+    entry: str
+    sent_at: float
+    status: int = 0
+    is_whole: bool = False
+    ended_at: float = 0.0
+    error: str = ""
+    body: bytes = field(default=b"", repr=False)
+
+
+class Requester:
+    """Sends requests to one entry over a kept connection, one after another."""
+
+    def __init__(self, entry: str, address: tuple[str, int]) -> None:
+        self._entry = entry
+        self._address = address
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def ask(
+        self, route: str, rid: str, *, wait_s: float, deadline_ms: int, **headers: str
+    ) -> Answer:
+        """Send one request; wait at most ``wait_s`` seconds for its whole answer."""
+        answer = Answer(rid, route, self._entry, time.monotonic())
+        lines = [
+            f"POST /{route}/x HTTP/1.1",
+            "Host: desk.example",
+            f"Request-Id: {rid}",
+            f"Request-Deadline-Ms: {deadline_ms}",
+            "Content-Length: 0",
+        ]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        try:
+            async with asyncio.timeout(wait_s):
+                reader, writer = await self._connect()
+                answer.sent_at = time.monotonic()
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+                await self._read(reader, answer)
+        except TimeoutError:
+            answer.error = "no answer in time"
+        except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
+            answer.error = f"{type(exc).__name__}"
+        answer.ended_at = time.monotonic()
+        if not answer.is_whole:
+            self.close()
+        return answer
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(*self._address, limit=1 << 20)
+        return self._streams
+
+    async def _read(self, reader: asyncio.StreamReader, answer: Answer) -> None:
+        head = await read_head(reader)
+        if head is None:
+            raise ConnectionResetError
+        answer.status = int(head[0].split(" ")[1])
+        headers = head[1]
+        if "content-length" in headers:
+            answer.body = await reader.readexactly(int(headers["content-length"]))
+        else:
+            await self._read_chunks(reader, answer)
+        answer.is_whole = True
+        if headers.get("connection", "").lower() == "close":
+            self.close()
+
+    async def _read_chunks(self, reader: asyncio.StreamReader, answer: Answer) -> None:
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            answer.body += (await reader.readexactly(size + 2))[:size]
+        await reader.readexactly(2)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
