Review: add the cases of stale configurations and of gone workers

Cause: a watch's answer over 8 MiB counts as a failure and is asked for again until the history ends; and entries take workers that have left back from a peer that only keeps them as lapsed.

--- a/review/entries.py
+++ b/review/entries.py
@@ -129,13 +129,25 @@
     raise OSError("no loopback addresses are free")
 
 
-def make_entries(net: str, store: str, count: int) -> list[Entry]:
-    """Return entries of a small deployment, which are not started yet."""
+def make_entries(
+    net: str,
+    stores: list[str],
+    zones: tuple[str, ...] = ZONES,
+    bounds: dict[str, Any] | None = None,
+) -> list[Entry]:
+    """Return entries of a small deployment, which are not started yet.
+
+    Args:
+        net: First three bytes of their addresses.
+        stores: The store's address for each entry.
+        zones: Their zones, in turn.
+        bounds: Bounds that differ from those of catastra-valnorte.
+    """
     folder = Path(tempfile.mkdtemp(prefix="review-"))
-    ips = [f"{net}.{11 + number}" for number in range(count)]
+    ips = [f"{net}.{11 + number}" for number in range(len(stores))]
     entries = []
     for number, ip in enumerate(ips):
-        zone = ZONES[number % len(ZONES)]
+        zone = zones[number % len(zones)]
         fields = {
             "node_name": f"front-{zone}-{number + 1}",
             "role": "entry",
@@ -167,9 +179,9 @@
             "heartbeat_ms": 1200,
             "policies": ["base", "drain", "config", "stream", "platform"],
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
-            "bounds": BOUNDS,
+            "bounds": {**BOUNDS, **(bounds or {})},
             "platform": {
-                "address": store,
+                "address": stores[number],
                 "form": "read",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
--- a/review/standins.py
+++ b/review/standins.py
@@ -19,6 +19,13 @@
 HISTORY_S = 20.0
 """How long the store keeps its history of changes, in seconds."""
 
+ANSWER_S = 0.004
+BYTES_PER_S = 125_000_000
+"""Time that the store takes for an answer, in seconds, and the speed of its link, which all
+machines share: 4 ms and 1,000 Mbit/s, as the sheets have it."""
+
+PIECE_BYTES = 65536
+
 Headers = dict[str, str]
 
 
@@ -80,6 +87,8 @@
         self.address = ""
         self.cut_watches = 0
         self._revision = 1
+        self._forgotten = 0
+        self._link_free_at = 0.0
         self._items: dict[str, dict[str, Any]] = {}
         self._changes: list[tuple[float, dict[str, Any]]] = []
         self._changed = asyncio.Event()
@@ -114,8 +123,6 @@
     def _record(self, change: dict[str, Any]) -> float:
         now = time.monotonic()
         self._changes.append((now, change))
-        while self._changes[0][0] < now - HISTORY_S:
-            del self._changes[0]
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         return now
@@ -145,10 +152,20 @@
                     answer = response("404 Not Found")
                 if writer.is_closing():
                     break
-                writer.write(answer)
-                await writer.drain()
+                await asyncio.sleep(ANSWER_S)
+                await self._send(writer, answer)
         writer.close()
 
+    async def _send(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Send an answer piece by piece, at the speed of the link."""
+        for start in range(0, len(answer), PIECE_BYTES):
+            piece = answer[start : start + PIECE_BYTES]
+            free_at = max(self._link_free_at, time.monotonic())
+            self._link_free_at = free_at + len(piece) / BYTES_PER_S
+            await asyncio.sleep(max(free_at - time.monotonic(), 0.0))
+            writer.write(piece)
+            await writer.drain()
+
     def _page(self, query: dict[str, str]) -> bytes:
         prefix, start = query.get("path_prefix", ""), query.get("since_revision", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > start)
@@ -162,6 +179,9 @@
     async def _watch(self, query: dict[str, str]) -> bytes:
         since = int(query["since_revision"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
+        self._forget()
+        if since < self._forgotten:
+            return response("410 Gone")
         while not (events := self._events(query["path_prefix"], since)):
             left_s = until - time.monotonic()
             if left_s <= 0:
@@ -172,6 +192,11 @@
         body = {"events": events, "store_revision": self._revision}
         return response("200 OK", json.dumps(body).encode())
 
+    def _forget(self) -> None:
+        """Drop the changes that are older than the history."""
+        while self._changes and self._changes[0][0] < time.monotonic() - HISTORY_S:
+            self._forgotten = self._changes.pop(0)[1]["revision"]
+
     def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
         return [
             change
@@ -180,6 +205,66 @@
         ]
 
 
+class StorePath:
+    """One machine's path to the store, which can be cut; a cut resets connections.
+
+    Attributes:
+        address: IP address and port that stand for the store on this machine.
+        calls: Number of pieces of data that the machine sent to the store.
+    """
+
+    def __init__(self, ip: str, store: str) -> None:
+        self._ip = ip
+        self._store = store
+        self._is_cut = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+        self.calls = 0
+
+    async def start(self) -> None:
+        """Start to listen on a free port."""
+        server = await asyncio.start_server(self._serve, self._ip, 0)
+        self.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+    def cut(self) -> None:
+        """Reset the open connections, and each new one until the cut heals."""
+        self._is_cut = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Let new connections pass again."""
+        self._is_cut = False
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        ip, _, port = self._store.rpartition(":")
+        from_store, to_store = await asyncio.open_connection(ip, int(port))
+        pair = {writer, to_store}
+        self._writers |= pair
+        try:
+            await asyncio.gather(
+                self._copy(reader, to_store, is_call=True),
+                self._copy(from_store, writer, is_call=False),
+            )
+        finally:
+            self._writers -= pair
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, is_call: bool
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                self.calls += is_call
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
 @dataclass(slots=True)
 class Arrival:
     """A request that arrived at a worker and was addressed to it.
@@ -229,38 +314,45 @@
         self.arrivals: list[Arrival] = []
         self.spoil: Callable[[Request, asyncio.StreamWriter], Any] | None = None
         self._sequence = 0
+        self._state = "ready"
         self._places = asyncio.Semaphore(1)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self._beat: asyncio.Task[None] | None = None
 
-    async def start(self, heartbeat_s: float = 1.2) -> None:
-        """Start to listen on a free port, and to write the record in the store."""
+    async def start(self) -> None:
+        """Start to listen on a free port, and write the record in the store.
+
+        The record changes when more than ``sequence`` does, so that heartbeats, which keep
+        it from lapsing, show nothing; this store lets no record lapse.
+        """
         self._places = asyncio.Semaphore(self.plan.slots)
         self._server = await asyncio.start_server(self._serve, self._ip, 0, limit=1 << 20)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
-        self._beat = asyncio.create_task(self._write_records(heartbeat_s))
+        self._write_record()
 
-    async def _write_records(self, heartbeat_s: float) -> None:
-        while True:
-            self._sequence += 1
-            record = {
+    def _write_record(self) -> None:
+        self._sequence += 1
+        self._store.put(
+            f"servers/{self.id}",
+            {
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
                 "version": "v1",
                 "slots": self.plan.slots,
-                "state": "ready",
+                "state": self._state,
                 "cold_remaining_ms": 0,
                 "sequence": self._sequence,
-            }
-            self._store.put(f"servers/{self.id}", record)
-            await asyncio.sleep(heartbeat_s)
+            },
+        )
+
+    def say_draining(self) -> None:
+        """Write that it takes no new requests."""
+        self._state = "draining"
+        self._write_record()
 
     def leave(self) -> float:
         """Withdraw the record without saying ``draining``; return the store's ack time."""
-        if self._beat is not None:
-            self._beat.cancel()
         return self._store.delete(f"servers/{self.id}")
 
     def end(self) -> None:
