--- a/review/standins.py
+++ b/review/standins.py
@@ -74,6 +74,16 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+@dataclass(slots=True)
+class _Change:
+    """One change, as the store sends it."""
+
+    key: str
+    revision: int
+    text: bytes
+    at: float = field(default_factory=time.monotonic)
+
+
 class Store:
     """The platform's store: pages, and watches that wait for changes.
 
@@ -89,8 +99,9 @@
         self._revision = 1
         self._forgotten = 0
         self._link_free_at = 0.0
-        self._items: dict[str, dict[str, Any]] = {}
-        self._changes: list[tuple[float, dict[str, Any]]] = []
+        self._items: dict[str, bytes] = {}
+        self._created: dict[str, int] = {}
+        self._changes: list[_Change] = []
         self._changed = asyncio.Event()
         self._watching: set[asyncio.StreamWriter] = set()
 
@@ -99,30 +110,36 @@
         server = await asyncio.start_server(self._serve, self._ip, 0)
         self.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
 
-    def put(self, key: str, value: dict[str, Any]) -> float:
-        """Write an item; return the monotonic time of the acknowledgement."""
+    def put(self, key: str, value: dict[str, Any] | bytes) -> float:
+        """Write an item; return the monotonic time of the acknowledgement.
+
+        Args:
+            key: Its key.
+            value: Its value, or its value as `encode` returns it.
+        """
         self._revision += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
-        created = self._items.get(key, {}).get("created_rev", self._revision)
-        item = {
+        text = value if isinstance(value, bytes) else encode(value)
+        created = self._created.setdefault(key, self._revision)
+        fields = {
             "tls_key": key,
-            "value": text,
             "revision": self._revision,
             "created_rev": created,
             "lease": 0,
         }
+        item = json.dumps(fields).encode()[:-1] + b', "value": "' + text + b'"}'
         self._items[key] = item
-        return self._record(item)
+        return self._record(_Change(key, self._revision, item))
 
     def delete(self, key: str) -> float:
         """Delete an item; return the monotonic time of the acknowledgement."""
         self._revision += 1
         del self._items[key]
-        return self._record({"tls_key": key, "revision": self._revision, "deleted": True})
+        fields = {"tls_key": key, "revision": self._revision, "deleted": True}
+        return self._record(_Change(key, self._revision, json.dumps(fields).encode()))
 
-    def _record(self, change: dict[str, Any]) -> float:
-        now = time.monotonic()
-        self._changes.append((now, change))
+    def _record(self, change: _Change) -> float:
+        now = change.at
+        self._changes.append(change)
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         return now
@@ -169,12 +186,9 @@
     def _page(self, query: dict[str, str]) -> bytes:
         prefix, start = query.get("path_prefix", ""), query.get("since_revision", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > start)
-        body = {
-            "items": [self._items[key] for key in keys[:500]],
-            "has_more": len(keys) > 500,
-            "store_revision": self._revision,
-        }
-        return response("200 OK", json.dumps(body).encode())
+        items = b", ".join(self._items[key] for key in keys[:500])
+        more = {"has_more": len(keys) > 500, "store_revision": self._revision}
+        return response("200 OK", b'{"items": [' + items + b"], " + _open_end(more))
 
     async def _watch(self, query: dict[str, str]) -> bytes:
         since = int(query["since_revision"])
@@ -189,22 +203,33 @@
             changed = self._changed
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), left_s)
-        body = {"events": events, "store_revision": self._revision}
-        return response("200 OK", json.dumps(body).encode())
+        more = {"store_revision": self._revision}
+        found = b", ".join(events)
+        return response("200 OK", b'{"events": [' + found + b"], " + _open_end(more))
 
     def _forget(self) -> None:
         """Drop the changes that are older than the history."""
-        while self._changes and self._changes[0][0] < time.monotonic() - HISTORY_S:
-            self._forgotten = self._changes.pop(0)[1]["revision"]
+        while self._changes and self._changes[0].at < time.monotonic() - HISTORY_S:
+            self._forgotten = self._changes.pop(0).revision
 
-    def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+    def _events(self, prefix: str, since: int) -> list[bytes]:
         return [
-            change
-            for _, change in self._changes
-            if change["revision"] > since and change["tls_key"].startswith(prefix)
+            change.text
+            for change in self._changes
+            if change.revision > since and change.key.startswith(prefix)
         ]
 
 
+def encode(value: dict[str, Any]) -> bytes:
+    """Return a value as the store sends it: JSON in base64."""
+    return base64.b64encode(json.dumps(value).encode())
+
+
+def _open_end(fields: dict[str, Any]) -> bytes:
+    """Return fields in JSON without the opening brace."""
+    return json.dumps(fields).encode()[1:]
+
+
 class StorePath:
     """One machine's path to the store, which can be cut; a cut resets connections.
 
