--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,10 @@
 ENTRIES = 7
 """Entries in one zone; the zones of the site have seven to nine."""
 
-WORKERS = 6
+SERVICES = ("registro-a", "registro-b", "registro-c", "registro-d")
+WORKERS = 4
+"""Workers of each service."""
+
 DRAIN_S = 3.0
 LINGER_S = 1.5
 """How much longer a leaving worker serves on after that: "a little longer"."""
@@ -39,11 +42,8 @@
 """In each round: when one entry's path to the store is cut, for how long, and when a worker
 leaves, in seconds."""
 
-JOINS_AT_S = (6.0, 7.3)
-"""When new workers join in each round, in seconds."""
-
-DRAIN_AT_S = 10.0
-"""When an older worker says that it drains, so that there are not more and more."""
+JOINS_AT_S = (3.8, 6.0, 7.3, 7.3)
+"""When a new worker of each service joins in each round, in seconds."""
 
 
 class Case:
@@ -55,7 +55,7 @@
         self.paths: list[StorePath] = []
         self.entries: list[Entry] = []
         self.workers: list[Worker] = []
-        self.running: list[Worker] = []
+        self.running: dict[str, list[Worker]] = {name: [] for name in SERVICES}
         self.left_at: dict[str, float] = {}
         self.cut: list[tuple[str, float, float]] = []
         self.answers: list[Answer] = []
@@ -65,12 +65,13 @@
     async def start(self) -> None:
         """Start the store, the workers and the entries."""
         await self.store.start()
-        lookup = route(
-            "lookup", "registro", "unsafe", timeout_ms=2000, target_latency_ms=200
-        )
-        self.store.put("op/config", operator_config([lookup], ["registro"]))
-        for _ in range(WORKERS):
-            await self._start_worker()
+        routes = [
+            route(name, name, "unsafe", timeout_ms=2000, target_latency_ms=200)
+            for name in SERVICES
+        ]
+        self.store.put("op/config", operator_config(routes, list(SERVICES)))
+        for name in SERVICES * WORKERS:
+            await self._start_worker(name)
         for number in range(ENTRIES):
             path = StorePath(f"{self.net}.{50 + number}", self.store.address)
             await path.start()
@@ -82,30 +83,29 @@
             entry.start()
         await asyncio.sleep(WARM_UP_S)
 
-    async def _start_worker(self) -> None:
+    async def _start_worker(self, service: str) -> None:
         number = len(self.workers)
         worker = Worker(
-            self.store, f"{self.net}.{100 + number}", f"i-{number}", "registro", "bilbao-a"
+            self.store, f"{self.net}.{100 + number}", f"i-{number}", service, "bilbao-a"
         )
         worker.plan = Plan(0.045, slots=6)
-        await worker.start()
         self.workers.append(worker)
-        self.running.append(worker)
+        await worker.start()
+        self.running[service].append(worker)
 
     async def run(self) -> None:
         """Send the traffic; cut one entry off and let a worker leave, several times."""
         self.started_at = now()
         tasks = [
-            asyncio.create_task(self._call(entry, number))
+            asyncio.create_task(self._call(entry, name))
             for entry in self.entries
-            for number in range(3)
+            for name in SERVICES
         ]
         for _ in range(ROUNDS):
             await asyncio.gather(
                 self._cut_reader(),
-                self._leave(),
-                *(self._join(at) for at in JOINS_AT_S),
-                self._drain_oldest(),
+                *(self._leave(name) for name in SERVICES),
+                *map(self._join, SERVICES, JOINS_AT_S),
                 asyncio.sleep(ROUND_S),
             )
         for task in tasks:
@@ -130,10 +130,10 @@
             f" calls of each entry in {CUT_AT_S} s before: {calls}"
         )
 
-    async def _leave(self) -> None:
-        """Let the oldest worker withdraw its record, serve on, and end."""
+    async def _leave(self, service: str) -> None:
+        """Let a service's oldest worker withdraw its record, serve on, and end."""
         await asyncio.sleep(LEAVE_AT_S)
-        worker = self.running.pop(0)
+        worker = self.running[service].pop(0)
         left_at = worker.leave()
         self.left_at[worker.id] = left_at
         self.notes.append(f"{self._at(left_at)} {worker.id} left")
@@ -141,25 +141,17 @@
         worker.end()
         self.notes.append(f"{self._at(now())} {worker.id} ended")
 
-    async def _join(self, at: float) -> None:
+    async def _join(self, service: str, at: float) -> None:
         await asyncio.sleep(at)
-        await self._start_worker()
-
-    async def _drain_oldest(self) -> None:
-        await asyncio.sleep(DRAIN_AT_S)
-        worker = self.running.pop(0)
-        worker.say_draining()
-        await asyncio.sleep(DRAIN_S + 0.5)
-        worker.leave()
-        worker.end()
+        await self._start_worker(service)
 
-    async def _call(self, entry: Entry, number: int) -> None:
+    async def _call(self, entry: Entry, service: str) -> None:
         requester = Requester(entry.name, entry.front)
         count = 0
         while True:
             count += 1
-            rid = f"{entry.name}-{number}-{count}"
-            answer = await requester.ask("lookup", rid, wait_s=3.0, deadline_ms=3000)
+            rid = f"{entry.name}/{service}/{count}"
+            answer = await requester.ask(service, rid, wait_s=3.0, deadline_ms=3000)
             self.answers.append(answer)
             await asyncio.sleep(0.03)
 
@@ -184,7 +176,7 @@
             if left_at is None:
                 continue
             for run in worker.arrivals:
-                entry = entry_of.get(run.rid, run.rid.rsplit("-", 2)[0])
+                entry = entry_of.get(run.rid, run.rid.partition("/")[0])
                 if run.at <= left_at + DRAIN_S or not self._was_in_touch(entry, run.at):
                     continue
                 late += 1
@@ -198,7 +190,9 @@
             f"{len(self.answers)} requests, {answered} answered; {late} reached a worker"
             f" more than {DRAIN_S} s after it was gone"
         )
-        has_run = answered > 0.9 * len(self.answers) > 0 and len(self.left_at) == ROUNDS
+        has_run = answered > 0.9 * len(self.answers) > 0 and len(
+            self.left_at
+        ) == ROUNDS * len(SERVICES)
         result = 1 if late else 0 if has_run else 2
         self._write(result)
         return result
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,7 +11,7 @@
 import contextlib
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -319,13 +319,16 @@
     slots: int = 5
 
 
+Spoil = Callable[[Request, asyncio.StreamWriter], Awaitable[None] | None]
+
+
 class Worker:
     """One lifetime of a worker.
 
     Attributes:
         id: Its id, new with each start.
         arrivals: Requests that it ran.
-        spoil: Sends a spoilt answer to the next request, if set; it is used once.
+        spoil: If set, is asked at each request for a spoilt answer, which may be ``None``.
     """
 
     def __init__(self, store: Store, ip: str, name: str, service: str, zone: str) -> None:
@@ -337,7 +340,7 @@
         self.plan = Plan(0.045)
         self.address = ""
         self.arrivals: list[Arrival] = []
-        self.spoil: Callable[[Request, asyncio.StreamWriter], Any] | None = None
+        self.spoil: Spoil | None = None
         self._sequence = 0
         self._state = "ready"
         self._places = asyncio.Semaphore(1)
@@ -410,9 +413,9 @@
         arrival = Arrival(rid, time.monotonic())
         self.arrivals.append(arrival)
         async with self._places:
-            spoil, self.spoil = self.spoil, None
-            if spoil is not None:
-                await spoil(req, writer)
+            spoilt = self.spoil(req, writer) if self.spoil is not None else None
+            if spoilt is not None:
+                await spoilt
                 return
             if self.plan.events:
                 await self._stream(rid, writer)
