--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,10 +22,12 @@
     "max_skew_ms": 6000,
     "recover_s": 15,
 }
-"""The bounds of catastra-valnorte-grown that differ from catastra-valnorte's."""
+"""The bounds of fld-orders-grown that differ from those of catastra-valnorte."""
 
-ENTRIES = 7
-"""Entries in one zone; the zones of the site have seven to nine."""
+ENTRIES = 6
+"""Entries in one zone; the site's largest zone has six."""
+
+ZONE, REGION = "bcw-a", "bc-west"
 
 SERVICES = ("registro-a", "registro-b", "registro-c", "registro-d")
 WORKERS = 4
@@ -77,7 +79,7 @@
             await path.start()
             self.paths.append(path)
         self.entries = make_entries(
-            self.net, [path.address for path in self.paths], ("bilbao-a",), BOUNDS
+            self.net, [path.address for path in self.paths], (ZONE,), REGION, BOUNDS
         )
         for entry in self.entries:
             entry.start()
@@ -86,7 +88,7 @@
     async def _start_worker(self, service: str) -> None:
         number = len(self.workers)
         worker = Worker(
-            self.store, f"{self.net}.{100 + number}", f"i-{number}", service, "bilbao-a"
+            self.store, f"{self.net}.{100 + number}", f"i-{number}", service, ZONE
         )
         worker.plan = Plan(0.045, slots=6)
         self.workers.append(worker)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # nothing has to be fetched: this compiles them, and shows that the interpreter takes them.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m py_compile ./*.py ./[0-9]*/*.py
+python3 -m py_compile ./*.py ./[0-9]*/*.py trials/*.py
--- a/review/entries.py
+++ b/review/entries.py
@@ -133,6 +133,7 @@
     net: str,
     stores: list[str],
     zones: tuple[str, ...] = ZONES,
+    region: str = "norte",
     bounds: dict[str, Any] | None = None,
 ) -> list[Entry]:
     """Return entries of a small deployment, which are not started yet.
@@ -141,6 +142,7 @@
         net: First three bytes of their addresses.
         stores: The store's address for each entry.
         zones: Their zones, in turn.
+        region: The region of these zones.
         bounds: Bounds that differ from those of catastra-valnorte.
     """
     folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -155,8 +157,8 @@
             "serves": ["front", "control"],
             "ip": ip,
             "zone": zone,
-            "region": "norte",
-            "zones": dict.fromkeys(ZONES, "norte"),
+            "region": region,
+            "zones": dict.fromkeys(zones, region),
             "listen_addrs": {
                 "front": f"{ip}:{FRONT}",
                 "ready": f"{ip}:{READY}",
--- a/review/standins.py
+++ b/review/standins.py
@@ -356,9 +356,10 @@
         self._places = asyncio.Semaphore(self.plan.slots)
         self._server = await asyncio.start_server(self._serve, self._ip, 0, limit=1 << 20)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
-        self._write_record()
+        self.write_record()
 
-    def _write_record(self) -> None:
+    def write_record(self) -> None:
+        """Write the record in the store."""
         self._sequence += 1
         self._store.put(
             f"servers/{self.id}",
@@ -377,7 +378,7 @@
     def say_draining(self) -> None:
         """Write that it takes no new requests."""
         self._state = "draining"
-        self._write_record()
+        self.write_record()
 
     def leave(self) -> float:
         """Withdraw the record without saying ``draining``; return the store's ack time."""
