--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,6 +33,9 @@
 WORKERS = 4
 """Workers of each service."""
 
+CALLERS = 2
+"""Requesters of each service at each entry."""
+
 DRAIN_S = 3.0
 LINGER_S = 1.5
 """How much longer a leaving worker serves on after that: "a little longer"."""
@@ -99,9 +102,10 @@
         """Send the traffic; cut one entry off and let a worker leave, several times."""
         self.started_at = now()
         tasks = [
-            asyncio.create_task(self._call(entry, name))
+            asyncio.create_task(self._call(entry, name, number))
             for entry in self.entries
             for name in SERVICES
+            for number in range(CALLERS)
         ]
         for _ in range(ROUNDS):
             await asyncio.gather(
@@ -147,12 +151,12 @@
         await asyncio.sleep(at)
         await self._start_worker(service)
 
-    async def _call(self, entry: Entry, service: str) -> None:
+    async def _call(self, entry: Entry, service: str, number: int) -> None:
         requester = Requester(entry.name, entry.front)
         count = 0
         while True:
             count += 1
-            rid = f"{entry.name}/{service}/{count}"
+            rid = f"{entry.name}/{service}/{number}/{count}"
             answer = await requester.ask(service, rid, wait_s=3.0, deadline_ms=3000)
             self.answers.append(answer)
             await asyncio.sleep(0.03)
