Log who told of an endpoint, and when a lapsed one is kept

Three hypotheses could not be told apart: a view that is older than its revision says, an endpoint that only the entry without the platform keeps and hands on as lapsed, and a list of the store itself.

Change: `endpoint_published` and `endpoint_gone` name their `source`, and the new event 541 `endpoint_lapsed` tells for how long an endpoint is kept, and on whose word.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -26,7 +26,7 @@
 from .digest import Address, CrashUpdate, Digest
 from .dispatching import Dispatcher
 from .endpoint_selection import EndpointSelector, SelectionPolicy
-from .endpoint_sync import EndpointSync
+from .endpoint_sync import STORE_SOURCE, EndpointSync
 from .endpoints import EndpointTable, Published
 from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
@@ -272,15 +272,18 @@
             self.gossip.send_soon()
         self.ctx.scheduler.run_round()
 
-    def remove_endpoint(self, endpoint: str, *, after_outage: bool = False) -> None:
+    def remove_endpoint(
+        self, endpoint: str, *, after_outage: bool = False, source: str = STORE_SOURCE
+    ) -> None:
         """Remove an endpoint that the platform no longer lists.
 
         Args:
             endpoint: Its id.
             after_outage: Whether its registration may only have lapsed during a platform
                 outage; it is then kept for a grace period.
+            source: The peer whose view says so, or `STORE_SOURCE`.
         """
-        self._endpoint_sync.remove(endpoint, after_outage=after_outage)
+        self._endpoint_sync.remove(endpoint, after_outage=after_outage, source=source)
 
     def replace_endpoints(
         self,
@@ -288,6 +291,7 @@
         endpoints_revision: int,
         *,
         after_outage: bool = False,
+        source: str = STORE_SOURCE,
     ) -> None:
         """Replace the list of endpoints.
 
@@ -295,8 +299,9 @@
             published: All endpoints that the platform lists.
             endpoints_revision: The platform's revision of the list.
             after_outage: Whether records of running endpoints may be missing.
+            source: The peer whose view holds the list, or `STORE_SOURCE`.
         """
-        self._endpoint_sync.apply_all(published, after_outage=after_outage)
+        self._endpoint_sync.apply_all(published, after_outage=after_outage, source=source)
         self.record_endpoints_revision(endpoints_revision)
 
     def _known_revisions(self) -> KnownRevisions:
@@ -341,9 +346,9 @@
             self.apply_evacuations(frozenset(view.evacuated), view.orders_revision)
         if view.endpoints_revision > self._endpoints_revision and view.endpoints:
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
-            self.replace_endpoints(view.endpoints, view.endpoints_revision)
+            self.replace_endpoints(view.endpoints, view.endpoints_revision, source=peer)
             for endpoint in view.lapsed:
-                self.remove_endpoint(endpoint, after_outage=True)
+                self.remove_endpoint(endpoint, after_outage=True, source=peer)
 
     def record_endpoints_revision(self, endpoints_revision: int) -> None:
         """Record the platform's revision up to which endpoints were read."""
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -53,6 +53,7 @@
     ENDPOINT_RESTS = 538
     ENDPOINT_REST_ENDED = 539
     NOTICE_REFUSED = 540
+    ENDPOINT_LAPSED = 541
     OPERATOR_QUERY = 600
     OPERATOR_CANCEL = 601
     REQUEST_ANSWERED = 700
@@ -89,6 +90,7 @@
     Event.ENDPOINT_LIMITED: logging.WARNING,
     Event.ENDPOINT_RESTS: logging.WARNING,
     Event.NOTICE_REFUSED: logging.WARNING,
+    Event.ENDPOINT_LAPSED: logging.WARNING,
     Event.REQUEST_LOST: logging.WARNING,
     Event.REQUEST_CUT: logging.WARNING,
     Event.REQUEST_CRASHED: logging.WARNING,
