Do not take back gone endpoints from the view of an entry that was cut off

What callers saw: requests that must not run twice were lost (502) when a worker that had left ended.

Cause: an entry that missed some calls to the store keeps endpoints whose records are gone as lapsed, for 2.2 s, and lists them in its view. An entry that takes that view listed each of them as if the platform did, though it had removed it a moment before, and only then marked it as lapsed, from that moment on for another 2.2 s. It handed that on in turn. So the endpoints came back at entries in touch, and the grace period began anew at each hop.

Change: lapsed endpoints of a view are applied apart from listed ones. They are not added where their removal is known, and the view tells how long ago each lapsed, so that its grace period ends everywhere at the same time. Only a record that the platform lists again brings an endpoint back, at once and whatever its revision is. Views of the previous version hold no such times and give one grace period from their arrival; it is never renewed.

Ruled out: a store that lists gone workers (each late request follows a view of a peer, none a call to the store), and grants of a coordinator (an entry declines a slot at an endpoint that it does not list).

--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from .. import clock
 from ..events import Event, log
 from .context import Context
 from .endpoints import EndpointRow, Published, PublishResult
+from .lapses import LAPSE_GRACE_S
 
 STORE_SOURCE = "store"
 """Source, in log events, of what this entry read from the platform itself."""
@@ -17,11 +20,6 @@
 GRACE_PERIOD_SOURCE = "grace period"
 """Source, in log events, of the removal of an endpoint whose grace period has ended."""
 
-LAPSE_GRACE_S = 2.2
-"""How long endpoints whose registration expired during a platform outage are kept, in
-seconds. According to the platform, endpoints that still run are listed again about two
-seconds after it has recovered."""
-
 
 class EndpointSync:
     """Applies the platform's endpoint list to the table of endpoints.
@@ -63,28 +61,26 @@
         self._ctx.scheduler.run_round()
 
     def remove(
-        self, endpoint: str, *, after_outage: bool = False, source: str = STORE_SOURCE
+        self,
+        endpoint: str,
+        *,
+        lapsed_at: float | None = None,
+        source: str = STORE_SOURCE,
     ) -> None:
         """Remove an endpoint that the platform no longer lists.
 
         Args:
             endpoint: Its id.
-            after_outage: Whether its registration may only have expired during a platform
-                outage; it is then kept for a grace period.
+            lapsed_at: Monotonic time at which the platform, after an outage, responded
+                without its record, in seconds: it may only have expired, so the endpoint
+                is kept for a grace period from then on. ``None`` if it has left.
             source: The peer whose view says so, `STORE_SOURCE` or `GRACE_PERIOD_SOURCE`.
         """
         row = self._ctx.endpoints.get(endpoint)
         if row is None:
             return
-        if after_outage and not row.is_leaving:
-            if row.lapsed_until is None:
-                row.lapsed_until = clock.now() + LAPSE_GRACE_S
-                log(
-                    Event.ENDPOINT_LAPSED,
-                    endpoint=endpoint,
-                    grace_s=LAPSE_GRACE_S,
-                    source=source,
-                )
+        if lapsed_at is not None and not row.is_leaving:
+            self._mark_lapsed(row, lapsed_at, source)
             return
         if self._ctx.endpoints.remove(endpoint):
             self._ctx.pool.close_idle(row.published.address)
@@ -96,18 +92,33 @@
             )
             self._ctx.crashes.handle_incarnation_end(row)
 
+    @staticmethod
+    def _mark_lapsed(row: EndpointRow, lapsed_at: float, source: str) -> None:
+        """Keep an endpoint for a grace period; one that has begun is never extended."""
+        if row.lapsed_at is not None:
+            row.lapsed_at = min(row.lapsed_at, lapsed_at)
+            return
+        row.lapsed_at = lapsed_at
+        log(
+            Event.ENDPOINT_LAPSED,
+            endpoint=row.id,
+            grace_s=round(lapsed_at + LAPSE_GRACE_S - clock.now(), 3),
+            source=source,
+        )
+
     def apply_all(
         self,
         published: list[Published],
         *,
-        after_outage: bool = False,
+        lapsed_at: float | None = None,
         source: str = STORE_SOURCE,
     ) -> None:
         """Replace the list of endpoints.
 
         Args:
             published: All endpoints that the platform lists.
-            after_outage: Whether running endpoints may be missing from the list.
+            lapsed_at: Monotonic time at which the platform, after an outage, responded with
+                the list, in seconds; ``None`` if no running endpoint can be missing.
             source: The peer whose view holds the list, or `STORE_SOURCE`.
         """
         listed = {item.id for item in published}
@@ -115,7 +126,43 @@
             self.apply(item, source=source)
         for row in self._ctx.endpoints:
             if row.id not in listed:
-                self.remove(row.id, after_outage=after_outage, source=source)
+                self.remove(row.id, lapsed_at=lapsed_at, source=source)
+
+    def apply_relayed(
+        self, published: list[Published], lapsed_at: Mapping[str, float], *, source: str
+    ) -> None:
+        """Replace the list of endpoints with the one in a peer's view.
+
+        The platform does not list lapsed endpoints: the peer only keeps them. So they are
+        not added where their removal is known already, whatever the peer believes.
+
+        Args:
+            published: All endpoints in the view.
+            lapsed_at: The lapsed ones among them: by id, the monotonic time from which
+                their grace period counts, in seconds.
+            source: The peer.
+        """
+        named = {item.id for item in published}
+        for item in published:
+            if item.id not in lapsed_at or self._is_unknown(item, lapsed_at[item.id]):
+                self.apply(item, source=source)
+        for row in self._ctx.endpoints:
+            if row.id not in named:
+                self.remove(row.id, source=source)
+            elif row.id in lapsed_at:
+                self.remove(row.id, lapsed_at=lapsed_at[row.id], source=source)
+
+    def _is_unknown(self, lapsed: Published, lapsed_at: float) -> bool:
+        """Return whether a lapsed endpoint is neither listed nor removed here.
+
+        One whose grace period is over counts as removed.
+        """
+        table = self._ctx.endpoints
+        return (
+            table.get(lapsed.id) is None
+            and not table.has_ended(lapsed)
+            and clock.now() < lapsed_at + LAPSE_GRACE_S
+        )
 
     def expire_lapsed(self, now: float) -> None:
         """Remove lapsed endpoints that were not listed again within the grace period."""
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -13,6 +13,7 @@
 from .advertised_state import AdvertisedState
 from .endpoint_load import EndpointLoad, usual_duration_s
 from .engine_speed import EWMA_WEIGHT, EngineSpeed
+from .lapses import LAPSE_GRACE_S
 from .requests import ReportedLoad
 from .slot_messages import LoadReport, Sample, SampleKind
 from .software_versions import SoftwareVersions
@@ -134,8 +135,8 @@
         consecutive_failures: Failures in a row.
         has_probe: Whether a half-open probe is in flight: a request that shows whether the
             endpoint works again.
-        lapsed_until: Monotonic time until which it is kept after its registration expired
-            during a platform outage, in seconds; ``None`` while it is listed.
+        lapsed_at: Monotonic time at which the platform, after an outage, responded without
+            a record of it, in seconds; ``None`` while it is listed.
         prefixes: Parts of prompts that are likely to be in its cache, and the monotonic
             time at which each was prefilled, in seconds.
         unsent_samples: Measurements of this entry that were not yet sent to a coordinator.
@@ -160,7 +161,7 @@
     circuit_open_until: float = 0.0
     consecutive_failures: int = 0
     has_probe: bool = False
-    lapsed_until: float | None = None
+    lapsed_at: float | None = None
     prefixes: dict[str, float] = field(default_factory=dict)
     unsent_samples: list[Sample] = field(default_factory=list)
     warm_up: WarmUpState = field(default_factory=WarmUpState)
@@ -176,6 +177,11 @@
         """The endpoint's id."""
         return self.published.id
 
+    @property
+    def lapsed_until(self) -> float | None:
+        """Until when it is kept without a record, in monotonic seconds, if it has none."""
+        return None if self.lapsed_at is None else self.lapsed_at + LAPSE_GRACE_S
+
     @property
     def incarnation(self) -> str:
         """Identifies this incarnation among all with the same endpoint id."""
@@ -428,8 +434,8 @@
                 self._advertising[row.id] = row
             self._add(row)
             return PublishResult.NEW
-        if row.lapsed_until is not None:
-            row.lapsed_until = None
+        if row.lapsed_at is not None:
+            row.lapsed_at = None
             row.warm_up.assumed_cold_since = now
         if published != row.published:
             row.warm_up.reported_cold_until = now + published.cold_s
@@ -442,6 +448,11 @@
         """Return the row of an endpoint, or its last row if it was removed."""
         return self._rows.get(endpoint) or self._ended.get(endpoint)
 
+    def has_ended(self, published: Published) -> bool:
+        """Return whether an endpoint, or a later incarnation of it, was removed."""
+        ended = self._ended.get(published.id)
+        return ended is not None and published.born <= ended.published.born
+
     def _new_incarnation(
         self, old: EndpointRow, published: Published, now: float
     ) -> EndpointRow:
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -26,7 +26,7 @@
 from .digest import Address, CrashUpdate, Digest
 from .dispatching import Dispatcher
 from .endpoint_selection import EndpointSelector, SelectionPolicy
-from .endpoint_sync import STORE_SOURCE, EndpointSync
+from .endpoint_sync import EndpointSync
 from .endpoints import EndpointTable, Published
 from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
@@ -135,7 +135,7 @@
         )
         self._readers = ReaderSelector(self.peers, settings.hall)
         self._view_sync = ViewSync(
-            self.peers, settings.hall, self._known_revisions, self._apply_view
+            self.peers, settings.hall, self._known_revisions, self.apply_view
         )
         scheduler = Scheduler(
             self.dispatcher,
@@ -272,18 +272,16 @@
             self.gossip.send_soon()
         self.ctx.scheduler.run_round()
 
-    def remove_endpoint(
-        self, endpoint: str, *, after_outage: bool = False, source: str = STORE_SOURCE
-    ) -> None:
+    def remove_endpoint(self, endpoint: str, *, after_outage: bool = False) -> None:
         """Remove an endpoint that the platform no longer lists.
 
         Args:
             endpoint: Its id.
             after_outage: Whether its registration may only have lapsed during a platform
                 outage; it is then kept for a grace period.
-            source: The peer whose view says so, or `STORE_SOURCE`.
         """
-        self._endpoint_sync.remove(endpoint, after_outage=after_outage, source=source)
+        lapsed_at = clock.now() if after_outage else None
+        self._endpoint_sync.remove(endpoint, lapsed_at=lapsed_at)
 
     def replace_endpoints(
         self,
@@ -291,7 +289,6 @@
         endpoints_revision: int,
         *,
         after_outage: bool = False,
-        source: str = STORE_SOURCE,
     ) -> None:
         """Replace the list of endpoints.
 
@@ -299,9 +296,9 @@
             published: All endpoints that the platform lists.
             endpoints_revision: The platform's revision of the list.
             after_outage: Whether records of running endpoints may be missing.
-            source: The peer whose view holds the list, or `STORE_SOURCE`.
         """
-        self._endpoint_sync.apply_all(published, after_outage=after_outage, source=source)
+        lapsed_at = clock.now() if after_outage else None
+        self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
         self.record_endpoints_revision(endpoints_revision)
 
     def _known_revisions(self) -> KnownRevisions:
@@ -323,20 +320,31 @@
         text = self.revision.text if self.revision else b""
         published = [row.published for row in self.endpoints]
         number = self.revision.number if self.revision else 0
-        lapsed = [row.id for row in self.endpoints if row.lapsed_until is not None]
+        now = clock.now()
+        lapsed = {
+            row.id: now - row.lapsed_at
+            for row in self.endpoints
+            if row.lapsed_at is not None
+        }
         evacuated = sorted(self.endpoints.evacuated)
         return View(
             number,
             text,
             self._endpoints_revision,
             published,
-            lapsed,
+            list(lapsed),
             evacuated,
             self.evacuated.revision,
+            list(lapsed.values()),
         )
 
-    def _apply_view(self, view: View, peer: str) -> None:
-        """Apply those parts of a peer's view that are newer than this entry's state."""
+    def apply_view(self, view: View, peer: str) -> None:
+        """Apply those parts of a peer's view that are newer than this entry's state.
+
+        Args:
+            view: The view.
+            peer: Name of the peer.
+        """
         if view.revision > self._known_revisions().revision:
             try:
                 self.apply_revision(self._adapter.read_revision(view.text), peer)
@@ -346,9 +354,9 @@
             self.apply_evacuations(frozenset(view.evacuated), view.orders_revision)
         if view.endpoints_revision > self._endpoints_revision and view.endpoints:
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
-            self.replace_endpoints(view.endpoints, view.endpoints_revision, source=peer)
-            for endpoint in view.lapsed:
-                self.remove_endpoint(endpoint, after_outage=True, source=peer)
+            lapsed_at = view.lapsed_at(clock.now())
+            self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
+            self.record_endpoints_revision(view.endpoints_revision)
 
     def record_endpoints_revision(self, endpoints_revision: int) -> None:
         """Record the platform's revision up to which endpoints were read."""
--- a/dockreach/direct/view.py
+++ b/dockreach/direct/view.py
@@ -26,6 +26,8 @@
         evacuated: Evacuated data halls: their endpoints are sent no requests.
         orders_revision: The platform's revision up to which operator commands, and so
             `evacuated`, were read; 0 if none were.
+        lapsed_ages_s: For each endpoint in `lapsed`, the time since the platform responded
+            without its record, in seconds, from which its grace period counts.
     """
 
     revision: int
@@ -35,6 +37,21 @@
     lapsed: list[str] = []
     evacuated: list[str] = []
     orders_revision: int = 0
+    lapsed_ages_s: list[float] = []
+
+    def lapsed_at(self, now: float) -> dict[str, float]:
+        """Return the monotonic time from which each grace period counts, in seconds.
+
+        A peer of an earlier version does not tell it: then it counts from now.
+
+        Args:
+            now: Monotonic time at which the view was received, in seconds.
+        """
+        # The lists need not be of equal length.
+        ages_s = dict(zip(self.lapsed, self.lapsed_ages_s, strict=False))
+        return {
+            endpoint: now - max(0.0, ages_s.get(endpoint, 0.0)) for endpoint in self.lapsed
+        }
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/tests/direct/test_endpoint_sync.py
@@ -0,0 +1,157 @@
+"""Endpoints whose records disappear: who keeps them, for how long, and on whose word."""
+
+from __future__ import annotations
+
+import eventlet
+import msgspec
+import pytest
+
+from dockreach import clock
+from dockreach.direct import view as views
+from dockreach.direct.endpoints import Published
+from dockreach.direct.entry import Entry
+from dockreach.direct.lapses import LAPSE_GRACE_S
+from dockreach.direct.view import View
+from dockreach_platform.headers import PlatformAdapter
+
+from .standins import entry_settings, published
+
+
+def record(number: int) -> Published:
+    return published(f"e-{number}", f"127.0.0.1:{9 + number}")
+
+
+def entry_with(*records: Published, endpoints_revision: int = 5) -> Entry:
+    """Return an entry that has read these records from the platform."""
+    entry = Entry(entry_settings(), PlatformAdapter())
+    entry.replace_endpoints(list(records), endpoints_revision)
+    return entry
+
+
+def lose(entry: Entry, endpoint: str, revision: int, *, after_outage: bool = False) -> None:
+    """Let an entry read that an endpoint's record is gone."""
+    entry.remove_endpoint(endpoint, after_outage=after_outage)
+    entry.record_endpoints_revision(revision)
+
+
+def add(entry: Entry, added: Published, revision: int) -> None:
+    """Let an entry read a new record."""
+    entry.apply_endpoint(added)
+    entry.record_endpoints_revision(revision)
+
+
+def relayed(entry: Entry) -> View:
+    """Return an entry's view as a peer receives it."""
+    return views.decode(views.encode(entry.view()))
+
+
+def grace_left_s(entry: Entry, endpoint: str) -> float | None:
+    """Return for how long an entry keeps a lapsed endpoint, in seconds."""
+    row = entry.endpoints.get(endpoint)
+    if row is None or row.lapsed_until is None:
+        return None
+    return row.lapsed_until - clock.now()
+
+
+def ids(entry: Entry) -> set[str]:
+    return {row.id for row in entry.endpoints}
+
+
+def test_an_endpoint_known_to_be_gone_does_not_come_back_as_lapsed() -> None:
+    """Guards against requests to an endpoint that left, 3 s and more after it was gone.
+
+    An entry that had missed some calls to the platform kept such endpoints as lapsed. All
+    entries that took its view listed them again, though they had removed them before.
+    """
+    in_touch, cut_off, other = (entry_with(record(0), record(1)) for _ in range(3))
+    lose(in_touch, "e-0", 6)
+    other.apply_view(relayed(in_touch), "in-touch")
+    lose(cut_off, "e-0", 6, after_outage=True)
+    add(cut_off, record(2), 7)
+    other.apply_view(relayed(cut_off), "cut-off")
+    assert ids(cut_off) == {"e-0", "e-1", "e-2"}
+    assert ids(other) == {"e-1", "e-2"}
+
+
+def test_the_grace_period_of_a_lapsed_endpoint_does_not_begin_anew_with_each_view() -> None:
+    """Guards against a lapsed endpoint that entries keep while they exchange views."""
+    first, second, third = (entry_with(record(0), record(1)) for _ in range(3))
+    lose(first, "e-0", 6, after_outage=True)
+    eventlet.sleep(0.2)
+    second.apply_view(relayed(first), "first")
+    eventlet.sleep(0.2)
+    add(second, record(2), 7)
+    third.apply_view(relayed(second), "second")
+    add(third, record(3), 8)
+    second.apply_view(relayed(third), "third")
+    for entry in (second, third):
+        left_s = grace_left_s(entry, "e-0")
+        assert left_s is not None
+        assert left_s <= LAPSE_GRACE_S - 0.4
+
+
+def test_a_lapsed_endpoint_whose_grace_period_is_over_is_not_taken_from_a_view() -> None:
+    first, second = entry_with(record(0), record(1)), entry_with(record(1))
+    lose(first, "e-0", 6, after_outage=True)
+    late = msgspec.structs.replace(relayed(first), lapsed_ages_s=[LAPSE_GRACE_S])
+    second.apply_view(late, "first")
+    assert ids(second) == {"e-1"}
+
+
+def test_an_entry_that_has_just_started_takes_lapsed_endpoints_for_the_time_left() -> None:
+    first = entry_with(record(0), record(1))
+    lose(first, "e-0", 6, after_outage=True)
+    eventlet.sleep(0.2)
+    started = Entry(entry_settings(), PlatformAdapter())
+    started.apply_view(relayed(first), "first")
+    left_s = grace_left_s(started, "e-0")
+    assert left_s is not None
+    assert 0.0 < left_s <= LAPSE_GRACE_S - 0.2
+
+
+@pytest.mark.parametrize("born", [0, 1000])
+def test_an_endpoint_that_registers_again_is_listed_by_all_at_once(born: int) -> None:
+    """Guards against endpoints that return and get no requests."""
+    back = Published("e-0", "work", "127.0.0.1:9", "hall1", 4, False, born=born)
+    in_touch, other = (entry_with(back, record(1)) for _ in range(2))
+    lose(in_touch, "e-0", 6)
+    other.apply_view(relayed(in_touch), "in-touch")
+    assert ids(other) == {"e-1"}
+    add(in_touch, back, 7)
+    other.apply_view(relayed(in_touch), "in-touch")
+    assert ids(other) == {"e-0", "e-1"}
+    assert grace_left_s(other, "e-0") is None
+
+
+def test_a_lapsed_endpoint_that_registers_again_is_kept_for_good() -> None:
+    first, second = (entry_with(record(0), record(1)) for _ in range(2))
+    lose(first, "e-0", 6, after_outage=True)
+    second.apply_view(relayed(first), "first")
+    assert grace_left_s(second, "e-0") is not None
+    add(first, record(0), 7)
+    second.apply_view(relayed(first), "first")
+    assert grace_left_s(second, "e-0") is None
+    assert ids(second) == {"e-0", "e-1"}
+
+
+def test_a_view_that_does_not_name_a_lapsed_endpoint_ends_its_grace_period() -> None:
+    first, second = (entry_with(record(0), record(1)) for _ in range(2))
+    lose(second, "e-0", 6, after_outage=True)
+    lose(first, "e-0", 6)
+    add(first, record(2), 7)
+    second.apply_view(relayed(first), "first")
+    assert ids(second) == {"e-1", "e-2"}
+
+
+def test_a_view_of_an_earlier_version_gives_lapsed_endpoints_one_grace_period() -> None:
+    """Guards against entries that lose endpoints while their software is updated."""
+    first, second = (entry_with(record(0), record(1)) for _ in range(2))
+    lose(first, "e-0", 6, after_outage=True)
+    for number in (7, 8):
+        add(first, record(number), number)
+        earlier = msgspec.structs.replace(relayed(first), lapsed_ages_s=[])
+        second.apply_view(earlier, "first")
+        eventlet.sleep(0.2)
+    left_s = grace_left_s(second, "e-0")
+    assert left_s is not None
+    assert LAPSE_GRACE_S - 0.8 < left_s <= LAPSE_GRACE_S - 0.4
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -8,8 +8,8 @@
 import eventlet
 import pytest
 
-from dockreach.direct.endpoint_sync import LAPSE_GRACE_S
 from dockreach.direct.entry import Entry
+from dockreach.direct.lapses import LAPSE_GRACE_S
 from dockreach.direct.routing_config import Organisation
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_revision
