Drop endpoints that left while only this entry could not reach the store

But it sent requests to endpoints that had left for 2.2 s after its first response, and an entry in touch that took its view before any other kept them for as long, which is over the 2.0 s of the smaller deployments if the endpoint left just before the cut healed.

Cause: the entry takes any failed call of its own for an outage of the store. Its peers, which the store answered all the time, knew better, and did not say so.

Change: digests tell for how many whole seconds the store has answered each call of the sender for endpoints, in one byte; 0 while calls fail, and not over a pause in which an outage could have passed unnoticed (two heartbeats). A lapsed endpoint's grace period counts from the beginning of such a time if it covers the moment at which the record was found missing, at a peer in the endpoint's hall. So it is over at once where the store was there all the time, and ends with the others' where a cut outlasts an outage. Peers of the previous version report nothing, and change nothing.

Ruled out: comparing revisions with the peers' (a peer that has taken a view of an entry that recovered first would vouch for the outage itself), and peers in other halls (a hall that is cut off with its endpoints would lose them all).

--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -49,6 +49,9 @@
         tracks_streams: Whether the sender answers questions about streams.
         software_versions: Services of which endpoints of several software versions serve,
             or served lately: the time since each version was last listed, in seconds.
+        endpoints_answered_s: For how long up to its last response for the endpoint list the
+            platform answered each call of the sender, in whole seconds; 0 if that is not
+            known, or calls fail.
     """
 
     name: str
@@ -75,6 +78,7 @@
     accepts_partial: bool = False
     tracks_streams: bool = False
     software_versions: dict[str, dict[str, float]] = {}
+    endpoints_answered_s: int = 0
 
 
 class CrashUpdate(msgspec.Struct, array_like=True, tag=4):
--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -12,7 +12,8 @@
 from ..events import Event, log
 from .context import Context
 from .endpoints import EndpointRow, Published, PublishResult
-from .lapses import LAPSE_GRACE_S
+from .lapses import LAPSE_GRACE_S, answered_periods, grace_end
+from .peers import PeerTable
 
 STORE_SOURCE = "store"
 """Source, in log events, of what this entry read from the platform itself."""
@@ -26,10 +27,12 @@
 
     Args:
         ctx: State shared by all requests of the entry.
+        peers: The other entries, whose digests tell whether the platform answered them.
     """
 
-    def __init__(self, ctx: Context) -> None:
+    def __init__(self, ctx: Context, peers: PeerTable) -> None:
         self._ctx = ctx
+        self._peers = peers
 
     def apply(self, published: Published, *, source: str = STORE_SOURCE) -> None:
         """Add an endpoint, or update its row.
@@ -142,33 +145,45 @@
                 their grace period counts, in seconds.
             source: The peer.
         """
-        named = {item.id for item in published}
+        lapsed = [(item, lapsed_at[item.id]) for item in published if item.id in lapsed_at]
+        gone = self._past_grace(lapsed, clock.now())
+        kept = {item.id for item in published} - gone
+        table = self._ctx.endpoints
         for item in published:
-            if item.id not in lapsed_at or self._is_unknown(item, lapsed_at[item.id]):
+            is_known = table.get(item.id) is not None or table.has_ended(item)
+            if item.id not in lapsed_at or (item.id in kept and not is_known):
                 self.apply(item, source=source)
-        for row in self._ctx.endpoints:
-            if row.id not in named:
+        for row in table:
+            if row.id not in kept:
                 self.remove(row.id, source=source)
             elif row.id in lapsed_at:
                 self.remove(row.id, lapsed_at=lapsed_at[row.id], source=source)
 
-    def _is_unknown(self, lapsed: Published, lapsed_at: float) -> bool:
-        """Return whether a lapsed endpoint is neither listed nor removed here.
-
-        One whose grace period is over counts as removed.
-        """
-        table = self._ctx.endpoints
-        return (
-            table.get(lapsed.id) is None
-            and not table.has_ended(lapsed)
-            and clock.now() < lapsed_at + LAPSE_GRACE_S
-        )
-
     def expire_lapsed(self, now: float) -> None:
         """Remove lapsed endpoints that were not listed again within the grace period."""
-        for row in self._ctx.endpoints:
-            if row.lapsed_until is not None and now >= row.lapsed_until:
-                self.remove(row.id, source=GRACE_PERIOD_SOURCE)
+        lapsed = [
+            (row.published, row.lapsed_at)
+            for row in self._ctx.endpoints
+            if row.lapsed_at is not None
+        ]
+        for endpoint in self._past_grace(lapsed, now):
+            self.remove(endpoint, source=GRACE_PERIOD_SOURCE)
+
+    def _past_grace(self, lapsed: list[tuple[Published, float]], now: float) -> set[str]:
+        """Return the endpoints whose grace period is over.
+
+        Args:
+            lapsed: Lapsed endpoints, each with the monotonic time from which its grace
+                period counts, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        if not lapsed:
+            return set()
+        periods = answered_periods(self._peers.fresh(now))
+        # Most endpoints of a data hall lapse together.
+        groups = {(at, item.hall) for item, at in lapsed}
+        ends = {(at, hall): grace_end(at, hall, periods) for at, hall in groups}
+        return {item.id for item, at in lapsed if now >= ends[at, item.hall]}
 
     def _abort_incarnation(self, row: EndpointRow) -> None:
         """Abort the requests that an endpoint was processing before it restarted.
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -101,7 +101,8 @@
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
         self._digest_number = 0
-        self.feeds = Feeds()
+        # A record expires after three heartbeats, of which one may have passed before.
+        self.feeds = Feeds(endpoints=Feed(max_gap_s=2 * settings.heartbeat_s))
         self.endpoints = EndpointTable()
         self.evacuated = EvacuatedHalls(self.endpoints)
         self.peers = PeerTable(settings.gossip_address, settings.seeds)
@@ -182,7 +183,7 @@
                 clock.now,
             ),
         )
-        self._endpoint_sync = EndpointSync(self.ctx)
+        self._endpoint_sync = EndpointSync(self.ctx, self.peers)
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
         self.admission = ConnectionAdmission(clock.now, meter)
@@ -358,6 +359,10 @@
             self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
             self.record_endpoints_revision(view.endpoints_revision)
 
+    def expire_lapsed_endpoints(self) -> None:
+        """Remove lapsed endpoints that were not listed again within the grace period."""
+        self._endpoint_sync.expire_lapsed(clock.now())
+
     def record_endpoints_revision(self, endpoints_revision: int) -> None:
         """Record the platform's revision up to which endpoints were read."""
         if endpoints_revision > self._endpoints_revision:
@@ -399,6 +404,7 @@
             accepts_partial=True,
             tracks_streams=True,
             software_versions=self.endpoints.software_versions.report(now),
+            endpoints_answered_s=self.feeds.endpoints.answered_s,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
@@ -542,7 +548,7 @@
         self.ctx.quotas.keep_ended_peers(expired)
         for row in expired:
             log(Event.PEER_DOWN, peer=row.digest.name)
-        self._endpoint_sync.expire_lapsed(now)
+        self.expire_lapsed_endpoints()
         self.ctx.notices.expire(now)
         self.ctx.pool.expire()
         self.endpoints.refresh_software_versions(now)
--- a/dockreach/direct/entry_settings.py
+++ b/dockreach/direct/entry_settings.py
@@ -33,6 +33,7 @@
         is_coordinated: Whether one entry, the coordinator, grants the slots of a service.
         cold_tolerance: By how much the rate limit of a cold endpoint may be exceeded.
         region_of_hall: The region of each data hall.
+        heartbeat_s: Interval at which endpoints renew their records, in seconds.
     """
 
     name: str
@@ -52,3 +53,4 @@
     is_coordinated: bool = True
     cold_tolerance: ColdTolerance = ColdTolerance()
     region_of_hall: Mapping[str, str] = field(default_factory=dict)
+    heartbeat_s: float = 1.2
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -46,6 +46,10 @@
 """Fraction by which retry delays vary at random, so that entries do not retry together."""
 
 
+MAX_REPORTED_ANSWERED_S = 127
+"""Longest time without an outage that an entry reports, in seconds: it takes one byte."""
+
+
 class CallLimits(NamedTuple):
     """Timeouts of one call, in seconds.
 
@@ -68,18 +72,49 @@
         consecutive_failures: Failed calls in a row; 0 once the copy is up to date again.
         last_response_at: Monotonic time of the last response, in seconds; ``None``
             before the first.
+        max_gap_s: Longest time between two responses in which no record of a running
+            endpoint can have expired, in seconds.
+        answered_since: Monotonic time of the first response since the last outage, in
+            seconds; ``None`` before the first response.
     """
 
     calls: int = 0
     failed_calls: int = 0
     consecutive_failures: int = 0
     last_response_at: float | None = None
+    max_gap_s: float = 2.4
+    answered_since: float | None = None
 
     def record_response(self, now: float) -> None:
         """Record that a call was answered."""
         self.calls += 1
+        if self._may_follow_outage(now):
+            self.answered_since = now
         self.last_response_at = now
 
+    def _may_follow_outage(self, now: float) -> bool:
+        """Return whether a response is the first one since an outage, as far as is known.
+
+        An entry that called rarely, as others read for it, may have missed an outage.
+        """
+        if self.consecutive_failures or self.last_response_at is None:
+            return True
+        return now - self.last_response_at > self.max_gap_s
+
+    @property
+    def answered_s(self) -> int:
+        """For how long up to the last response there was no outage, in whole seconds.
+
+        It is 0 while calls fail, and at most `MAX_REPORTED_ANSWERED_S`.
+        """
+        if self.consecutive_failures:
+            return 0
+        if self.last_response_at is None or self.answered_since is None:
+            return 0
+        return min(
+            int(self.last_response_at - self.answered_since), MAX_REPORTED_ANSWERED_S
+        )
+
     def mark_caught_up(self) -> None:
         """Record that all changes made during an outage have been read."""
         self.consecutive_failures = 0
--- a/tests/direct/test_feeds.py
+++ b/tests/direct/test_feeds.py
@@ -5,7 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dockreach.direct.feeds import MAX_RETRY_DELAY_S, OUTAGE_FRACTION, Feed
+from dockreach.direct.feeds import (
+    MAX_REPORTED_ANSWERED_S,
+    MAX_RETRY_DELAY_S,
+    OUTAGE_FRACTION,
+    Feed,
+)
 
 APPLY_DEADLINES_S = st.floats(0.5, 20.0)
 
@@ -61,3 +66,40 @@
     assert feed.next_call_limits(2.0).wait_s > 0
     assert feed.age_s(6.5, 0.0) == 1.5
     assert feed.calls == 2
+
+
+def answered_feed(*times: float) -> Feed:
+    """Return a feed that was answered at these times."""
+    feed = Feed(max_gap_s=2.4)
+    for time in times:
+        feed.record_response(time)
+        feed.mark_caught_up()
+    return feed
+
+
+def test_a_feed_reports_for_how_long_it_was_answered() -> None:
+    assert answered_feed(5.0, 6.2, 7.9).answered_s == 2
+    assert answered_feed(5.0).answered_s == 0
+    assert Feed().answered_s == 0
+
+
+def test_a_feed_reports_no_time_while_calls_fail_nor_the_time_before() -> None:
+    """Guards against entries that vouch for a platform that did not answer them."""
+    feed = answered_feed(5.0, 6.2, 7.9)
+    feed.record_failure()
+    assert feed.answered_s == 0
+    feed.record_response(12.0)
+    feed.mark_caught_up()
+    assert feed.answered_s == 0
+    feed.record_response(13.5)
+    assert feed.answered_s == 1
+
+
+def test_a_feed_that_called_rarely_does_not_report_the_time_between_its_calls() -> None:
+    """Guards against entries that vouch for an outage that they slept through."""
+    assert answered_feed(5.0, 6.2, 60.0, 61.5).answered_s == 1
+
+
+def test_a_feed_reports_a_bounded_time() -> None:
+    times = [2.0 * number for number in range(400)]
+    assert answered_feed(*times).answered_s == MAX_REPORTED_ANSWERED_S
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -147,3 +147,94 @@
         entries, lambda entry: has_revision(entry, 4) and is_evacuated(entry)
     )
     assert wait_until(both, 4.0) < 2.0
+
+
+class TwoPaths:
+    """The store as two entries reach it, so that the path of one can fail alone."""
+
+    def __init__(self) -> None:
+        self.paths = StoreStandIn(), StoreStandIn()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write an item."""
+        for path in self.paths:
+            path.put(key, value)
+
+    def delete(self, key: str) -> None:
+        """Delete an item."""
+        for path in self.paths:
+            path.delete(key)
+
+    def cut(self, *paths: StoreStandIn) -> None:
+        """Reset the connections over these paths, until `heal`."""
+        for path in paths:
+            path.failure_mode = "reset"
+            path.end_watches()
+
+    def heal(self) -> None:
+        """Let all paths work again."""
+        for path in self.paths:
+            path.failure_mode = ""
+
+
+@pytest.fixture(name="two_paths")
+def _two_paths() -> TwoPaths:
+    store = TwoPaths()
+    store.put("op/config", config_record(3))
+    for number in range(4):
+        store.put(f"servers/i-{number}", server_record())
+    return store
+
+
+def start_pair(store: TwoPaths) -> tuple[Entry, Entry]:
+    """Start two entries in the endpoints' data hall; return them after some calls."""
+    settings = [
+        replace(entry_settings(), hall="z", name=f"entry-{number}") for number in range(2)
+    ]
+    settings[1] = replace(settings[1], seeds=(settings[0].gossip_address,))
+    entries = []
+    for own, path in zip(settings, store.paths, strict=True):
+        entry = Entry(own, PlatformAdapter())
+        entry.start()
+        StoreFollower(path.address, entry).start()
+        entries.append(entry)
+    wait_until(lambda: all(len(entry.peers) == 1 for entry in entries), 3.0)
+    eventlet.sleep(1.3)
+    store.put("servers/i-3", server_record())
+    eventlet.sleep(0.4)
+    return entries[0], entries[1]
+
+
+def test_an_entry_that_was_cut_off_drops_endpoints_that_left_meanwhile(
+    two_paths: TwoPaths,
+) -> None:
+    """Guards against requests to gone endpoints by entries whose calls had failed."""
+    in_touch, cut_off = start_pair(two_paths)
+    two_paths.cut(two_paths.paths[1])
+    two_paths.delete("servers/i-1")
+    eventlet.sleep(0.5)
+    assert in_touch.endpoints.get("i-1") is None
+    two_paths.heal()
+    assert wait_until(lambda: cut_off.endpoints.get("i-1") is None, 4.0) < 2.0
+    assert in_touch.endpoints.get("i-1") is None
+    assert cut_off.endpoints.get("i-2") is not None
+
+
+def test_endpoints_that_lapse_while_the_store_is_away_for_all_are_kept_until_they_return(
+    two_paths: TwoPaths,
+) -> None:
+    """Guards against dropping endpoints that run, after an outage that all entries saw."""
+    entries = start_pair(two_paths)
+    two_paths.cut(*two_paths.paths)
+    for number in range(3):
+        two_paths.delete(f"servers/i-{number}")
+    eventlet.sleep(0.8)
+    two_paths.heal()
+    # Two of them are back in time; the third has left during the outage.
+    eventlet.sleep(1.2)
+    assert all(len(entry.endpoints) == 4 for entry in entries)
+    for number in range(2):
+        two_paths.put(f"servers/i-{number}", server_record())
+    eventlet.sleep(2.2)
+    for entry in entries:
+        assert {row.id for row in entry.endpoints} == {"i-0", "i-1", "i-3"}
