Do not take one watch that was cut off for an outage of the store

An entry in touch could send requests to a worker up to 2.3 s after the store had acknowledged that it was gone, where 2.0 s are allowed (found in the review by reading; the window is the time between the end of a watch and its retry).

Cause: any failed call before the one that brings the deletion counted as an outage, also a watch that the store had cut off, as it may at any time, and whose retry was answered at once. The worker was then kept as lapsed for 2.2 s.

Change: an outage is a time of 0.2 s or more without responses. It is counted from the failure of the first call, or from its start if it timed out, since the store may have been silent all the while. Whether one came before is decided at the first response, so that a long list that is read next does not count into it.

Ruled out: a shorter grace period (running workers need two seconds to be listed again), and counting failed calls (one that times out may be a whole outage: test_a_store_that_is_silent_for_one_call_was_away).

Evidence: test_an_endpoint_that_leaves_as_a_watch_is_cut_off_is_removed_at_once failed before (the worker was still there 0.5 s after its deletion).

--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -46,6 +47,10 @@
 """Fraction by which retry delays vary at random, so that entries do not retry together."""
 
 
+MIN_OUTAGE_S = 0.2
+"""Shortest time without responses that counts as an outage, in seconds. The platform may
+cut off a watch at any time; the retry is answered at once."""
+
 MAX_REPORTED_ANSWERED_S = 127
 """Longest time without an outage that an entry reports, in seconds: it takes one byte."""
 
@@ -76,6 +81,9 @@
             endpoint can have expired, in seconds.
         answered_since: Monotonic time of the first response since the last outage, in
             seconds; ``None`` before the first response.
+        unanswered_since: Monotonic time from which the platform did not respond, in
+            seconds; ``None`` once the copy is up to date again.
+        follows_outage: Whether changes are still being read that were made in an outage.
     """
 
     calls: int = 0
@@ -84,22 +92,32 @@
     last_response_at: float | None = None
     max_gap_s: float = 2.4
     answered_since: float | None = None
+    unanswered_since: float | None = None
+    follows_outage: bool = False
 
     def record_response(self, now: float) -> None:
         """Record that a call was answered."""
         self.calls += 1
-        if self._may_follow_outage(now):
+        self.follows_outage |= self._was_out(now)
+        if self.follows_outage or self._was_idle(now):
             self.answered_since = now
         self.last_response_at = now
 
-    def _may_follow_outage(self, now: float) -> bool:
-        """Return whether a response is the first one since an outage, as far as is known.
+    def _was_out(self, now: float) -> bool:
+        """Return whether calls failed for so long that it counts as an outage.
+
+        A watch that is cut off says little: the platform may do that at any time.
+        """
+        since = self.unanswered_since
+        return since is not None and now - since >= MIN_OUTAGE_S
+
+    def _was_idle(self, now: float) -> bool:
+        """Return whether an outage may have passed unnoticed since the last response.
 
-        An entry that called rarely, as others read for it, may have missed an outage.
+        An entry calls rarely while others read for it.
         """
-        if self.consecutive_failures or self.last_response_at is None:
-            return True
-        return now - self.last_response_at > self.max_gap_s
+        last = self.last_response_at
+        return last is None or now - last > self.max_gap_s
 
     @property
     def answered_s(self) -> int:
@@ -118,12 +136,22 @@
     def mark_caught_up(self) -> None:
         """Record that all changes made during an outage have been read."""
         self.consecutive_failures = 0
+        self.unanswered_since = None
+        self.follows_outage = False
 
-    def record_failure(self) -> None:
-        """Record that a call failed."""
+    def record_failure(self, unanswered_since: float = -math.inf) -> None:
+        """Record that a call failed.
+
+        Args:
+            unanswered_since: Monotonic time from which the platform did not respond, in
+                seconds, as far as this call shows: when it failed, or when it was sent if
+                it timed out.
+        """
         self.calls += 1
         self.failed_calls += 1
         self.consecutive_failures += 1
+        if self.unanswered_since is None:
+            self.unanswered_since = unanswered_since
 
     def age_s(self, now: float, started: float) -> float:
         """Return the time since the last response, or since the start, in seconds."""
--- a/tests/direct/test_feeds.py
+++ b/tests/direct/test_feeds.py
@@ -8,6 +8,7 @@
 from dockreach.direct.feeds import (
     MAX_REPORTED_ANSWERED_S,
     MAX_RETRY_DELAY_S,
+    MIN_OUTAGE_S,
     OUTAGE_FRACTION,
     Feed,
 )
@@ -103,3 +104,26 @@
 def test_a_feed_reports_a_bounded_time() -> None:
     times = [2.0 * number for number in range(400)]
     assert answered_feed(*times).answered_s == MAX_REPORTED_ANSWERED_S
+
+
+def test_a_call_that_fails_once_is_no_outage() -> None:
+    """Guards against gone endpoints that are kept because one watch was cut off."""
+    feed = answered_feed(5.0, 6.2)
+    feed.record_failure(7.0)
+    feed.record_response(7.0 + MIN_OUTAGE_S / 2)
+    assert not feed.follows_outage
+    feed.mark_caught_up()
+    assert feed.answered_s == 2
+
+
+def test_a_call_that_times_out_or_fails_again_is_an_outage_until_changes_are_read() -> None:
+    """Guards against dropping endpoints that lapsed in an outage that ended early."""
+    for failures in ([6.3], [7.0, 7.1, 7.3]):
+        feed = answered_feed(5.0, 6.2)
+        for unanswered_since in failures:
+            feed.record_failure(unanswered_since)
+        feed.record_response(7.4)
+        feed.record_response(7.5)
+        assert feed.follows_outage
+        feed.mark_caught_up()
+        assert not feed.follows_outage
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -63,6 +63,7 @@
         self._changes: list[dict[str, Any]] = []
         self._compacted_revision = 0
         self._stalls = 0
+        self._cuts = 0
         self._changed = Waiter()
         eventlet.spawn(accept_all, self._listener, self._serve)
 
@@ -92,6 +93,11 @@
         """Send nothing more on all connections that are open now; new ones work."""
         self._stalls += 1
 
+    def cut_open_connections(self) -> None:
+        """Reset all connections that are open now; new ones work."""
+        self._cuts += 1
+        self._wake()
+
     def compact_history(self) -> None:
         """Drop the history of changes; watches from an earlier revision get 410."""
         self._compacted_revision = self.revision
@@ -108,7 +114,7 @@
 
     def _serve(self, sock: Any) -> None:  # noqa: ANN401
         conn = CallerConnection(sock, CallerLimits())
-        stalls = self._stalls
+        stalls, cuts = self._stalls, self._cuts
         while (raw := conn.read_request()) is not None:
             self.calls.append(raw.target.decode())
             if self.failure_mode == "silent":
@@ -117,6 +123,9 @@
                 conn.abort()
                 return
             status, body = self._respond(raw.target.decode())
+            if self._cuts > cuts:
+                conn.abort()
+                return
             if self._stalls > stalls:
                 eventlet.sleep(STALL_S)
             try:
@@ -154,10 +163,12 @@
         return 200, body
 
     def _watch(self, query: dict[str, str]) -> Response:
-        after = int(query["since_revision"])
+        after, cuts = int(query["since_revision"]), self._cuts
         with eventlet.Timeout(int(query["wait_ms"]) / 1000, False):
             while not self._must_respond(after, query["path_prefix"]):
                 self._changed.wait()
+                if self._cuts > cuts:
+                    break
         if self.failure_mode:
             return 503, {}
         if after < self._compacted_revision:
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -147,6 +147,36 @@
     assert entry.endpoints.get("i-3") is None
 
 
+def test_an_endpoint_that_leaves_as_a_watch_is_cut_off_is_removed_at_once(
+    store: StoreStandIn,
+) -> None:
+    """Guards against requests to an endpoint 2 s after the store acknowledged its end.
+
+    The store may cut off a watch at any time, without being away.
+    """
+    entry = start_following_entry(store)
+    eventlet.sleep(0.4)
+    store.cut_open_connections()
+    store.delete("servers/i-3")
+    eventlet.sleep(0.5)
+    assert entry.feeds.endpoints.failed_calls == 1
+    assert entry.endpoints.get("i-3") is None
+
+
+def test_a_store_that_is_silent_for_one_call_was_away(store: StoreStandIn) -> None:
+    """Guards against dropping endpoints that run, after an outage with one failed call."""
+    entry = start_following_entry(store, apply_deadline_s=0.4)
+    store.failure_mode = "silent"
+    while not entry.feeds.endpoints.failed_calls:
+        eventlet.sleep(0.01)
+    store.failure_mode = ""
+    store.delete("servers/i-3")
+    eventlet.sleep(0.4)
+    row = entry.endpoints.get("i-3")
+    assert row is not None
+    assert row.lapsed_until is not None
+
+
 def test_an_endpoint_registered_again_within_the_grace_period_is_kept(
     store: StoreStandIn,
 ) -> None:
