--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -163,6 +163,28 @@
     assert entry.endpoints.get("i-3") is None
 
 
+def test_an_endpoint_that_came_and_left_long_ago_is_not_listed_for_a_moment(
+    store: StoreStandIn, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against requests to gone endpoints by an entry that begins to read again.
+
+    An entry that leaves reading to others reads the whole history since its last call.
+    """
+    caplog.set_level("INFO", logger="dockreach")
+    entry = start_following_entry(store)
+    store.failure_mode = "reset"
+    store.end_watches()
+    store.put("servers/i-9", server_record())
+    store.delete("servers/i-9")
+    eventlet.sleep(0.5)
+    store.failure_mode = ""
+    eventlet.sleep(0.9)
+    assert entry.feeds.endpoints.consecutive_failures == 0
+    assert entry.endpoints.get("i-9") is None
+    named = [vars(row) for row in caplog.records if vars(row).get("endpoint") == "i-9"]
+    assert named == []
+
+
 def test_a_store_that_is_silent_for_one_call_was_away(store: StoreStandIn) -> None:
     """Guards against dropping endpoints that run, after an outage with one failed call."""
     entry = start_following_entry(store, apply_deadline_s=0.4)
