Read the heartbeat of endpoints again when settings change

Cause: how long an entry may go without a response and still vouch for the platform follows from the heartbeat, which was read at the start only.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -101,8 +101,7 @@
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
         self._digest_number = 0
-        # A record expires after three heartbeats, of which one may have passed before.
-        self.feeds = Feeds(endpoints=Feed(max_gap_s=2 * settings.heartbeat_s))
+        self.feeds = Feeds(endpoints=Feed(max_gap_s=_record_margin_s(settings)))
         self.endpoints = EndpointTable()
         self.evacuated = EvacuatedHalls(self.endpoints)
         self.peers = PeerTable(settings.gossip_address, settings.seeds)
@@ -225,7 +224,9 @@
             retry_policy=settings.retry_policy,
             apply_deadline_s=settings.apply_deadline_s,
             cold_tolerance=settings.cold_tolerance,
+            heartbeat_s=settings.heartbeat_s,
         )
+        self.feeds.endpoints.max_gap_s = _record_margin_s(settings)
         self.send_guard.tolerance = settings.cold_tolerance
         self.peers.seeds = settings.seeds
         self.ctx.quotas.tolerance = settings.quota_tolerance
@@ -571,3 +572,11 @@
         self.callers.drain(self.stopping_since, self.settings.grace_s)
         log(Event.STOPPED, cut=len(self.callers))
         return True
+
+
+def _record_margin_s(settings: EntrySettings) -> float:
+    """Return for how long an outage lasts at least before a record expires, in seconds.
+
+    A record expires three heartbeats after it was written, of which one may have passed.
+    """
+    return 2 * settings.heartbeat_s
--- a/tests/direct/test_slot_client.py
+++ b/tests/direct/test_slot_client.py
@@ -169,6 +169,18 @@
     assert waiting_job.tried_endpoints == ["e-0"]
 
 
+def test_a_grant_at_an_endpoint_that_is_gone_is_declined() -> None:
+    """Guards against a coordinator that was cut off and still lists the endpoint."""
+    table = endpoints(1)
+    client = slot_client(table)
+    state = request_slots(client, job("a", arrived_at=100.0))
+    table.remove("e-0")
+    grants = [Grant(state.waiting[0].number, "e-0", 0, 0, True)]
+    assert client.handle_reply(reply(state, grants=grants), 100.002) == []
+    (waiting_job,) = due_state(client, 100.002).waiting
+    assert waiting_job.tried_endpoints == ["e-0"]
+
+
 def test_a_grant_at_an_endpoint_that_advertises_leaving_is_declined() -> None:
     table = endpoints(1)
     client = slot_client(table)
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -62,6 +62,16 @@
     assert field in str(found.value)
 
 
+def test_the_heartbeat_of_endpoints_is_read_and_must_be_positive(tmp_path: Path) -> None:
+    for value, heartbeat_s in ((500, 0.5), (1200, 1.2)):
+        content = {**settings_fields(), "heartbeat_ms": value}
+        settings = load_settings(write_settings(tmp_path, content))
+        assert settings.entry_settings(None, "").heartbeat_s == heartbeat_s
+    content = {**settings_fields(), "heartbeat_ms": 0}
+    with pytest.raises(SettingsError, match="heartbeat_ms"):
+        load_settings(write_settings(tmp_path, content))
+
+
 def test_a_missing_field_and_a_missing_file_are_named_in_the_error(tmp_path: Path) -> None:
     content = settings_fields()
     del content["zone"]
