Read the store at once when the readers of the data hall are cut off

Cause: an entry that leaves reading to two others trusted their last responses for 0.7 of the apply deadline, whatever became of their calls, and was then told that the workers had lapsed. It had not known before that they were gone, and no peer had been answered meanwhile.

Change: digests tell that calls fail. An entry calls the store itself while the calls of all readers of its hall fail, and while it keeps lapsed endpoints on a peer's word. A peer's answers also count if the last one is less than two heartbeats old, since no record can have expired in so short a time, so that an entry that was cut off need not wait for the peer's next response.

Ruled out: a minimum length of an outage alone (two heartbeats would have been enough here, but then a single entry would drop all endpoints after a shorter one), and believing the peer that says "gone" rather than the one that says "lapsed" (one entry that missed an outage would decide for all).

--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -51,7 +51,7 @@
             or served lately: the time since each version was last listed, in seconds.
         endpoints_answered_s: For how long up to its last response for the endpoint list the
             platform answered each call of the sender, in whole seconds; 0 if that is not
-            known, or calls fail.
+            known, `feeds.FAILING` while calls fail.
     """
 
     name: str
--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -12,6 +12,7 @@
 from ..events import Event, log
 from .context import Context
 from .endpoints import EndpointRow, Published, PublishResult
+from .feeds import Feed
 from .lapses import LAPSE_GRACE_S, answered_periods, grace_end
 from .peers import PeerTable
 
@@ -28,11 +29,17 @@
     Args:
         ctx: State shared by all requests of the entry.
         peers: The other entries, whose digests tell whether the platform answered them.
+        feed: This entry's own calls for the list.
+
+    Attributes:
+        has_lapsed: Whether some endpoints are kept for a grace period.
     """
 
-    def __init__(self, ctx: Context, peers: PeerTable) -> None:
+    def __init__(self, ctx: Context, peers: PeerTable, feed: Feed) -> None:
         self._ctx = ctx
         self._peers = peers
+        self._feed = feed
+        self.has_lapsed = False
 
     def apply(self, published: Published, *, source: str = STORE_SOURCE) -> None:
         """Add an endpoint, or update its row.
@@ -95,13 +102,13 @@
             )
             self._ctx.crashes.handle_incarnation_end(row)
 
-    @staticmethod
-    def _mark_lapsed(row: EndpointRow, lapsed_at: float, source: str) -> None:
+    def _mark_lapsed(self, row: EndpointRow, lapsed_at: float, source: str) -> None:
         """Keep an endpoint for a grace period; one that has begun is never extended."""
         if row.lapsed_at is not None:
             row.lapsed_at = min(row.lapsed_at, lapsed_at)
             return
         row.lapsed_at = lapsed_at
+        self.has_lapsed = True
         log(
             Event.ENDPOINT_LAPSED,
             endpoint=row.id,
@@ -166,8 +173,10 @@
             for row in self._ctx.endpoints
             if row.lapsed_at is not None
         ]
-        for endpoint in self._past_grace(lapsed, now):
+        gone = self._past_grace(lapsed, now)
+        for endpoint in gone:
             self.remove(endpoint, source=GRACE_PERIOD_SOURCE)
+        self.has_lapsed = len(lapsed) > len(gone)
 
     def _past_grace(self, lapsed: list[tuple[Published, float]], now: float) -> set[str]:
         """Return the endpoints whose grace period is over.
@@ -179,7 +188,7 @@
         """
         if not lapsed:
             return set()
-        periods = answered_periods(self._peers.fresh(now))
+        periods = answered_periods(self._peers.fresh(now), self._feed.max_gap_s)
         # Most endpoints of a data hall lapse together.
         groups = {(at, item.hall) for item, at in lapsed}
         ends = {(at, hall): grace_end(at, hall, periods) for at, hall in groups}
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -182,7 +182,7 @@
                 clock.now,
             ),
         )
-        self._endpoint_sync = EndpointSync(self.ctx, self.peers)
+        self._endpoint_sync = EndpointSync(self.ctx, self.peers, self.feeds.endpoints)
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
         self.admission = ConnectionAdmission(clock.now, meter)
@@ -414,6 +414,9 @@
         Args:
             feed: The part of the published state that would be polled.
         """
+        if feed is self.feeds.endpoints and self._endpoint_sync.has_lapsed:
+            # A peer whose calls had failed may only believe that they lapsed.
+            return False
         known = self._known_revisions()
         if feed is self.feeds.configuration:
             parts = {CONFIGURATION: known.revision, EVACUATIONS: known.orders_revision}
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -51,6 +51,9 @@
 """Shortest time without responses that counts as an outage, in seconds. The platform may
 cut off a watch at any time; the retry is answered at once."""
 
+FAILING = -1
+"""Reported in place of the time without an outage while calls fail."""
+
 MAX_REPORTED_ANSWERED_S = 127
 """Longest time without an outage that an entry reports, in seconds: it takes one byte."""
 
@@ -123,10 +126,10 @@
     def answered_s(self) -> int:
         """For how long up to the last response there was no outage, in whole seconds.
 
-        It is 0 while calls fail, and at most `MAX_REPORTED_ANSWERED_S`.
+        It is `FAILING` while calls fail, and at most `MAX_REPORTED_ANSWERED_S`.
         """
         if self.consecutive_failures:
-            return 0
+            return FAILING
         if self.last_response_at is None or self.answered_since is None:
             return 0
         return min(
--- a/dockreach/direct/lapses.py
+++ b/dockreach/direct/lapses.py
@@ -23,6 +23,8 @@
 
     Attributes:
         hall: The data hall of the peer.
+        until: Until when no outage can have let a record expire: some time after the last
+            response, as records outlive a short outage.
     """
 
     hall: str
@@ -30,15 +32,22 @@
     until: float
 
 
-def answered_periods(peers: Iterable[PeerRow]) -> list[AnsweredPeriod]:
-    """Return the last such time of each peer that reports one."""
+def answered_periods(
+    peers: Iterable[PeerRow], record_margin_s: float
+) -> list[AnsweredPeriod]:
+    """Return the last such time of each peer that reports one.
+
+    Args:
+        peers: The peers.
+        record_margin_s: Shortest outage that lets a record expire, in seconds.
+    """
     periods = []
     for row in peers:
         digest = row.digest
-        if digest.endpoints_answered_s:
-            until = row.received_at - digest.endpoints_age_s - MAX_DATAGRAM_DELAY_S
-            since = until - digest.endpoints_answered_s
-            periods.append(AnsweredPeriod(digest.hall, since, until))
+        if digest.endpoints_answered_s > 0:
+            last = row.received_at - digest.endpoints_age_s - MAX_DATAGRAM_DELAY_S
+            since = last - digest.endpoints_answered_s
+            periods.append(AnsweredPeriod(digest.hall, since, last + record_margin_s))
     return periods
 
 
@@ -46,7 +55,7 @@
     """Return when the grace period of a lapsed endpoint ends, in monotonic seconds.
 
     Calls of one entry may fail while the platform answers others. Where it answered all
-    calls of a peer beside the endpoint, from some moment until after the record was found
+    calls of a peer beside the endpoint, from some moment until the record was found
     missing, any outage had ended by that moment, and the grace period counts from there. So
     it is over at once where there was no outage: the endpoint has left. Peers in other data
     halls prove nothing, as the endpoint's whole hall may have been cut off.
--- a/dockreach/direct/readers.py
+++ b/dockreach/direct/readers.py
@@ -15,7 +15,7 @@
 
 from ..rendezvous import ranked
 from .digest import Digest
-from .feeds import Feed
+from .feeds import FAILING, Feed
 from .peers import PeerRow, PeerTable
 
 READERS_PER_HALL = 2
@@ -44,10 +44,12 @@
         revision_of: Returns the revision that a digest reports.
         age_of: Returns how long before the digest the platform last answered its sender, in
             seconds.
+        is_failing: Returns whether the sender's calls fail, as far as it reports that.
     """
 
     revision_of: Callable[[Digest], int]
     age_of: Callable[[Digest], float]
+    is_failing: Callable[[Digest], bool] = lambda _: False
 
 
 CONFIGURATION = PublishedPart(
@@ -57,7 +59,9 @@
     lambda digest: digest.orders_revision, lambda digest: digest.configuration_age_s
 )
 ENDPOINTS = PublishedPart(
-    lambda digest: digest.endpoints_revision, lambda digest: digest.endpoints_age_s
+    lambda digest: digest.endpoints_revision,
+    lambda digest: digest.endpoints_age_s,
+    lambda digest: digest.endpoints_answered_s == FAILING,
 )
 
 
@@ -110,10 +114,32 @@
         if self._behind_s(part, revision, fresh, now) > BEHIND_FRACTION * apply_deadline_s:
             return False
         trust_s = TRUST_FRACTION * apply_deadline_s
+        recent = [
+            row.digest
+            for row in fresh
+            if now - row.received_at + part.age_of(row.digest) <= trust_s
+        ]
+        if self._has_failed_readers(part, fresh, recent):
+            return False
         if feed.last_response_at is not None and now - feed.last_response_at <= trust_s:
             return True
-        return any(
-            now - row.received_at + part.age_of(row.digest) <= trust_s for row in fresh
+        return bool(recent)
+
+    def _has_failed_readers(
+        self, part: PublishedPart, fresh: list[PeerRow], recent: list[Digest]
+    ) -> bool:
+        """Return whether the readers of the data hall are cut off from the platform.
+
+        Args:
+            part: The part that would be requested.
+            fresh: The peers from which a digest was received recently.
+            recent: Digests of peers that the platform answered recently.
+        """
+        same_hall = [row.digest for row in fresh if row.digest.hall == self._hall]
+        if not any(map(part.is_failing, same_hall)):
+            return False
+        return not any(
+            digest.hall == self._hall and not part.is_failing(digest) for digest in recent
         )
 
     def _behind_s(
--- a/tests/direct/test_readers.py
+++ b/tests/direct/test_readers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from dockreach.direct.digest import Address
-from dockreach.direct.feeds import Feed
-from dockreach.direct.peers import PeerTable
+from dockreach.direct.feeds import FAILING, Feed
+from dockreach.direct.peers import PeerRow, PeerTable
 from dockreach.direct.readers import (
     BEHIND_FRACTION,
     CONFIGURATION,
+    ENDPOINTS,
     READERS_PER_HALL,
     TRUST_FRACTION,
     ReaderSelector,
@@ -124,3 +127,49 @@
 
 def test_an_entry_without_peers_is_a_reader() -> None:
     assert ReaderSelector(PeerTable(OWN, ()), "hall1").is_reader(1.0)
+
+
+def may_skip_endpoints(selector: ReaderSelector, feed: Feed | None = None) -> bool:
+    return selector.may_skip_poll(ENDPOINTS, feed or Feed(), 1, APPLY_DEADLINE_S, 100.0)
+
+
+def fail(table: PeerTable, *rows: PeerRow, answered_s: int = FAILING) -> None:
+    """Let peers report that their calls fail, soon after the last one was answered."""
+    for row in rows:
+        failing = digest(row.digest.address, number=2, hall=row.digest.hall)
+        table.merge(
+            msgspec.structs.replace(failing, endpoints_answered_s=answered_s), 100.0
+        )
+
+
+def test_an_entry_calls_itself_at_once_when_the_calls_of_its_halls_readers_fail() -> None:
+    """Guards against an entry that hears only from readers that are cut off.
+
+    It used to wait until their last responses were 0.7 of the apply deadline old, and then
+    took for lapsed what they took for lapsed.
+    """
+    selector, table = non_reader()
+    assert may_skip_endpoints(selector)
+    for row in table.rows:
+        # Those that read for nobody were not answered for long.
+        row.digest.endpoints_age_s = 50.0
+    fail(table, *table.rows[:READERS_PER_HALL])
+    feed = Feed()
+    feed.record_response(99.9)
+    assert not may_skip_endpoints(selector, feed)
+
+
+def test_an_entry_skips_calls_while_one_reader_of_its_hall_is_answered() -> None:
+    selector, table = non_reader()
+    fail(table, *table.rows[1:])
+    assert may_skip_endpoints(selector)
+    fail(table, table.rows[0])
+    assert not may_skip_endpoints(selector)
+
+
+def test_calls_that_fail_in_other_halls_or_are_not_reported_are_no_reason_to_call() -> None:
+    selector, table = non_reader()
+    fail(table, *table.rows, answered_s=0)
+    table.merge(digest(address(30), hall="hall2"), 100.0)
+    fail(table, table.rows[-1])
+    assert may_skip_endpoints(selector)
