Check what a peer takes for lapsed with one call of one's own

Cause: an entry called the store for as long as it kept lapsed endpoints, also those that it had found missing itself. After an outage all entries of a hall would have called for two seconds; calls are charged for.

Change: it calls once after a peer has told of a lapsed endpoint that it listed. Its answer shows the deletion, if the store still knows it.

--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from .. import clock
@@ -30,16 +31,13 @@
         ctx: State shared by all requests of the entry.
         peers: The other entries, whose digests tell whether the platform answered them.
         feed: This entry's own calls for the list.
-
-    Attributes:
-        has_lapsed: Whether some endpoints are kept for a grace period.
     """
 
     def __init__(self, ctx: Context, peers: PeerTable, feed: Feed) -> None:
         self._ctx = ctx
         self._peers = peers
         self._feed = feed
-        self.has_lapsed = False
+        self._told_at = -math.inf
 
     def apply(self, published: Published, *, source: str = STORE_SOURCE) -> None:
         """Add an endpoint, or update its row.
@@ -102,13 +100,13 @@
             )
             self._ctx.crashes.handle_incarnation_end(row)
 
-    def _mark_lapsed(self, row: EndpointRow, lapsed_at: float, source: str) -> None:
+    @staticmethod
+    def _mark_lapsed(row: EndpointRow, lapsed_at: float, source: str) -> None:
         """Keep an endpoint for a grace period; one that has begun is never extended."""
         if row.lapsed_at is not None:
             row.lapsed_at = min(row.lapsed_at, lapsed_at)
             return
         row.lapsed_at = lapsed_at
-        self.has_lapsed = True
         log(
             Event.ENDPOINT_LAPSED,
             endpoint=row.id,
@@ -164,8 +162,19 @@
             if row.id not in kept:
                 self.remove(row.id, source=source)
             elif row.id in lapsed_at:
+                if row.lapsed_at is None:
+                    self._told_at = clock.now()
                 self.remove(row.id, lapsed_at=lapsed_at[row.id], source=source)
 
+    @property
+    def must_check_lapses(self) -> bool:
+        """Whether a peer told of lapsed endpoints since the last own call was answered.
+
+        The peer may only believe it, as its own calls had failed.
+        """
+        last = self._feed.last_response_at
+        return self._told_at > (-math.inf if last is None else last)
+
     def expire_lapsed(self, now: float) -> None:
         """Remove lapsed endpoints that were not listed again within the grace period."""
         lapsed = [
@@ -173,10 +182,8 @@
             for row in self._ctx.endpoints
             if row.lapsed_at is not None
         ]
-        gone = self._past_grace(lapsed, now)
-        for endpoint in gone:
+        for endpoint in self._past_grace(lapsed, now):
             self.remove(endpoint, source=GRACE_PERIOD_SOURCE)
-        self.has_lapsed = len(lapsed) > len(gone)
 
     def _past_grace(self, lapsed: list[tuple[Published, float]], now: float) -> set[str]:
         """Return the endpoints whose grace period is over.
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -414,8 +414,7 @@
         Args:
             feed: The part of the published state that would be polled.
         """
-        if feed is self.feeds.endpoints and self._endpoint_sync.has_lapsed:
-            # A peer whose calls had failed may only believe that they lapsed.
+        if feed is self.feeds.endpoints and self._endpoint_sync.must_check_lapses:
             return False
         known = self._known_revisions()
         if feed is self.feeds.configuration:
