Tell in the last line of a request which side ended it, and for how long it was silent

The logs could not tell a response that a silent endpoint ended from one that broke off, nor how much of it the caller had. The last line (700 to 703, 706) now has ended_by, sent_bytes and silent_ms, and 706 says what was seen of the caller's connection.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -43,6 +43,8 @@
         self.is_closing = False
         """Whether the next response announces that the connection will be closed."""
         self.head_sent = False
+        self.sent_bytes = 0
+        """Bytes of the current response that were sent, its framing included."""
         set_socket_options(sock)
 
     def read_request(self) -> RawRequest | None:
@@ -57,6 +59,7 @@
         """
         self.is_idle = True
         self.head_sent = False
+        self.sent_bytes = 0
         if not self._await_first_byte():
             return None
         self.is_idle = False
@@ -209,6 +212,7 @@
             self._sock.sendall(data)
         except OSError as exc:
             raise CallerGoneError(f"caller closed its connection: {exc}") from exc
+        self.sent_bytes += len(data)
 
     def prepare_next_request(self) -> bool:
         """Prepare for another request; return whether the connection allows one."""
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -118,6 +118,8 @@
         self.attempts: list[Attempt] = []
         self.progress = DeliveryProgress()
         self.placement: Placement | None = None
+        self.last_data_at = -math.inf
+        """Monotonic time of the last data from the current endpoint, in seconds."""
         self._first_event_at: float | None = None
         self._event_count = 0
         self._attempt_sent_at = -math.inf
@@ -304,6 +306,7 @@
         keep_alive_s: float | None = 0.0
         sent_at = self._ctx.now()
         self._attempt_sent_at = sent_at
+        self.last_data_at = sent_at
         self._first_event_at = None
         self._event_count = 0
         self._has_proven_parts = False
@@ -356,6 +359,7 @@
     ) -> ResponseHead:
         while True:
             head = self._ctx.adapter.read_response(conn.read_head())
+            self.last_data_at = self._ctx.now()
             # For a late response to another request, the send time is not known.
             is_own = head.rid in (self._req.rid, "")
             request_sent_at = sent_at if is_own else -math.inf
@@ -534,10 +538,11 @@
                 data = conn.read_data()
             if data is None:
                 break
+            now = self._ctx.now()
+            self.last_data_at = now
             events = splitter.feed(data)
             if not events:
                 continue
-            now = self._ctx.now()
             if self._first_event_at is None:
                 self._first_event_at = now
                 self._record_success(row, now)
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -57,9 +57,9 @@
         self._ctx.counters.requests += 1
         try:
             refusal = self._respond()
-        except CallerGoneError:
+        except CallerGoneError as exc:
             self._observe_duration("left")
-            self._record_end(Event.CALLER_LEFT, Outcome.LEFT)
+            self._record_end(Event.CALLER_LEFT, Outcome.LEFT, detail=str(exc))
             raise
         self._observe_duration("answered" if refusal is None else refusal.verdict.value)
         if refusal is None:
@@ -257,14 +257,26 @@
             self._ctx.scheduler.remember_refusal(self._job, refusal.retry_after_s)
 
     def _record_end(
-        self, event: Event, outcome: Outcome, refusal: Refusal | None = None
+        self,
+        event: Event,
+        outcome: Outcome,
+        refusal: Refusal | None = None,
+        *,
+        detail: str = "",
     ) -> None:
-        """Count and log how the request ended."""
+        """Count and log how the request ended.
+
+        Args:
+            event: The event to log.
+            outcome: How the request ended.
+            refusal: Why it has no complete response; ``None`` if it has one.
+            detail: Why it ended, if there is no refusal.
+        """
         plan = self._plan
         if plan is not None and self._job is not None:
             plan = plan.with_decision(self._job)
-        summary = RequestSummary(self._ctx, self._req, plan, self._forwarder)
-        summary.emit(event, outcome, refusal, revision=self._revision.number)
+        summary = RequestSummary(self._ctx, self._req, plan, self._forwarder, self._caller)
+        summary.emit(event, outcome, refusal, detail=detail, revision=self._revision.number)
 
 
 def _permitted_regions(
--- a/dockreach/direct/request_summary.py
+++ b/dockreach/direct/request_summary.py
@@ -2,17 +2,28 @@
 
 from __future__ import annotations
 
+import enum
+import math
 from typing import Any
 
 from ..events import Event, log
 from ..verdict import Refusal
-from .attempt import NO_PLACEMENT
+from .attempt import NO_PLACEMENT, AttemptOutcome
 from .context import Context
 from .forwarder import Forwarder
 from .jobs import RetryKind
-from .outcomes import DeliveryProgress, Outcome, OutcomeKey
+from .outcomes import SERVED, DeliveryProgress, Outcome, OutcomeKey
 from .request_plan import RequestPlan
 from .requests import InboundRequest
+from .response_sink import ResponseSink
+
+
+class Party(enum.StrEnum):
+    """Which side ended a request."""
+
+    CALLER = "caller"
+    ENTRY = "entry"
+    ENDPOINT = "endpoint"
 
 
 class RequestSummary:
@@ -24,6 +35,7 @@
         plan: What the configuration prescribes for it; ``None`` if it was refused without
             a route, a valid key or a request id.
         forwarder: Its upstream attempts; ``None`` if there were none.
+        caller: Where its response went.
     """
 
     def __init__(
@@ -32,17 +44,33 @@
         req: InboundRequest,
         plan: RequestPlan | None,
         forwarder: Forwarder | None,
+        caller: ResponseSink,
     ) -> None:
         self._ctx = ctx
         self._req = req
         self._plan = plan
         self._forwarder = forwarder
+        self._caller = caller
         self._progress = forwarder.progress if forwarder else DeliveryProgress()
 
     def emit(
-        self, event: Event, outcome: Outcome, refusal: Refusal | None, *, revision: int
+        self,
+        event: Event,
+        outcome: Outcome,
+        refusal: Refusal | None,
+        *,
+        detail: str,
+        revision: int,
     ) -> None:
-        """Count and log the outcome of the request."""
+        """Count and log the outcome of the request.
+
+        Args:
+            event: The event to log.
+            outcome: How the request ended.
+            refusal: Why it has no complete response; ``None`` if it has one.
+            detail: Why it ended, if there is no refusal.
+            revision: Revision of the configuration under which it was handled.
+        """
         reason = refusal.reason.value if refusal is not None else ""
         duration_s = self._ctx.now() - self._req.arrived_at
         if self._plan is not None:
@@ -54,13 +82,26 @@
             revision=revision,
             outcome=outcome.value,
             reason=reason,
-            detail=refusal.detail if refusal is not None else "",
+            detail=refusal.detail if refusal is not None else detail,
+            ended_by=self._ended_by(outcome).value,
+            sent_bytes=self._caller.sent_bytes,
             held_ms=round(duration_s * 1000),
             peers=self._ctx.entry_count - 1,
             **self._plan_fields(),
             **self._placement_fields(),
         )
 
+    def _ended_by(self, outcome: Outcome) -> Party:
+        """Return which side ended the request."""
+        if outcome in SERVED or outcome is Outcome.FAILED:
+            return Party.ENDPOINT
+        if outcome is Outcome.LEFT:
+            return Party.CALLER
+        attempts = self._forwarder.attempts if self._forwarder else []
+        if attempts and attempts[-1].outcome is AttemptOutcome.LOST:
+            return Party.ENDPOINT
+        return Party.ENTRY
+
     def _count_outcome(
         self, plan: RequestPlan, outcome: Outcome, reason: str, duration_s: float
     ) -> None:
@@ -118,6 +159,7 @@
             "events": self._progress.events,
             "first_ms": round(first_s * 1000),
             "gap_ms": round(self._progress.longest_gap_s * 1000),
+            "silent_ms": self._silent_ms(),
             "endpoint": placement.endpoint,
             "waited_ms": round(placement.waited_s * 1000),
             "own": placement.in_flight_here,
@@ -129,6 +171,12 @@
             **self._resumption_fields(),
         }
 
+    def _silent_ms(self) -> int:
+        """Return for how long the last endpoint had sent nothing, in milliseconds."""
+        if self._forwarder is None or not math.isfinite(self._forwarder.last_data_at):
+            return 0
+        return round((self._ctx.now() - self._forwarder.last_data_at) * 1000)
+
     def _resumption_fields(self) -> dict[str, Any]:
         """Return the log fields of a request that continues a stream."""
         req = self._req
--- a/dockreach/direct/response_sink.py
+++ b/dockreach/direct/response_sink.py
@@ -12,9 +12,11 @@
 
     Attributes:
         head_sent: Whether the head was sent, so that it can no longer be replaced.
+        sent_bytes: Bytes of the response that were sent so far, its framing included.
     """
 
     head_sent: bool
+    sent_bytes: int
 
     def send_head(self, head: RawHead) -> None:
         """Send the response's head."""
--- /dev/null
+++ b/tests/direct/test_request_summary.py
@@ -0,0 +1,66 @@
+"""The last log line of a request tells how it ended."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import eventlet
+import pytest
+
+from .standins import Caller, Dialog, EndpointStandIn, start_entry
+
+SILENCE_S = 0.3
+"""For how long the endpoint is silent before the end, in seconds."""
+
+TOLERANCE_MS = 150
+"""Greatest excess of a reported time, in milliseconds: the machine may be busy."""
+
+
+def send_one_event(dialog: Dialog) -> None:
+    dialog.start_stream()
+    dialog.chunk(b"id: 1\ndata: piece 1\n\n")
+    eventlet.sleep(SILENCE_S)
+
+
+def break_off(dialog: Dialog) -> None:
+    send_one_event(dialog)
+    dialog.reset()
+
+
+def last_line(caplog: pytest.LogCaptureFixture, rid: str) -> dict[str, Any]:
+    """Wait for the last line of a request and return its fields."""
+    with eventlet.Timeout(2):
+        while True:
+            for record in caplog.records:
+                fields = vars(record)
+                if fields.get("rid") == rid and fields.get("event") in (702, 703, 706):
+                    return fields
+            eventlet.sleep(0.01)
+
+
+def test_a_response_that_its_endpoint_broke_off_names_the_endpoint(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "dockreach")
+    caller = Caller(start_entry(EndpointStandIn(break_off)))
+    caller.send("/draft/a", rid="r-broken", body=b"prompt")
+    line = last_line(caplog, "r-broken")
+    assert (line["event"], line["ended_by"], line["endpoint"]) == (703, "endpoint", "e-0")
+    assert line["sent_bytes"] > len(b"id: 1\ndata: piece 1\n\n")
+    assert 0 <= line["silent_ms"] - SILENCE_S * 1000 + 20 < TOLERANCE_MS
+
+
+def test_a_caller_that_left_a_silent_endpoint_is_told_from_a_broken_response(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "dockreach")
+    caller = Caller(start_entry(EndpointStandIn(send_one_event)))
+    caller.send("/draft/a", rid="r-left", body=b"prompt")
+    assert b"200 OK" in caller.read_available()
+    eventlet.sleep(SILENCE_S / 2)
+    caller.close()
+    line = last_line(caplog, "r-left")
+    assert (line["event"], line["ended_by"]) == (706, "caller")
+    assert line["detail"] == "caller closed its connection"
+    assert line["silent_ms"] >= SILENCE_S * 500 - 20
