Do not reset the connection of a caller that reads nothing for three seconds

A caller that read nothing for 3.5 s in the middle of a long stream, and then went on, had its connection reset: the rest of a response that its endpoint had sent whole was gone.

Cause: TCP_USER_TIMEOUT of 3 s, meant for VMs that lose power, also counts the time in which the peer's receive window is closed. The caller acknowledged everything all along.

The timeout on callers' connections is now longer than any deadline, which ends such a request as it ends others.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -10,6 +10,7 @@
 from ..errors import CallerGoneError
 from .http1 import (
     RECV_BYTES,
+    SLOW_READER_TIMEOUT_MS,
     BadRequestError,
     RawHead,
     RawRequest,
@@ -45,7 +46,7 @@
         self.head_sent = False
         self.sent_bytes = 0
         """Bytes of the current response that were sent, its framing included."""
-        set_socket_options(sock)
+        set_socket_options(sock, send_timeout_ms=SLOW_READER_TIMEOUT_MS)
 
     def read_request(self) -> RawRequest | None:
         """Read a complete request.
--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -8,7 +8,14 @@
 import h11
 from eventlet.green import socket
 
-from .http1 import ConnectError, RawHead, ResponseError, receive, set_socket_options
+from .http1 import (
+    LOST_PEER_TIMEOUT_MS,
+    ConnectError,
+    RawHead,
+    ResponseError,
+    receive,
+    set_socket_options,
+)
 from .requests import Header
 
 MAX_INLINE_BYTES = 8192
@@ -38,7 +45,7 @@
             self._sock.settimeout(connect_timeout_s)
             self._sock.connect((ip, int(port)))
             self._sock.settimeout(None)
-            set_socket_options(self._sock)
+            set_socket_options(self._sock, send_timeout_ms=LOST_PEER_TIMEOUT_MS)
         except OSError as exc:
             self._sock.close()
             raise ConnectError(f"{address}: {exc}") from exc
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -18,10 +18,14 @@
 RECV_BYTES = 65536
 """Size of one read; the streams of the users arrive in pieces of some 100 bytes."""
 
-USER_TIMEOUT_MS = 3000
+LOST_PEER_TIMEOUT_MS = 3000
 """How long sent data may stay unacknowledged before the connection fails, in milliseconds:
 a VM that loses power closes no connections."""
 
+SLOW_READER_TIMEOUT_MS = 60_000
+"""The same for a connection whose peer may leave data unread. Linux counts the time in which
+the receive window is closed too, so this is longer than any request's deadline."""
+
 _HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -137,7 +141,17 @@
     sock.close()
 
 
-def set_socket_options(sock: Any) -> None:  # noqa: ANN401
-    """Send small pieces without delay, and detect a peer that has lost power."""
+def set_socket_options(sock: Any, *, send_timeout_ms: int) -> None:  # noqa: ANN401
+    """Send small pieces without delay, and detect a peer that has lost power.
+
+    Args:
+        sock: A connected socket.
+        send_timeout_ms: See `set_send_timeout`.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    set_send_timeout(sock, send_timeout_ms)
+
+
+def set_send_timeout(sock: Any, timeout_ms: int) -> None:  # noqa: ANN401
+    """Set how long sent data may stay unacknowledged or unread, in milliseconds."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
