Do not reset a long request that its endpoint leaves unread for three seconds

A request with a body of 4 MB whose endpoint read nothing for 3.5 s, and then read and answered it, got 502: the entry's own TCP_USER_TIMEOUT had reset the connection while the receive window was closed.

Requests that may not fit the receive window now have a timeout longer than any deadline; shorter ones keep the 3 s by which an endpoint without power is noticed, since their data needs no reader to be acknowledged. The test failed before with 502 at 3.5 s (and passed at 1 s).

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -10,10 +10,12 @@
 
 from .http1 import (
     LOST_PEER_TIMEOUT_MS,
+    SLOW_READER_TIMEOUT_MS,
     ConnectError,
     RawHead,
     ResponseError,
     receive,
+    set_send_timeout,
     set_socket_options,
 )
 from .requests import Header
@@ -22,6 +24,10 @@
 """Requests up to this size are written before the response is read. Longer ones may fill
 the connection's window, and an endpoint may respond before it has read them."""
 
+MAX_WINDOW_BYTES = 65_535
+"""Largest receive window without window scaling. A longer request may have to wait until its
+endpoint reads, which is no sign that the endpoint has lost power."""
+
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Largest head of a response."""
 
@@ -52,6 +58,7 @@
         self._http = _new_http_client()
         self._request = h11.Request(method="GET", target="/", headers=[("Host", "-")])
         self._writer: Any = None
+        self._send_timeout_ms = LOST_PEER_TIMEOUT_MS
         self._is_written = True
         self.is_framed = True
         """Whether the response's end can be distinguished from that of the connection."""
@@ -81,6 +88,7 @@
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self._is_written = False
+        self._set_send_timeout(len(data))
         if len(data) > MAX_INLINE_BYTES:
             self._writer = eventlet.spawn(self._write, data)
             return
@@ -88,6 +96,19 @@
         if not self._is_written:
             raise ResponseError(f"{self.address}: connection broke while sending")
 
+    def _set_send_timeout(self, size: int) -> None:
+        """Set how long an endpoint may leave a request of this many bytes unread."""
+        timeout_ms = (
+            SLOW_READER_TIMEOUT_MS if size > MAX_WINDOW_BYTES else LOST_PEER_TIMEOUT_MS
+        )
+        if timeout_ms == self._send_timeout_ms:
+            return
+        try:
+            set_send_timeout(self._sock, timeout_ms)
+        except OSError as exc:
+            raise ResponseError(f"{self.address}: {exc}") from exc
+        self._send_timeout_ms = timeout_ms
+
     def _write(self, data: bytes) -> None:
         try:
             self._sock.sendall(data)
--- a/tests/direct/test_slow_readers.py
+++ b/tests/direct/test_slow_readers.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import eventlet
 import pytest
 
-from .standins import Caller, Dialog, EndpointStandIn, body_of, start_entry
+from .standins import (
+    Caller,
+    Dialog,
+    EndpointStandIn,
+    body_of,
+    respond_fine,
+    start_entry,
+    status_of,
+)
 
 PAUSES_S = [1.0, 3.5]
 """For how long a peer reads nothing, in seconds; the routes' timeout is 5 s."""
@@ -14,6 +24,8 @@
 EVENTS = 16
 """The stream is longer than the buffers of both sides of a connection."""
 
+BODY_BYTES = 4_000_000
+
 
 def stream_of_large_events() -> list[bytes]:
     return [
@@ -42,3 +54,21 @@
         assert data, "the response was broken off"
         received += data
     assert body_of(received) == b"".join(stream_of_large_events())
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+def test_an_endpoint_that_reads_nothing_for_seconds_gets_the_whole_body(
+    pause_s: float,
+) -> None:
+    class PausingEndpoint(EndpointStandIn):
+        def _serve(self, sock: Any) -> None:  # noqa: ANN401
+            eventlet.sleep(pause_s)
+            super()._serve(sock)
+
+    endpoint = PausingEndpoint(respond_fine)
+    caller = Caller(start_entry(endpoint))
+    caller.sock.settimeout(5.0)
+    body = b"b" * BODY_BYTES
+    caller.send("/once/a", body=body, deadline_ms=5000)
+    assert status_of(caller.read_response()) == 200
+    assert endpoint.requests[0].endswith(body)
