--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -25,8 +25,8 @@
 the connection's window, and an endpoint may respond before it has read them."""
 
 MAX_WINDOW_BYTES = 65_535
-"""Largest receive window without window scaling. A longer request may have to wait until its
-endpoint reads, which is no sign that the endpoint has lost power."""
+"""Largest receive window without window scaling. A longer request may have to wait until
+its endpoint reads, which is no sign that the endpoint has lost power."""
 
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Largest head of a response."""
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -23,8 +23,8 @@
 a VM that loses power closes no connections."""
 
 SLOW_READER_TIMEOUT_MS = 60_000
-"""The same for a connection whose peer may leave data unread. Linux counts the time in which
-the receive window is closed too, so this is longer than any request's deadline."""
+"""The same for a connection whose peer may leave data unread. Linux also counts the time in
+which the receive window is closed, so this is longer than any request's deadline."""
 
 _HOP_BY_HOP = frozenset(
     (
