Log every end of a connection whose request was read whole

Refusals of malformed requests had no request id, and nothing counted connections that were closed idle or unread.

Change: event 710 (request_abandoned) with request id, cause, who ended it, what was sent and for how long it was held; 705 and 731 with the request id; counters of closed connections and of abandoned requests by cause. An idle connection that a stop closes no longer counts as a caller that left.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -7,6 +7,7 @@
 import eventlet
 import h11
 
+from .. import clock
 from ..errors import CallerGoneError
 from .http1 import (
     RECV_BYTES,
@@ -17,6 +18,7 @@
     reset,
     set_socket_options,
 )
+from .requests import Header
 from .routing_config import CallerLimits
 
 MAX_PIPELINED_BYTES = 1 << 20
@@ -45,6 +47,15 @@
         self.head_sent = False
         self.sent_bytes = 0
         """Bytes of the current response that were sent, its framing included."""
+        self.headers: list[Header] = []
+        """Headers of the current request; empty until they were read."""
+        self.received_at: float | None = None
+        """Monotonic time at which the current request was read whole, in seconds; ``None``
+        before that."""
+        self.is_accounted = False
+        """Whether whoever serves the current request logs how it ends."""
+        self.has_idled = False
+        """Whether no request came in the idle timeout."""
         set_socket_options(sock)
 
     def read_request(self) -> RawRequest | None:
@@ -60,6 +71,9 @@
         self.is_idle = True
         self.head_sent = False
         self.sent_bytes = 0
+        self.headers = []
+        self.received_at = None
+        self.is_accounted = False
         if not self._await_first_byte():
             return None
         self.is_idle = False
@@ -79,6 +93,9 @@
         self._sock.settimeout(self._limits.idle_timeout_s)
         try:
             data = receive(self._sock)
+        except TimeoutError:
+            self.has_idled = True
+            return False
         except OSError:
             return False
         finally:
@@ -99,6 +116,7 @@
             elif isinstance(event, h11.Request):
                 head = event
                 self._method = head.method
+                self.headers = head.headers.raw_items()
                 self._check_framing(head)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -106,6 +124,7 @@
                 if size > self._limits.body_bytes:
                     raise BadRequestError(413, "body too large")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
+                self.received_at = clock.now()
                 return _raw_request(head, b"".join(parts))
             else:
                 return None
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -7,6 +7,7 @@
 
 from .. import clock
 from ..metrics import Metrics
+from .connection_ends import ConnectionEnds
 from .crash_reporter import CrashReporter
 from .endpoints import EndpointTable
 from .first_attempts import FirstAttemptEstimator
@@ -65,6 +66,7 @@
     streams: StreamVersions
     counters: Counters = field(default_factory=Counters)
     outcomes: OutcomeCounter = field(default_factory=OutcomeCounter)
+    ends: ConnectionEnds = field(default_factory=ConnectionEnds)
     first_attempts: FirstAttemptEstimator = field(default_factory=FirstAttemptEstimator)
     entry_count: int = 1
     """Number of entries that may be running, this one included."""
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -19,6 +19,7 @@
 from ..rendezvous import choose
 from ..verdict import Refusal
 from .connection_admission import ConnectionAdmission, IdleMeter
+from .connection_ends import CloseCause
 from .context import Context
 from .coordinator_selection import CoordinatorSelector
 from .crash_reporter import CrashReporter
@@ -212,7 +213,14 @@
         deadline = self.started_at + STARTUP_WAIT_S
         while clock.now() < deadline and not self._is_ready_for_callers:
             eventlet.sleep(STARTUP_POLL_INTERVAL_S)
-        accept_all(listener, self.callers.serve, self.admission.admit)
+        accept_all(listener, self.callers.serve, self._admit)
+
+    def _admit(self) -> bool:
+        """Return whether to take a new connection; count those that are closed unread."""
+        is_admitted = self.admission.admit()
+        if not is_admitted:
+            self.ctx.ends.closed[CloseCause.UNREAD] += 1
+        return is_admitted
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply changed settings; addresses and names stay until a restart."""
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -96,6 +96,7 @@
         yield from process_samples(entry.started_at)
         yield from counter_samples("direct", entry.ctx.counters)
         yield from entry.ctx.outcomes.samples()
+        yield from entry.ctx.ends.samples()
         now = clock.now()
         yield from entry.feeds.samples(now, entry.started_at)
         gauges = {
--- a/dockreach/direct/protocol_adapter.py
+++ b/dockreach/direct/protocol_adapter.py
@@ -14,6 +14,9 @@
 class ProtocolAdapter(Protocol):
     """Translates between a platform's headers and the types of the direct path."""
 
+    def request_id(self, headers: list[Header]) -> str:
+        """Return the id in a request's headers; empty if there is none."""
+
     def read_request(self, raw: RawRequest, arrived_at: float) -> InboundRequest:
         """Decode a caller's request.
 
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -11,13 +11,15 @@
 from eventlet.greenio import GreenSocket
 
 from .. import clock
-from ..errors import CallerGoneError
+from ..errors import CallerGoneError, DockreachError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .caller_connection import CallerConnection
+from .connection_ends import AbandonCause, CloseCause
 from .context import Context
 from .http1 import BadRequestError, RawHead, RawRequest, reset
 from .request_handler import RequestHandler
+from .request_summary import Party
 from .routing_config import CallerLimits, ConfigRevision
 
 ACCEPT_RETRY_DELAY_S = 0.1
@@ -38,6 +40,10 @@
 """The entry exits by itself this long before it would be killed, in seconds."""
 
 
+class _StoppingError(DockreachError):
+    """An idle connection is closed, since the entry stops."""
+
+
 class ServingEntry(Protocol):
     """The attributes of an entry that are needed to serve callers."""
 
@@ -95,35 +101,65 @@
             sock.close()
             return
         self._connections[conn] = eventlet.getcurrent()
+        cause = CloseCause.CALLER
         try:
-            self._serve_connection(conn)
+            cause = self._serve_connection(conn)
         except CallerGoneError:
             self._entry.ctx.counters.callers_gone += 1
+            if not conn.is_accounted:
+                self._log_abandoned(conn, AbandonCause.LEFT_UNSERVED, Party.CALLER)
+        except _StoppingError:
+            cause = CloseCause.STOPPING
         except Exception as exc:  # noqa: BLE001
             # An unexpected error ends one connection and not the entry.
-            log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc())
+            cause = CloseCause.INTERNAL_ERROR
+            trace = traceback.format_exc()
+            log(Event.INTERNAL_ERROR, repr(exc), trace=trace, rid=self._rid(conn))
+            self._log_abandoned(conn, AbandonCause.INTERNAL_ERROR, Party.ENTRY)
             conn.abort()
         finally:
             del self._connections[conn]
+            self._entry.ctx.ends.closed[cause] += 1
             conn.close()
 
-    def _serve_connection(self, conn: CallerConnection) -> None:
+    def _log_abandoned(
+        self, conn: CallerConnection, cause: AbandonCause, ended_by: Party
+    ) -> None:
+        """Log and count a request that was read whole and has no other last line."""
+        if conn.received_at is None:
+            return
+        self._entry.ctx.ends.abandoned[cause] += 1
+        log(
+            Event.REQUEST_ABANDONED,
+            rid=self._rid(conn),
+            cause=cause.value,
+            ended_by=ended_by.value,
+            head_sent=conn.head_sent,
+            sent_bytes=conn.sent_bytes,
+            held_ms=round((clock.now() - conn.received_at) * 1000),
+        )
+
+    def _rid(self, conn: CallerConnection) -> str:
+        return self._entry.ctx.adapter.request_id(conn.headers)
+
+    def _serve_connection(self, conn: CallerConnection) -> CloseCause:
+        """Serve the requests of a connection; return why it is to be closed."""
         while True:
             try:
                 raw = conn.read_request()
             except BadRequestError as exc:
                 self._refuse_malformed(conn, exc)
-                return
+                return CloseCause.BAD_REQUEST
             if raw is None:
-                return
+                return CloseCause.IDLE if conn.has_idled else CloseCause.CALLER
             conn.is_closing = self._entry.stopping_since is not None
             try:
                 self._serve_watched(conn, raw)
             except BadRequestError as exc:
                 self._refuse_malformed(conn, exc)
-                return
+                return CloseCause.BAD_REQUEST
             if not conn.prepare_next_request():
-                return
+                return CloseCause.ANNOUNCED
 
     def _serve_watched(self, conn: CallerConnection, raw: RawRequest) -> None:
         """Serve a request; stop at once when the caller closes its connection.
@@ -165,6 +201,7 @@
     def _serve_request(self, conn: CallerConnection, raw: RawRequest) -> None:
         req = self._entry.ctx.adapter.read_request(raw, clock.now())
         revision = self._entry.revision
+        conn.is_accounted = True
         if revision is None or self._is_too_late_to_serve():
             reason = Reason.STOPPING if revision else Reason.NOT_READY
             refusal = Refusal(
@@ -181,7 +218,8 @@
         return since is not None and clock.now() > since + SERVE_WHILE_STOPPING_S
 
     def _refuse_malformed(self, conn: CallerConnection, exc: BadRequestError) -> None:
-        log(Event.BAD_REQUEST, str(exc), status=exc.status)
+        conn.is_accounted = True
+        log(Event.BAD_REQUEST, str(exc), status=exc.status, rid=self._rid(conn))
         if conn.head_sent:
             return
         conn.is_closing = True
@@ -202,6 +240,8 @@
                 if not self._connections:
                     return
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
+        for conn in self._connections:
+            self._log_abandoned(conn, AbandonCause.GRACE_OVER, Party.ENTRY)
 
     def _close_idle(self) -> None:
         """Close connections on which no request is in flight.
@@ -211,7 +251,7 @@
         """
         for conn, server in list(self._connections.items()):
             if conn.is_idle:
-                eventlet.kill(server, CallerGoneError("the entry is stopping"))
+                eventlet.kill(server, _StoppingError("the entry is stopping"))
 
 
 def _caller_limits(revision: ConfigRevision | None) -> CallerLimits:
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -65,6 +65,7 @@
     CALLER_LEFT = 706
     REQUEST_CRASHED = 707
     REQUEST_BARRED = 708
+    REQUEST_ABANDONED = 710
     DIGEST_REFUSED = 720
     DIGEST_TOO_LARGE = 721
     PEER_SILENT = 722
@@ -95,6 +96,7 @@
     Event.REQUEST_CUT: logging.WARNING,
     Event.REQUEST_CRASHED: logging.WARNING,
     Event.REQUEST_BARRED: logging.ERROR,
+    Event.REQUEST_ABANDONED: logging.WARNING,
     Event.DIGEST_REFUSED: logging.WARNING,
     Event.DIGEST_TOO_LARGE: logging.ERROR,
     Event.PEER_SILENT: logging.WARNING,
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -1,18 +1,61 @@
-"""Callers that close their connection before their request is served."""
+"""Connections of callers: how they end, and what becomes of a request that was read."""
 
 from __future__ import annotations
 
+import socket as plain_socket
 import time
+from dataclasses import replace
+from typing import Any
 
 import eventlet
+import pytest
 
-from .standins import Caller, Dialog, EndpointStandIn, fill_pool, start_entry
+from dockreach.direct.entry import Entry
+from dockreach.direct.routing_config import CallerLimits
+from dockreach_platform.headers import PlatformAdapter
+
+from .standins import (
+    LOCAL,
+    Caller,
+    Dialog,
+    EndpointStandIn,
+    entry_settings,
+    fetch_page,
+    fill_pool,
+    revision,
+    start_entry,
+)
 
 
 def respond_ok(dialog: Dialog) -> None:
     dialog.respond(b"fine")
 
 
+def stay_silent(dialog: Dialog) -> None:
+    dialog.wait_until_closed()
+
+
+def lines(caplog: pytest.LogCaptureFixture, event: int) -> list[dict[str, Any]]:
+    """Return the fields of the logged lines of an event."""
+    return [vars(row) for row in caplog.records if vars(row).get("event") == event]
+
+
+def counter(entry: Entry, name: str, cause: str) -> float:
+    """Return a counter of an entry's metrics page by its cause; 0 if it is not there."""
+    assert entry.settings.metrics_address is not None
+    page = fetch_page(entry.settings.metrics_address, "/metrics").decode()
+    for line in page.splitlines():
+        if line.startswith(f"dockreach_direct_{name}{{") and f'cause="{cause}"' in line:
+            return float(line.rpartition(" ")[2])
+    return 0.0
+
+
+@pytest.fixture(name="log", autouse=True)
+def _log(caplog: pytest.LogCaptureFixture) -> pytest.LogCaptureFixture:
+    caplog.set_level("INFO", logger="dockreach")
+    return caplog
+
+
 def test_a_request_of_a_disconnected_caller_reaches_no_endpoint() -> None:
     """After a pause, an entry finds requests together with the ends of their connections.
 
@@ -29,3 +72,92 @@
     time.sleep(0.1)
     eventlet.sleep(0.3)
     assert len(endpoint.requests) == 5, "more than the requests that filled the pool"
+
+
+def test_a_request_that_was_left_before_it_was_served_has_a_line(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-left")
+    caller.close()
+    time.sleep(0.1)
+    eventlet.sleep(0.2)
+    (line,) = lines(log, 710)
+    assert (line["rid"], line["cause"]) == ("r-left", "left_unserved")
+    assert (line["ended_by"], line["head_sent"], line["sent_bytes"]) == ("caller", False, 0)
+    assert line["held_ms"] >= 0
+    assert counter(entry, "requests_abandoned_total", "left_unserved") == 1
+    assert counter(entry, "connections_closed_total", "caller") == 1
+
+
+def test_a_request_that_a_fault_ended_has_a_line(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("fault")
+
+    monkeypatch.setattr(PlatformAdapter, "read_request", fail)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-fault")
+    eventlet.sleep(0.1)
+    (line,) = lines(log, 710)
+    assert (line["rid"], line["cause"]) == ("r-fault", "internal_error")
+    assert line["ended_by"] == "entry"
+    (error,) = lines(log, 731)
+    assert error["rid"] == "r-fault"
+    assert counter(entry, "connections_closed_total", "internal_error") == 1
+
+
+def test_each_request_under_way_at_the_exit_has_a_line(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    entry = start_entry(EndpointStandIn(stay_silent), settings=entry_settings(grace_s=1.0))
+    callers = [Caller(entry) for _ in range(2)]
+    idle, partial = Caller(entry), Caller(entry)
+    for number, caller in enumerate(callers):
+        caller.send("/once/a", rid=f"r-{number}")
+    partial.sock.sendall(b"POST /once/a HTTP/1.1\r\n")
+    eventlet.sleep(0.1)
+    entry.stop()
+    found = lines(log, 710)
+    assert sorted(line["rid"] for line in found) == ["r-0", "r-1"]
+    assert {line["cause"] for line in found} == {"grace_over"}
+    assert {line["ended_by"] for line in found} == {"entry"}
+    idle.close()
+
+
+@pytest.mark.parametrize(
+    ("extra", "body", "rid"),
+    [("Token-Counts: x\r\n", b"", "r-bad"), ("", b"x" * 64, "r-bad"), ("x\r\n", b"", "")],
+)
+def test_a_malformed_request_is_logged_with_its_id(
+    log: pytest.LogCaptureFixture, extra: str, body: bytes, rid: str
+) -> None:
+    config = revision(limits=CallerLimits(body_bytes=32))
+    entry = start_entry(EndpointStandIn(respond_ok), config=config)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-bad", extra=extra, body=body)
+    caller.read_response()
+    (line,) = lines(log, 705)
+    assert line["rid"] == rid
+
+
+def test_closed_connections_are_counted_by_cause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limits = replace(CallerLimits(), idle_timeout_s=0.1)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    idle, served = Caller(entry), Caller(entry)
+    served.send("/safe/a", extra="Connection: close\r\n")
+    assert served.read_all()
+    assert idle.read_available() == b""
+    monkeypatch.setattr(entry.admission, "admit", lambda: False)
+    # A blocking connect ends before the entry resets the connection.
+    unread = plain_socket.create_connection((LOCAL, entry.settings.callers_address.port))
+    eventlet.sleep(0.1)
+    for cause in ("idle", "announced", "unread"):
+        assert counter(entry, "connections_closed_total", cause) == 1, cause
+    unread.close()
