Refuse a request that an unexpected error ends

Callers saw their connection reset when a fault of the program ended a request, also when no head had been sent: neither an answer nor a refusal.

Cause: CallerServer.serve reset the connection after any unexpected error.

Change: the handler turns the error into a refusal: 502 if the request may have been sent to an endpoint, otherwise 503 with a retry time, so that "not run" stays true. A response whose head is out is reset as before, and one that is complete is left alone. Faults outside of the handler are refused by the server of the connection. Each is logged (731 with the request id, and 701 to 703 or 710) and counted (internal_errors).

Evidence: the six cases of "a fault" in test_serving.py failed before ("IndexError: list index out of range", since the connection ended without a status line; no line 703, no line 700) and pass now.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -45,6 +45,7 @@
         self.is_closing = False
         """Whether the next response announces that the connection will be closed."""
         self.head_sent = False
+        self.is_complete = False
         self.sent_bytes = 0
         """Bytes of the current response that were sent, its framing included."""
         self.headers: list[Header] = []
@@ -70,6 +71,7 @@
         """
         self.is_idle = True
         self.head_sent = False
+        self.is_complete = False
         self.sent_bytes = 0
         self.headers = []
         self.received_at = None
@@ -222,6 +224,7 @@
             CallerGoneError: The caller closed the connection.
         """
         self._send(h11.EndOfMessage())
+        self.is_complete = True
 
     def _send(self, event: Any) -> None:  # noqa: ANN401
         data = self._http.send(event)
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -34,6 +34,7 @@
         callers_gone: Connections that callers closed before the response was complete.
         retries: Upstream attempts after a failed one, resumed streams included.
         resumes: Not used, and always 0.
+        internal_errors: Requests that a fault of the program ended.
         late_answers: Late responses to earlier requests, which are skipped.
         invalid_loads: Responses whose header with the endpoint's load is not valid.
     """
@@ -46,6 +47,7 @@
     callers_gone: int = 0
     retries: int = 0
     resumes: int = 0
+    internal_errors: int = 0
     late_answers: int = 0
     invalid_loads: int = 0
 
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import math
+import traceback
 
 from ..errors import CallerGoneError
-from ..events import Event
+from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .context import Context
 from .crash_reporter import Source
 from .fingerprint import fingerprint_of, part_fingerprints
-from .forwarder import Forwarder
+from .forwarder import DEFAULT_RETRY_AFTER_S, Forwarder
 from .jobs import Job, queue_timeout_s
 from .outcomes import Outcome, classify_response
 from .pool import idle_share
@@ -61,6 +62,8 @@
             self._observe_duration("left")
             self._record_end(Event.CALLER_LEFT, Outcome.LEFT, detail=str(exc))
             raise
+        except Exception as exc:  # noqa: BLE001
+            refusal = self._handle_fault(exc)
         self._observe_duration("answered" if refusal is None else refusal.verdict.value)
         if refusal is None:
             self._ctx.counters.answered += 1
@@ -68,6 +71,16 @@
             return
         self._refuse(refusal)
 
+    def _handle_fault(self, exc: Exception) -> Refusal | None:
+        """Log an unexpected error; return the refusal, if the response is not complete."""
+        self._ctx.counters.internal_errors += 1
+        rid = self._req.rid
+        log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc(), rid=rid)
+        if self._caller.is_complete:
+            return None
+        may_have_run = self._forwarder is not None and self._forwarder.may_have_run
+        return refusal_after_fault(may_have_run=may_have_run)
+
     def _observe_duration(self, ended: str) -> None:
         """Record the time to the end of the response, by route and by how it ended."""
         self._ctx.metrics.observe(
@@ -279,6 +292,19 @@
         summary.emit(event, outcome, refusal, detail=detail, revision=self._revision.number)
 
 
+def refusal_after_fault(*, may_have_run: bool) -> Refusal:
+    """Return the refusal of a request that an unexpected error ended.
+
+    Args:
+        may_have_run: Whether it may have been sent to an endpoint.
+    """
+    if may_have_run:
+        return Refusal(Verdict.MAY_HAVE_RUN, Reason.INTERNAL_ERROR)
+    return Refusal(
+        Verdict.NOT_RUN, Reason.INTERNAL_ERROR, retry_after_s=DEFAULT_RETRY_AFTER_S
+    )
+
+
 def _permitted_regions(
     route: Route, organisation: Organisation | None
 ) -> frozenset[str] | None:
--- a/dockreach/direct/response_sink.py
+++ b/dockreach/direct/response_sink.py
@@ -12,10 +12,12 @@
 
     Attributes:
         head_sent: Whether the head was sent, so that it can no longer be replaced.
+        is_complete: Whether the whole response was sent.
         sent_bytes: Bytes of the response that were sent so far, its framing included.
     """
 
     head_sent: bool
+    is_complete: bool
     sent_bytes: int
 
     def send_head(self, head: RawHead) -> None:
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 import eventlet
+import h11
 from eventlet.greenio import GreenSocket
 
 from .. import clock
@@ -18,7 +19,7 @@
 from .connection_ends import AbandonCause, CloseCause
 from .context import Context
 from .http1 import BadRequestError, RawHead, RawRequest, reset
-from .request_handler import RequestHandler
+from .request_handler import RequestHandler, refusal_after_fault
 from .request_summary import Party
 from .routing_config import CallerLimits, ConfigRevision
 
@@ -113,15 +114,31 @@
         except Exception as exc:  # noqa: BLE001
             # An unexpected error ends one connection and not the entry.
             cause = CloseCause.INTERNAL_ERROR
-            trace = traceback.format_exc()
-            log(Event.INTERNAL_ERROR, repr(exc), trace=trace, rid=self._rid(conn))
-            self._log_abandoned(conn, AbandonCause.INTERNAL_ERROR, Party.ENTRY)
-            conn.abort()
+            self._end_after_fault(conn, exc)
         finally:
             del self._connections[conn]
             self._entry.ctx.ends.closed[cause] += 1
             conn.close()
 
+    def _end_after_fault(self, conn: CallerConnection, exc: Exception) -> None:
+        """Refuse the request after an unexpected error; reset a partial response."""
+        self._entry.ctx.counters.internal_errors += 1
+        rid = self._rid(conn)
+        log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc(), rid=rid)
+        if conn.is_complete:
+            return
+        try:
+            if conn.received_at is not None and not conn.head_sent:
+                conn.is_closing = True
+                refusal = refusal_after_fault(may_have_run=conn.is_accounted)
+                conn.send_response(*self._entry.ctx.adapter.refusal(refusal, rid))
+                return
+            conn.abort()
+        except (CallerGoneError, h11.LocalProtocolError):
+            conn.abort()
+        finally:
+            self._log_abandoned(conn, AbandonCause.INTERNAL_ERROR, Party.ENTRY)
+
     def _log_abandoned(
         self, conn: CallerConnection, cause: AbandonCause, ended_by: Party
     ) -> None:
@@ -171,25 +188,25 @@
         # given up already: none of them may reach an endpoint.
         if conn.has_disconnected():
             raise CallerGoneError("caller closed its connection before it was served")
-        server = eventlet.spawn(self._serve_catching_disconnect, conn, raw)
+        server = eventlet.spawn(self._serve_catching_errors, conn, raw)
         watcher = eventlet.spawn(self._stop_on_disconnect, conn, server)
         try:
-            disconnect: CallerGoneError | None = server.wait()
+            error: Exception | None = server.wait()
         finally:
             watcher.kill()
-        if disconnect is not None:
-            raise disconnect
+        if error is not None:
+            raise error
 
-    def _serve_catching_disconnect(
+    def _serve_catching_errors(
         self, conn: CallerConnection, raw: RawRequest
-    ) -> CallerGoneError | None:
-        """Serve a request; return the error if its caller closed the connection.
+    ) -> Exception | None:
+        """Serve a request; return the error that ended it, if any.
 
         eventlet prints errors that end a greenlet, and callers disconnect all the time.
         """
         try:
             self._serve_request(conn, raw)
-        except CallerGoneError as exc:
+        except Exception as exc:  # noqa: BLE001
             return exc
         return None
 
--- a/dockreach/verdict.py
+++ b/dockreach/verdict.py
@@ -83,6 +83,9 @@
     SOFTWARE_VERSION = "software_version"
     """No endpoint of the software version that began the stream can continue it."""
 
+    INTERNAL_ERROR = "internal_error"
+    """A fault of the program ended it."""
+
     CRASHES_ENGINES = "crashes_engines"
     """Engines crashed repeatedly when they started it; it is no longer run."""
 
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -11,6 +11,9 @@
 import pytest
 
 from dockreach.direct.entry import Entry
+from dockreach.direct.event_stream import EventSplitter
+from dockreach.direct.http1 import receive
+from dockreach.direct.request_handler import RequestHandler
 from dockreach.direct.routing_config import CallerLimits
 from dockreach_platform.headers import PlatformAdapter
 
@@ -22,8 +25,10 @@
     entry_settings,
     fetch_page,
     fill_pool,
+    header_of,
     revision,
     start_entry,
+    status_of,
 )
 
 
@@ -35,6 +40,10 @@
     dialog.wait_until_closed()
 
 
+def fail(*_: object, **__: object) -> None:
+    raise RuntimeError("fault")
+
+
 def lines(caplog: pytest.LogCaptureFixture, event: int) -> list[dict[str, Any]]:
     """Return the fields of the logged lines of an event."""
     return [vars(row) for row in caplog.records if vars(row).get("event") == event]
@@ -96,9 +105,6 @@
 ) -> None:
     entry = start_entry(EndpointStandIn(respond_ok))
 
-    def fail(*_: object) -> None:
-        raise RuntimeError("fault")
-
     monkeypatch.setattr(PlatformAdapter, "read_request", fail)
     caller = Caller(entry)
     caller.send("/safe/a", rid="r-fault")
@@ -161,3 +167,88 @@
     for cause in ("idle", "announced", "unread"):
         assert counter(entry, "connections_closed_total", cause) == 1, cause
     unread.close()
+
+
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [(PlatformAdapter, "read_request"), (RequestHandler, "_make_plan")],
+)
+def test_a_fault_before_anything_was_sent_on_refuses_the_request(
+    monkeypatch: pytest.MonkeyPatch, owner: type, name: str
+) -> None:
+    endpoint = EndpointStandIn(respond_ok)
+    entry = start_entry(endpoint)
+    monkeypatch.setattr(owner, name, fail)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-fault")
+    response = caller.read_response()
+    assert status_of(response) == 503
+    assert header_of(response, b"request-id") == b"r-fault"
+    assert header_of(response, b"retry-after") is not None
+    assert endpoint.requests == []
+
+
+def test_a_fault_while_a_request_is_accounted_for_leaves_no_caller_without_a_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    entry = start_entry(EndpointStandIn(stay_silent))
+    monkeypatch.setattr(RequestHandler, "_observe_duration", fail)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-fault", deadline_ms=200)
+    response = caller.read_response()
+    assert status_of(response) == 502
+    assert header_of(response, b"request-id") == b"r-fault"
+
+
+def test_a_fault_after_a_request_was_sent_on_is_no_proof_that_it_did_not_run(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    monkeypatch.setattr(PlatformAdapter, "read_response", fail)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-fault")
+    response = caller.read_response()
+    assert status_of(response) == 502
+    assert header_of(response, b"retry-after") is None
+    (line,) = lines(log, 702)
+    assert (line["rid"], line["reason"]) == ("r-fault", "internal_error")
+    (error,) = lines(log, 731)
+    assert error["rid"] == "r-fault"
+    assert (entry.ctx.counters.internal_errors, entry.ctx.counters.lost) == (1, 1)
+    monkeypatch.undo()
+    caller.send("/once/a", rid="r-next")
+    assert status_of(caller.read_response()) == 200
+
+
+def test_a_fault_within_a_response_resets_the_connection(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A response that ends early must not look complete."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        eventlet.sleep(0.1)
+        dialog.chunk(b"id: 2\ndata: x\n\n")
+
+    entry = start_entry(EndpointStandIn(stream))
+    caller = Caller(entry)
+    caller.send("/draft/a", rid="r-fault")
+    assert b"id: 1" in caller.read_available()
+    monkeypatch.setattr(EventSplitter, "feed", fail)
+    with pytest.raises(ConnectionResetError):
+        receive(caller.sock)
+    (line,) = lines(log, 703)
+    assert (line["rid"], line["reason"]) == ("r-fault", "internal_error")
+
+
+def test_a_fault_after_a_complete_response_does_not_destroy_it(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    monkeypatch.setattr(entry.ctx.crashes, "record_completion", fail)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.2)
+    assert status_of(caller.read_response()) == 200
+    assert len(lines(log, 700)) == len(lines(log, 731)) == 1
