Give each request the limits of the configuration in force when it begins

Callers on a kept connection saw 413 and 431 for requests that the configuration had long allowed, and their idle connections were closed after the time of an older configuration.

Cause: a connection took its limits from the configuration under which it was accepted.

Change: limits are asked for at the first byte of each request, whose parser then has them; an idle connection whose time has passed asks again, and waits on if the timeout was raised. A request that has begun keeps its limits.

Evidence: before, test_a_kept_connection_has_the_limits_of_the_current_configuration got 413 and 431 in place of 200, and test_an_idle_connection_stays_open_when_the_idle_timeout_is_raised found the connection closed ("IndexError: list index out of range"); both pass now. test_a_request_under_way_keeps_the_limits_under_which_it_began passed before and passes now.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -30,15 +31,15 @@
 
     Args:
         sock: The accepted socket.
-        limits: Size and time limits for the caller's requests.
+        limits: Returns the size and time limits in force. Each request has those of
+            its first byte.
     """
 
-    def __init__(self, sock: Any, limits: CallerLimits) -> None:  # noqa: ANN401
+    def __init__(self, sock: Any, limits: Callable[[], CallerLimits]) -> None:  # noqa: ANN401
         self._sock = sock
-        self._limits = limits
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._find_limits = limits
+        self._limits = limits()
+        self._http = _new_http_server(self._limits)
         self._pipelined_bytes = 0
         self._method = b""
         self.is_idle = True
@@ -79,6 +80,8 @@
         if not self._await_first_byte():
             return None
         self.is_idle = False
+        self._limits = self._find_limits()
+        self._restart_parser()
         try:
             with eventlet.Timeout(
                 self._limits.header_timeout_s, BadRequestError(408, "too slow")
@@ -92,19 +95,32 @@
     def _await_first_byte(self) -> bool:
         if self._http.trailing_data[0]:
             return True
-        self._sock.settimeout(self._limits.idle_timeout_s)
-        try:
-            data = receive(self._sock)
-        except TimeoutError:
-            self.has_idled = True
-            return False
-        except OSError:
-            return False
-        finally:
-            self._sock.settimeout(None)
-        if data:
-            self._http.receive_data(data)
-        return bool(data)
+        idle_since = clock.now()
+        # The idle timeout may be raised meanwhile.
+        while (left_s := idle_since + self._find_limits().idle_timeout_s - clock.now()) > 0:
+            self._sock.settimeout(left_s)
+            try:
+                data = receive(self._sock)
+            except TimeoutError:
+                continue
+            except OSError:
+                return False
+            finally:
+                self._sock.settimeout(None)
+            if data:
+                self._http.receive_data(data)
+            return bool(data)
+        self.has_idled = True
+        return False
+
+    def _restart_parser(self) -> None:
+        """Parse what was received by a new parser, which has the current limits."""
+        received, is_closed = self._http.trailing_data
+        self._http = _new_http_server(self._limits)
+        if received:
+            self._http.receive_data(received)
+        if is_closed:
+            self._http.receive_data(b"")
 
     def _read_message(self) -> RawRequest | None:
         head: h11.Request | None = None
@@ -254,6 +270,10 @@
         self._sock.close()
 
 
+def _new_http_server(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+
 def _raw_request(head: h11.Request, body: bytes) -> RawRequest:
     names = [name for name, _ in head.headers]
     has_body = b"content-length" in names or b"transfer-encoding" in names
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -96,7 +96,7 @@
     def serve(self, sock: Any) -> None:  # noqa: ANN401
         """Serve one connection until it ends."""
         try:
-            conn = CallerConnection(sock, _caller_limits(self._entry.revision))
+            conn = CallerConnection(sock, self._caller_limits)
         except OSError:
             # The caller reset the connection before it was served.
             sock.close()
@@ -139,6 +139,11 @@
         finally:
             self._log_abandoned(conn, AbandonCause.INTERNAL_ERROR, Party.ENTRY)
 
+    def _caller_limits(self) -> CallerLimits:
+        """Return the limits of the configuration in force."""
+        revision = self._entry.revision
+        return revision.limits if revision else CallerLimits()
+
     def _log_abandoned(
         self, conn: CallerConnection, cause: AbandonCause, ended_by: Party
     ) -> None:
@@ -269,7 +274,3 @@
         for conn, server in list(self._connections.items()):
             if conn.is_idle:
                 eventlet.kill(server, _StoppingError("the entry is stopping"))
-
-
-def _caller_limits(revision: ConfigRevision | None) -> CallerLimits:
-    return revision.limits if revision else CallerLimits()
--- a/dockreach/direct/status_pages.py
+++ b/dockreach/direct/status_pages.py
@@ -24,7 +24,7 @@
         page: Returns the response to a request's target.
     """
     try:
-        conn = CallerConnection(sock, CallerLimits())
+        conn = CallerConnection(sock, CallerLimits)
         while (raw := conn.read_request()) is not None:
             conn.send_response(*page(raw.target))
             if not conn.prepare_next_request():
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -4,6 +4,7 @@
 
 import socket as plain_socket
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -252,3 +253,66 @@
     eventlet.sleep(0.2)
     assert status_of(caller.read_response()) == 200
     assert len(lines(log, 700)) == len(lines(log, 731)) == 1
+
+
+SMALL = CallerLimits(header_bytes=512, body_bytes=16)
+LARGE = CallerLimits(header_bytes=8192, body_bytes=1024)
+
+
+def send_large_body(caller: Caller) -> None:
+    caller.send("/safe/a", rid="r-2", body=b"x" * 512)
+
+
+def send_large_head(caller: Caller) -> None:
+    """Send a head in two parts; only the size of one that is not complete is limited."""
+    padding = b"Padding: " + b"x" * 1024
+    caller.sock.sendall(b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\n" + padding)
+    eventlet.sleep(0.1)
+    caller.sock.sendall(
+        b"\r\nRequest-Id: r-2\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
+@pytest.mark.parametrize(
+    ("send", "status"), [(send_large_body, 413), (send_large_head, 431)]
+)
+def test_a_kept_connection_has_the_limits_of_the_current_configuration(
+    send: Callable[[Caller], None], status: int
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(1, limits=SMALL))
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-1")
+    assert status_of(caller.read_response()) == 200
+    entry.apply_revision(revision(2, limits=LARGE), "test")
+    send(caller)
+    assert status_of(caller.read_response()) == 200
+    entry.apply_revision(revision(3, limits=SMALL), "test")
+    send(caller)
+    assert status_of(caller.read_response()) == status
+
+
+def test_a_request_under_way_keeps_the_limits_under_which_it_began() -> None:
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(1, limits=LARGE))
+    caller = Caller(entry)
+    caller.sock.sendall(b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\n")
+    eventlet.sleep(0.1)
+    entry.apply_revision(revision(2, limits=SMALL), "test")
+    caller.sock.sendall(
+        b"Request-Id: r-1\r\nX-Api-Key: key-1\r\nContent-Length: 64\r\n\r\n" + b"x" * 64
+    )
+    assert status_of(caller.read_response()) == 200
+
+
+def test_an_idle_connection_stays_open_when_the_idle_timeout_is_raised() -> None:
+    limits = replace(CallerLimits(), idle_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(1, limits=limits))
+    caller = Caller(entry)
+    eventlet.sleep(0.1)
+    longer = replace(limits, idle_timeout_s=0.8)
+    entry.apply_revision(revision(2, limits=longer), "test")
+    eventlet.sleep(0.4)
+    caller.send("/safe/a", rid="r-1")
+    assert status_of(caller.read_response()) == 200
+    began_at = time.monotonic()
+    assert caller.read_available() == b""
+    assert 0.7 < time.monotonic() - began_at < 1.2
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -113,7 +113,7 @@
         changed.send(None)
 
     def _serve(self, sock: Any) -> None:  # noqa: ANN401
-        conn = CallerConnection(sock, CallerLimits())
+        conn = CallerConnection(sock, CallerLimits)
         stalls, cuts = self._stalls, self._cuts
         while (raw := conn.read_request()) is not None:
             self.calls.append(raw.target.decode())
