Read what has arrived before a timer or a stop closes a connection

Callers saw their connection reset, or 408, although their whole request was in the entry's socket: when the idle or header timeout fired in the same round of the event loop, as in a process that was suspended or busy, and when a stop closed a connection that it took for idle.

Cause: the event loop runs timers before it polls, and a stop did not look into the socket.

Change: after a timeout the socket is read once more, and a stop leaves a connection with unread input to its greenlet, which serves or refuses the request.

Evidence: three tests of test_serving.py failed before, at each run: two with "IndexError: list index out of range" (the connection ended without a status line), one with 408 in place of 200. They block the thread themselves, and pass now. test_a_request_that_stays_incomplete_is_refused_after_the_header_timeout passed before and after.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-import eventlet
 import h11
+from eventlet.green import socket
 
 from .. import clock
 from ..errors import CallerGoneError
@@ -83,12 +83,11 @@
         self._limits = self._find_limits()
         self._restart_parser()
         try:
-            with eventlet.Timeout(
-                self._limits.header_timeout_s, BadRequestError(408, "too slow")
-            ):
-                return self._read_message()
+            return self._read_message(clock.now() + self._limits.header_timeout_s)
         except h11.RemoteProtocolError as exc:
             raise BadRequestError(exc.error_status_hint, str(exc)) from exc
+        except TimeoutError as exc:
+            raise BadRequestError(408, "too slow") from exc
         except OSError:
             return None
 
@@ -97,22 +96,31 @@
             return True
         idle_since = clock.now()
         # The idle timeout may be raised meanwhile.
-        while (left_s := idle_since + self._find_limits().idle_timeout_s - clock.now()) > 0:
-            self._sock.settimeout(left_s)
+        while not self.has_idled:
+            left_s = idle_since + self._find_limits().idle_timeout_s - clock.now()
             try:
-                data = receive(self._sock)
+                data = receive(self._sock, max(left_s, 0.0))
             except TimeoutError:
-                continue
+                self.has_idled = left_s <= 0
             except OSError:
                 return False
-            finally:
-                self._sock.settimeout(None)
-            if data:
-                self._http.receive_data(data)
-            return bool(data)
-        self.has_idled = True
+            else:
+                if data:
+                    self._http.receive_data(data)
+                return bool(data)
         return False
 
+    @property
+    def has_input(self) -> bool:
+        """Whether the caller has sent what was not read yet, or has disconnected."""
+        try:
+            self._sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def _restart_parser(self) -> None:
         """Parse what was received by a new parser, which has the current limits."""
         received, is_closed = self._http.trailing_data
@@ -122,14 +130,14 @@
         if is_closed:
             self._http.receive_data(b"")
 
-    def _read_message(self) -> RawRequest | None:
+    def _read_message(self, deadline: float) -> RawRequest | None:
         head: h11.Request | None = None
         parts: list[bytes] = []
         size = 0
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                if not self._receive():
+                if not self._receive(deadline):
                     return None
             elif isinstance(event, h11.Request):
                 head = event
@@ -147,11 +155,11 @@
             else:
                 return None
 
-    def _receive(self) -> bool:
+    def _receive(self, deadline: float) -> bool:
         if self._http.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             self._sock.sendall(self._http.send(response))
-        data = receive(self._sock)
+        data = receive(self._sock, max(deadline - clock.now(), 0.0))
         self._http.receive_data(data)
         return bool(data)
 
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -99,31 +99,37 @@
     return False
 
 
-def receive(sock: Any) -> bytes:  # noqa: ANN401
+def receive(sock: Any, timeout_s: float | None = None) -> bytes:  # noqa: ANN401
     """Read the available data; empty if the peer closed the connection in order.
 
     eventlet's own `recv` also returns no data after a reset, so that a truncated response
     without a length would look complete.
 
+    Args:
+        sock: The socket.
+        timeout_s: How long to wait for data, in seconds; that of the socket if omitted.
+
     Raises:
         OSError: The connection was reset.
-        TimeoutError: No data arrived within the socket's timeout.
+        TimeoutError: No data arrived within the timeout.
     """
     raw_sock = sock.fd
+    if timeout_s is None:
+        timeout_s = sock.gettimeout()
+    has_timed_out = False
     while True:
         try:
             data: bytes = raw_sock.recv(RECV_BYTES)
             return data
         except BlockingIOError:
-            _await_data(sock)
-
-
-def _await_data(sock: Any) -> None:  # noqa: ANN401
-    timeout_s = sock.gettimeout()
-    try:
-        trampoline(sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
-    except TimeoutError as exc:
-        raise TimeoutError(f"no data for {timeout_s:.1f} s") from exc
+            if has_timed_out:
+                raise TimeoutError(f"no data for {timeout_s:.1f} s") from None
+        try:
+            trampoline(raw_sock, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+        except TimeoutError:
+            # A process that was suspended finds the timer due before it sees the data that
+            # arrived meanwhile.
+            has_timed_out = True
 
 
 def reset(sock: Any) -> None:  # noqa: ANN401
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -268,9 +268,8 @@
     def _close_idle(self) -> None:
         """Close connections on which no request is in flight.
 
-        A request that arrives during the close is not read, so that its caller sees a reset
-        and may send it again.
+        One to which a request has come is left to its greenlet, which answers it.
         """
         for conn, server in list(self._connections.items()):
-            if conn.is_idle:
+            if conn.is_idle and not conn.has_input:
                 eventlet.kill(server, _StoppingError("the entry is stopping"))
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -10,6 +10,7 @@
 
 import eventlet
 import pytest
+from eventlet.green import socket
 
 from dockreach.direct.entry import Entry
 from dockreach.direct.event_stream import EventSplitter
@@ -45,6 +46,17 @@
     raise RuntimeError("fault")
 
 
+def resume_before_timers() -> None:
+    """Wait, and return from the event loop's poll.
+
+    If the thread blocks afterwards, the loop runs timers before it polls again, as in a
+    process that was suspended.
+    """
+    reader, writer = socket.socketpair()
+    eventlet.spawn_after(0.1, writer.sendall, b"x")
+    reader.recv(1)
+
+
 def lines(caplog: pytest.LogCaptureFixture, event: int) -> list[dict[str, Any]]:
     """Return the fields of the logged lines of an event."""
     return [vars(row) for row in caplog.records if vars(row).get("event") == event]
@@ -316,3 +328,54 @@
     began_at = time.monotonic()
     assert caller.read_available() == b""
     assert 0.7 < time.monotonic() - began_at < 1.2
+
+
+def test_a_request_that_arrived_as_the_idle_timeout_passed_is_served() -> None:
+    """A busy process finds the timer due and the request's bytes in the socket at once."""
+    limits = replace(CallerLimits(), idle_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    caller = Caller(entry)
+    resume_before_timers()
+    caller.send("/safe/a")
+    time.sleep(0.4)
+    assert status_of(caller.read_response()) == 200
+
+
+def test_a_request_that_was_complete_as_its_header_timeout_passed_is_served() -> None:
+    limits = replace(CallerLimits(), header_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    caller = Caller(entry)
+    caller.sock.sendall(b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\n")
+    resume_before_timers()
+    caller.sock.sendall(b"Request-Id: r-1\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n")
+    time.sleep(0.4)
+    assert status_of(caller.read_response()) == 200
+
+
+def test_a_request_that_stays_incomplete_is_refused_after_the_header_timeout() -> None:
+    limits = replace(CallerLimits(), header_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    caller = Caller(entry)
+    for _ in range(2):
+        caller.sock.sendall(b"P")
+        eventlet.sleep(0.1)
+    assert status_of(caller.read_response()) == 408
+
+
+def test_a_request_that_arrived_as_a_stop_closes_idle_connections_is_answered() -> None:
+    """It is in the socket, unread, when the entry looks for idle connections."""
+    endpoint = EndpointStandIn(respond_ok)
+    entry = start_entry(endpoint, settings=entry_settings(grace_s=20.0))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    assert status_of(caller.read_response()) == 200
+    eventlet.sleep(0.1)
+    entry.stopping_since = eventlet.hubs.get_hub().clock() - 5.0
+    caller.send("/once/a", rid="r-2")
+    # Does not let the reader of the connection run before.
+    entry.callers.drain(entry.stopping_since, 20.0)
+    response = caller.read_response()
+    assert status_of(response) == 503
+    assert header_of(response, b"retry-after") is not None
+    assert header_of(response, b"connection") == b"close"
+    assert len(endpoint.requests) == 1
