--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
-import eventlet
 import h11
+from eventlet.green import socket
 
+from .. import clock
 from ..errors import CallerGoneError
 from .http1 import (
     RECV_BYTES,
@@ -18,6 +20,7 @@
     reset,
     set_socket_options,
 )
+from .requests import Header
 from .routing_config import CallerLimits
 
 MAX_PIPELINED_BYTES = 1 << 20
@@ -29,23 +32,33 @@
 
     Args:
         sock: The accepted socket.
-        limits: Size and time limits for the caller's requests.
+        limits: Returns the size and time limits in force. Each request has those of
+            its first byte.
     """
 
-    def __init__(self, sock: Any, limits: CallerLimits) -> None:  # noqa: ANN401
+    def __init__(self, sock: Any, limits: Callable[[], CallerLimits]) -> None:  # noqa: ANN401
         self._sock = sock
-        self._limits = limits
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._find_limits = limits
+        self._limits = limits()
+        self._http = _new_http_server(self._limits)
         self._pipelined_bytes = 0
         self._method = b""
         self.is_idle = True
         self.is_closing = False
         """Whether the next response announces that the connection will be closed."""
         self.head_sent = False
+        self.is_complete = False
         self.sent_bytes = 0
         """Bytes of the current response that were sent, its framing included."""
+        self.headers: list[Header] = []
+        """Headers of the current request; empty until they were read."""
+        self.received_at: float | None = None
+        """Monotonic time at which the current request was read whole, in seconds; ``None``
+        before that."""
+        self.is_accounted = False
+        """Whether whoever serves the current request logs how it ends."""
+        self.has_idled = False
+        """Whether no request came in the idle timeout."""
         set_socket_options(sock, send_timeout_ms=SLOW_READER_TIMEOUT_MS)
 
     def read_request(self) -> RawRequest | None:
@@ -60,46 +73,77 @@
         """
         self.is_idle = True
         self.head_sent = False
+        self.is_complete = False
         self.sent_bytes = 0
+        self.headers = []
+        self.received_at = None
+        self.is_accounted = False
         if not self._await_first_byte():
             return None
         self.is_idle = False
+        self._limits = self._find_limits()
+        self._restart_parser()
         try:
-            with eventlet.Timeout(
-                self._limits.header_timeout_s, BadRequestError(408, "too slow")
-            ):
-                return self._read_message()
+            return self._read_message(clock.now() + self._limits.header_timeout_s)
         except h11.RemoteProtocolError as exc:
             raise BadRequestError(exc.error_status_hint, str(exc)) from exc
+        except TimeoutError as exc:
+            raise BadRequestError(408, "too slow") from exc
         except OSError:
             return None
 
     def _await_first_byte(self) -> bool:
         if self._http.trailing_data[0]:
             return True
-        self._sock.settimeout(self._limits.idle_timeout_s)
+        idle_since = clock.now()
+        # The idle timeout may be raised meanwhile.
+        while not self.has_idled:
+            left_s = idle_since + self._find_limits().idle_timeout_s - clock.now()
+            try:
+                data = receive(self._sock, max(left_s, 0.0))
+            except TimeoutError:
+                self.has_idled = left_s <= 0
+            except OSError:
+                return False
+            else:
+                if data:
+                    self._http.receive_data(data)
+                return bool(data)
+        return False
+
+    @property
+    def has_input(self) -> bool:
+        """Whether the caller has sent what was not read yet, or has disconnected."""
         try:
-            data = receive(self._sock)
-        except OSError:
+            self._sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
             return False
-        finally:
-            self._sock.settimeout(None)
-        if data:
-            self._http.receive_data(data)
-        return bool(data)
+        except OSError:
+            return True
+        return True
 
-    def _read_message(self) -> RawRequest | None:
+    def _restart_parser(self) -> None:
+        """Parse what was received by a new parser, which has the current limits."""
+        received, is_closed = self._http.trailing_data
+        self._http = _new_http_server(self._limits)
+        if received:
+            self._http.receive_data(received)
+        if is_closed:
+            self._http.receive_data(b"")
+
+    def _read_message(self, deadline: float) -> RawRequest | None:
         head: h11.Request | None = None
         parts: list[bytes] = []
         size = 0
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                if not self._receive():
+                if not self._receive(deadline):
                     return None
             elif isinstance(event, h11.Request):
                 head = event
                 self._method = head.method
+                self.headers = head.headers.raw_items()
                 self._check_framing(head)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -107,15 +151,16 @@
                 if size > self._limits.body_bytes:
                     raise BadRequestError(413, "body too large")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
+                self.received_at = clock.now()
                 return _raw_request(head, b"".join(parts))
             else:
                 return None
 
-    def _receive(self) -> bool:
+    def _receive(self, deadline: float) -> bool:
         if self._http.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             self._sock.sendall(self._http.send(response))
-        data = receive(self._sock)
+        data = receive(self._sock, max(deadline - clock.now(), 0.0))
         self._http.receive_data(data)
         return bool(data)
 
@@ -204,6 +249,7 @@
             CallerGoneError: The caller closed the connection.
         """
         self._send(h11.EndOfMessage())
+        self.is_complete = True
 
     def _send(self, event: Any) -> None:  # noqa: ANN401
         data = self._http.send(event)
@@ -233,6 +279,10 @@
         self._sock.close()
 
 
+def _new_http_server(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+
 def _raw_request(head: h11.Request, body: bytes) -> RawRequest:
     names = [name for name, _ in head.headers]
     has_body = b"content-length" in names or b"transfer-encoding" in names
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -7,6 +7,7 @@
 
 from .. import clock
 from ..metrics import Metrics
+from .connection_ends import ConnectionEnds
 from .crash_reporter import CrashReporter
 from .endpoints import EndpointTable
 from .first_attempts import FirstAttemptEstimator
@@ -33,6 +34,7 @@
         callers_gone: Connections that callers closed before the response was complete.
         retries: Upstream attempts after a failed one, resumed streams included.
         resumes: Not used, and always 0.
+        internal_errors: Requests that a fault of the program ended.
         late_answers: Late responses to earlier requests, which are skipped.
         invalid_loads: Responses whose header with the endpoint's load is not valid.
     """
@@ -45,6 +47,7 @@
     callers_gone: int = 0
     retries: int = 0
     resumes: int = 0
+    internal_errors: int = 0
     late_answers: int = 0
     invalid_loads: int = 0
 
@@ -65,6 +68,7 @@
     streams: StreamVersions
     counters: Counters = field(default_factory=Counters)
     outcomes: OutcomeCounter = field(default_factory=OutcomeCounter)
+    ends: ConnectionEnds = field(default_factory=ConnectionEnds)
     first_attempts: FirstAttemptEstimator = field(default_factory=FirstAttemptEstimator)
     entry_count: int = 1
     """Number of entries that may be running, this one included."""
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -1,18 +1,83 @@
-"""Callers that close their connection before their request is served."""
+"""Connections of callers: how they end, and what becomes of a request that was read."""
 
 from __future__ import annotations
 
+import socket as plain_socket
 import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
 
 import eventlet
+import pytest
+from eventlet.green import socket
 
-from .standins import Caller, Dialog, EndpointStandIn, fill_pool, start_entry
+from dockreach.direct.entry import Entry
+from dockreach.direct.event_stream import EventSplitter
+from dockreach.direct.http1 import receive
+from dockreach.direct.request_handler import RequestHandler
+from dockreach.direct.routing_config import CallerLimits
+from dockreach_platform.headers import PlatformAdapter
+
+from .standins import (
+    LOCAL,
+    Caller,
+    Dialog,
+    EndpointStandIn,
+    entry_settings,
+    fetch_page,
+    fill_pool,
+    header_of,
+    revision,
+    start_entry,
+    status_of,
+)
 
 
 def respond_ok(dialog: Dialog) -> None:
     dialog.respond(b"fine")
 
 
+def stay_silent(dialog: Dialog) -> None:
+    dialog.wait_until_closed()
+
+
+def fail(*_: object, **__: object) -> None:
+    raise RuntimeError("fault")
+
+
+def resume_before_timers() -> None:
+    """Wait, and return from the event loop's poll.
+
+    If the thread blocks afterwards, the loop runs timers before it polls again, as in a
+    process that was suspended.
+    """
+    reader, writer = socket.socketpair()
+    eventlet.spawn_after(0.1, writer.sendall, b"x")
+    reader.recv(1)
+
+
+def lines(caplog: pytest.LogCaptureFixture, event: int) -> list[dict[str, Any]]:
+    """Return the fields of the logged lines of an event."""
+    return [vars(row) for row in caplog.records if vars(row).get("event") == event]
+
+
+def counter(entry: Entry, name: str, cause: str) -> float:
+    """Return a counter of an entry's metrics page by its cause; 0 if it is not there."""
+    assert entry.settings.metrics_address is not None
+    page = fetch_page(entry.settings.metrics_address, "/metrics").decode()
+    for line in page.splitlines():
+        if line.startswith(f"dockreach_direct_{name}{{") and f'cause="{cause}"' in line:
+            return float(line.rpartition(" ")[2])
+    return 0.0
+
+
+@pytest.fixture(name="log", autouse=True)
+def _log(caplog: pytest.LogCaptureFixture) -> pytest.LogCaptureFixture:
+    caplog.set_level("INFO", logger="dockreach")
+    return caplog
+
+
 def test_a_request_of_a_disconnected_caller_reaches_no_endpoint() -> None:
     """After a pause, an entry finds requests together with the ends of their connections.
 
@@ -29,3 +94,288 @@
     time.sleep(0.1)
     eventlet.sleep(0.3)
     assert len(endpoint.requests) == 5, "more than the requests that filled the pool"
+
+
+def test_a_request_that_was_left_before_it_was_served_has_a_line(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-left")
+    caller.close()
+    time.sleep(0.1)
+    eventlet.sleep(0.2)
+    (line,) = lines(log, 710)
+    assert (line["rid"], line["cause"]) == ("r-left", "left_unserved")
+    assert (line["ended_by"], line["head_sent"], line["sent_bytes"]) == ("caller", False, 0)
+    assert line["held_ms"] >= 0
+    assert counter(entry, "requests_abandoned_total", "left_unserved") == 1
+    assert counter(entry, "connections_closed_total", "caller") == 1
+
+
+def test_a_request_that_a_fault_ended_has_a_line(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+
+    monkeypatch.setattr(PlatformAdapter, "read_request", fail)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-fault")
+    eventlet.sleep(0.1)
+    (line,) = lines(log, 710)
+    assert (line["rid"], line["cause"]) == ("r-fault", "internal_error")
+    assert line["ended_by"] == "entry"
+    (error,) = lines(log, 731)
+    assert error["rid"] == "r-fault"
+    assert counter(entry, "connections_closed_total", "internal_error") == 1
+
+
+def test_each_request_under_way_at_the_exit_has_a_line(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    entry = start_entry(EndpointStandIn(stay_silent), settings=entry_settings(grace_s=1.0))
+    callers = [Caller(entry) for _ in range(2)]
+    idle, partial = Caller(entry), Caller(entry)
+    for number, caller in enumerate(callers):
+        caller.send("/once/a", rid=f"r-{number}")
+    partial.sock.sendall(b"POST /once/a HTTP/1.1\r\n")
+    eventlet.sleep(0.1)
+    entry.stop()
+    found = lines(log, 710)
+    assert sorted(line["rid"] for line in found) == ["r-0", "r-1"]
+    assert {line["cause"] for line in found} == {"grace_over"}
+    assert {line["ended_by"] for line in found} == {"entry"}
+    idle.close()
+
+
+@pytest.mark.parametrize(
+    ("extra", "body", "rid"),
+    [("Token-Counts: x\r\n", b"", "r-bad"), ("", b"x" * 64, "r-bad"), ("x\r\n", b"", "")],
+)
+def test_a_malformed_request_is_logged_with_its_id(
+    log: pytest.LogCaptureFixture, extra: str, body: bytes, rid: str
+) -> None:
+    config = revision(limits=CallerLimits(body_bytes=32))
+    entry = start_entry(EndpointStandIn(respond_ok), config=config)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-bad", extra=extra, body=body)
+    caller.read_response()
+    (line,) = lines(log, 705)
+    assert line["rid"] == rid
+
+
+def test_closed_connections_are_counted_by_cause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limits = replace(CallerLimits(), idle_timeout_s=0.1)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    idle, served = Caller(entry), Caller(entry)
+    served.send("/safe/a", extra="Connection: close\r\n")
+    assert served.read_all()
+    assert idle.read_available() == b""
+    monkeypatch.setattr(entry.admission, "admit", lambda: False)
+    # A blocking connect ends before the entry resets the connection.
+    unread = plain_socket.create_connection((LOCAL, entry.settings.callers_address.port))
+    eventlet.sleep(0.1)
+    for cause in ("idle", "announced", "unread"):
+        assert counter(entry, "connections_closed_total", cause) == 1, cause
+    unread.close()
+
+
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [(PlatformAdapter, "read_request"), (RequestHandler, "_make_plan")],
+)
+def test_a_fault_before_anything_was_sent_on_refuses_the_request(
+    monkeypatch: pytest.MonkeyPatch, owner: type, name: str
+) -> None:
+    endpoint = EndpointStandIn(respond_ok)
+    entry = start_entry(endpoint)
+    monkeypatch.setattr(owner, name, fail)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-fault")
+    response = caller.read_response()
+    assert status_of(response) == 503
+    assert header_of(response, b"request-id") == b"r-fault"
+    assert header_of(response, b"retry-after") is not None
+    assert endpoint.requests == []
+
+
+def test_a_fault_while_a_request_is_accounted_for_leaves_no_caller_without_a_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    entry = start_entry(EndpointStandIn(stay_silent))
+    monkeypatch.setattr(RequestHandler, "_observe_duration", fail)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-fault", deadline_ms=200)
+    response = caller.read_response()
+    assert status_of(response) == 502
+    assert header_of(response, b"request-id") == b"r-fault"
+
+
+def test_a_fault_after_a_request_was_sent_on_is_no_proof_that_it_did_not_run(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    monkeypatch.setattr(PlatformAdapter, "read_response", fail)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-fault")
+    response = caller.read_response()
+    assert status_of(response) == 502
+    assert header_of(response, b"retry-after") is None
+    (line,) = lines(log, 702)
+    assert (line["rid"], line["reason"]) == ("r-fault", "internal_error")
+    (error,) = lines(log, 731)
+    assert error["rid"] == "r-fault"
+    assert (entry.ctx.counters.internal_errors, entry.ctx.counters.lost) == (1, 1)
+    monkeypatch.undo()
+    caller.send("/once/a", rid="r-next")
+    assert status_of(caller.read_response()) == 200
+
+
+def test_a_fault_within_a_response_resets_the_connection(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A response that ends early must not look complete."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        eventlet.sleep(0.1)
+        dialog.chunk(b"id: 2\ndata: x\n\n")
+
+    entry = start_entry(EndpointStandIn(stream))
+    caller = Caller(entry)
+    caller.send("/draft/a", rid="r-fault")
+    assert b"id: 1" in caller.read_available()
+    monkeypatch.setattr(EventSplitter, "feed", fail)
+    with pytest.raises(ConnectionResetError):
+        receive(caller.sock)
+    (line,) = lines(log, 703)
+    assert (line["rid"], line["reason"]) == ("r-fault", "internal_error")
+
+
+def test_a_fault_after_a_complete_response_does_not_destroy_it(
+    log: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    monkeypatch.setattr(entry.ctx.crashes, "record_completion", fail)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.2)
+    assert status_of(caller.read_response()) == 200
+    assert len(lines(log, 700)) == len(lines(log, 731)) == 1
+
+
+SMALL = CallerLimits(header_bytes=512, body_bytes=16)
+LARGE = CallerLimits(header_bytes=8192, body_bytes=1024)
+
+
+def send_large_body(caller: Caller) -> None:
+    caller.send("/safe/a", rid="r-2", body=b"x" * 512)
+
+
+def send_large_head(caller: Caller) -> None:
+    """Send a head in two parts; only the size of one that is not complete is limited."""
+    padding = b"Padding: " + b"x" * 1024
+    caller.sock.sendall(b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\n" + padding)
+    eventlet.sleep(0.1)
+    caller.sock.sendall(
+        b"\r\nRequest-Id: r-2\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
+@pytest.mark.parametrize(
+    ("send", "status"), [(send_large_body, 413), (send_large_head, 431)]
+)
+def test_a_kept_connection_has_the_limits_of_the_current_configuration(
+    send: Callable[[Caller], None], status: int
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(1, limits=SMALL))
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-1")
+    assert status_of(caller.read_response()) == 200
+    entry.apply_revision(revision(2, limits=LARGE), "test")
+    send(caller)
+    assert status_of(caller.read_response()) == 200
+    entry.apply_revision(revision(3, limits=SMALL), "test")
+    send(caller)
+    assert status_of(caller.read_response()) == status
+
+
+def test_a_request_under_way_keeps_the_limits_under_which_it_began() -> None:
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(1, limits=LARGE))
+    caller = Caller(entry)
+    caller.sock.sendall(b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\n")
+    eventlet.sleep(0.1)
+    entry.apply_revision(revision(2, limits=SMALL), "test")
+    caller.sock.sendall(
+        b"Request-Id: r-1\r\nX-Api-Key: key-1\r\nContent-Length: 64\r\n\r\n" + b"x" * 64
+    )
+    assert status_of(caller.read_response()) == 200
+
+
+def test_an_idle_connection_stays_open_when_the_idle_timeout_is_raised() -> None:
+    limits = replace(CallerLimits(), idle_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(1, limits=limits))
+    caller = Caller(entry)
+    eventlet.sleep(0.1)
+    longer = replace(limits, idle_timeout_s=0.8)
+    entry.apply_revision(revision(2, limits=longer), "test")
+    eventlet.sleep(0.4)
+    caller.send("/safe/a", rid="r-1")
+    assert status_of(caller.read_response()) == 200
+    began_at = time.monotonic()
+    assert caller.read_available() == b""
+    assert 0.7 < time.monotonic() - began_at < 1.2
+
+
+def test_a_request_that_arrived_as_the_idle_timeout_passed_is_served() -> None:
+    """A busy process finds the timer due and the request's bytes in the socket at once."""
+    limits = replace(CallerLimits(), idle_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    caller = Caller(entry)
+    resume_before_timers()
+    caller.send("/safe/a")
+    time.sleep(0.4)
+    assert status_of(caller.read_response()) == 200
+
+
+def test_a_request_that_was_complete_as_its_header_timeout_passed_is_served() -> None:
+    limits = replace(CallerLimits(), header_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    caller = Caller(entry)
+    caller.sock.sendall(b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\n")
+    resume_before_timers()
+    caller.sock.sendall(b"Request-Id: r-1\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n")
+    time.sleep(0.4)
+    assert status_of(caller.read_response()) == 200
+
+
+def test_a_request_that_stays_incomplete_is_refused_after_the_header_timeout() -> None:
+    limits = replace(CallerLimits(), header_timeout_s=0.3)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    caller = Caller(entry)
+    for _ in range(2):
+        caller.sock.sendall(b"P")
+        eventlet.sleep(0.1)
+    assert status_of(caller.read_response()) == 408
+
+
+def test_a_request_that_arrived_as_a_stop_closes_idle_connections_is_answered() -> None:
+    """It is in the socket, unread, when the entry looks for idle connections."""
+    endpoint = EndpointStandIn(respond_ok)
+    entry = start_entry(endpoint, settings=entry_settings(grace_s=20.0))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    assert status_of(caller.read_response()) == 200
+    eventlet.sleep(0.1)
+    entry.stopping_since = eventlet.hubs.get_hub().clock() - 5.0
+    caller.send("/once/a", rid="r-2")
+    # Does not let the reader of the connection run before.
+    entry.callers.drain(entry.stopping_since, 20.0)
+    response = caller.read_response()
+    assert status_of(response) == 503
+    assert header_of(response, b"retry-after") is not None
+    assert header_of(response, b"connection") == b"close"
+    assert len(endpoint.requests) == 1
