Do not take the end of a late response for that of the connection

Callers got a 502 for a request that its endpoint had just answered, when a late response to an earlier request had arrived before on the same connection, and nothing behind it yet.

Cause: after a late response, EndpointConnection.skip_response hands what is left in the buffer to a new h11 client. If nothing was left, h11 took the empty bytes for the end of the connection: 'closed without a response', and the request counted as one that may have run.

Change: only bytes that are there are handed over.

Evidence: the new test failed before, 'assert (502, b"") == (200, b"right")'; with the change all 31 tests of tests/direct/test_forwarder.py pass.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -153,7 +153,9 @@
         )
         self._http.send(dummy)
         self._http.send(h11.EndOfMessage())
-        self._http.receive_data(remainder)
+        if remainder:
+            # No data would tell h11 that the endpoint has closed the connection.
+            self._http.receive_data(remainder)
         if is_closed:
             self._http.receive_data(b"")
 
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -148,6 +148,20 @@
     assert body_of(caller.read_response()) == b"right"
 
 
+def test_a_response_that_follows_a_late_one_after_a_pause_is_not_lost() -> None:
+    def respond_late_and_pause(dialog: Dialog) -> None:
+        dialog.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r-old\r\nContent-Length: 5\r\n\r\nwrong"
+        )
+        eventlet.sleep(0.1)
+        dialog.respond(b"right")
+
+    caller = Caller(start_entry(EndpointStandIn(respond_late_and_pause)))
+    caller.send("/once/a", rid="r-new")
+    response = caller.read_response()
+    assert (status_of(response), body_of(response)) == (200, b"right")
+
+
 def test_a_response_without_length_that_is_reset_is_not_complete() -> None:
     def reset_unframed_response(dialog: Dialog) -> None:
         dialog.send(b"HTTP/1.1 200 OK\r\nRequest-Id: " + dialog.rid + b"\r\n\r\nhalf")
