Search each byte of an event stream once, and bound the size of an event

Callers of an entry got no answer for many seconds, whichever endpoint theirs was, when one endpoint sent some MiB without the end of an event.

Cause: EventSplitter.feed copied and searched all bytes since the last event again at each read, so that the work grew with the square of their number, and kept them without a limit.

Change: the bytes are kept in a bytearray, and a search begins at the three bytes that may be the beginning of a separator. A stream whose event is over 1 MiB has broken off: resumable ones are resumed at another endpoint.

Evidence: before, 1,000 pieces of 1,000 bytes made the splitter search 500,500,000 bytes ('assert < (1.01 * 1000000)'), 8 MiB were buffered ('DID NOT RAISE ResponseError'), and a resumable stream ended in 'TimeoutError: timed out'.

--- a/dockreach/direct/event_stream.py
+++ b/dockreach/direct/event_stream.py
@@ -9,9 +9,17 @@
 import re
 from typing import NamedTuple
 
+from .http1 import ResponseError
+
 _BLANK_LINE = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_FIELD = re.compile(rb"^id: ?(.*?)\r?$", re.MULTILINE)
 
+MAX_BLANK_LINE_BYTES = 4
+"""Length of the longest separator of events."""
+
+MAX_EVENT_BYTES = 1 << 20
+"""Largest size of an event."""
+
 CONTENT_TYPE = b"text/event-stream"
 
 
@@ -31,29 +39,40 @@
     """Buffers bytes and returns complete events."""
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._buffer)
 
     @property
     def is_inside_event(self) -> bool:
         """Whether the last event is not complete; line ends between events are none."""
-        return bool(self._remainder.strip(b"\r\n"))
+        return bool(self._buffer.strip(b"\r\n"))
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes; return the events that are now complete."""
-        data = self._remainder + data
+        """Add bytes; return the events that are now complete.
+
+        Raises:
+            ResponseError: An event is over `MAX_EVENT_BYTES`.
+        """
+        self._buffer += data
         events = []
         start = 0
-        for match in _BLANK_LINE.finditer(data):
-            event = data[start : match.end()]
+        # What was searched before contains no separator, but may end with a part of one.
+        for match in _BLANK_LINE.finditer(self._buffer, self._searched):
+            event = bytes(self._buffer[start : match.end()])
             start = match.end()
-            id_line = _ID_FIELD.search(event)
-            events.append(
-                StreamEvent(event, id_line[1].decode("latin-1") if id_line else "")
-            )
-        self._remainder = data[start:]
+            events.append(StreamEvent(event, _id_of(event)))
+        del self._buffer[:start]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ResponseError(f"event over {MAX_EVENT_BYTES} bytes")
+        self._searched = max(len(self._buffer) - MAX_BLANK_LINE_BYTES + 1, 0)
         return events
+
+
+def _id_of(event: bytes) -> str:
+    id_line = _ID_FIELD.search(event)
+    return id_line[1].decode("latin-1") if id_line else ""
--- a/tests/direct/test_event_stream.py
+++ b/tests/direct/test_event_stream.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dockreach.direct.event_stream import EventSplitter
+from dockreach.direct import event_stream
+from dockreach.direct.event_stream import MAX_EVENT_BYTES, EventSplitter
+from dockreach.direct.http1 import ResponseError
 
 
 @given(st.lists(st.integers(0, 60), max_size=20))
@@ -32,3 +37,45 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\nda") == []
     assert splitter.remainder == b"id: 1\nda"
+
+
+class _CountingPattern:
+    """A pattern that counts the bytes it is asked to search."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def finditer(self, data: bytes, start: int = 0) -> Iterator[re.Match[bytes]]:
+        self.searched_bytes += len(data) - start
+        return self._pattern.finditer(data, start)
+
+
+def test_bytes_without_the_end_of_an_event_are_searched_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pattern = _CountingPattern(event_stream._BLANK_LINE)
+    monkeypatch.setattr(event_stream, "_BLANK_LINE", pattern)
+    splitter = EventSplitter()
+    for _ in range(1000):
+        assert splitter.feed(b"\xa5" * 1000) == []
+    assert pattern.searched_bytes < 1.01 * 1_000_000
+
+
+def test_an_event_without_end_is_not_buffered_without_end() -> None:
+    splitter = EventSplitter()
+    fed = 0
+    with pytest.raises(ResponseError, match="event over"):
+        while fed < 8 * MAX_EVENT_BYTES:
+            splitter.feed(b"data: x\n" * 8192)
+            fed += 65536
+    assert fed <= MAX_EVENT_BYTES
+
+
+def test_an_event_of_the_largest_size_is_complete() -> None:
+    data = b"data: " + b"x" * (MAX_EVENT_BYTES - 8) + b"\n\n"
+    splitter = EventSplitter()
+    events = [
+        event for i in range(0, len(data), 999) for event in splitter.feed(data[i:][:999])
+    ]
+    assert [event.data for event in events] == [data]
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -353,6 +353,30 @@
     assert body_of(caller.read_response()) == events(1, 2, 3)
 
 
+def test_a_resumable_stream_whose_event_never_ends_is_resumed() -> None:
+    def send_endless_event(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(1))
+        while True:
+            dialog.chunk(b"x" * 65536)
+            eventlet.sleep(0)
+
+    def send_rest(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(events(2, 3))
+        dialog.chunk(b"")
+
+    scripts = [send_endless_event, send_rest]
+
+    def send_next(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(send_next) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a")
+    assert body_of(caller.read_response()) == events(1, 2, 3)
+
+
 def test_line_ends_after_the_last_event_do_not_break_a_stream_off() -> None:
     def send_line_ends(dialog: Dialog) -> None:
         dialog.start_stream()
