Give the event loop back when an endpoint's data is always ready

All callers of an entry waited while one endpoint sent faster than the entry read: nobody got an answer, and no deadline and no read timeout fired, not even those of that request.

Cause: reads only gave the loop back when there was no data. The many small chunks of one read were parsed without a turn, too.

Change: a connection to an endpoint has a share of each turn of the loop: 64 reads or HTTP events, or 8 KiB, then others go on. It is renewed by each wait, so that ordinary streams, whose pieces arrive one by one, are not affected.

Evidence: before, a body of single bytes was read 1,025 times and one of full reads 67,108,900 bytes long without a turn, a head 65,537 times ('assert 65537 <= 256'); 5 tests failed, which pass now.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -8,7 +8,14 @@
 import h11
 from eventlet.green import socket
 
-from .http1 import ConnectError, RawHead, ResponseError, receive, set_socket_options
+from .http1 import (
+    ConnectError,
+    LoopShare,
+    RawHead,
+    ResponseError,
+    receive,
+    set_socket_options,
+)
 from .requests import Header
 
 MAX_INLINE_BYTES = 8192
@@ -51,6 +58,7 @@
         self.was_reused = False
         """Whether an earlier request on this connection was answered."""
         self._is_aborted = False
+        self._share = LoopShare()
 
     def send(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes | None
@@ -162,6 +170,7 @@
     def _next_event(self) -> Any:  # noqa: ANN401
         try:
             while True:
+                self._share.begin_step()
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
@@ -170,7 +179,7 @@
             raise ResponseError(f"{self.address}: {exc}") from exc
 
     def _receive(self) -> bytes:
-        data = receive(self._sock)
+        data = receive(self._sock, self._share)
         if self._is_aborted:
             # A response without a length would otherwise seem to be complete here.
             raise ResponseError(f"{self.address}: the endpoint's incarnation has ended")
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -9,15 +9,23 @@
 import struct
 from typing import Any, NamedTuple
 
+import eventlet
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
 from ..errors import DockreachError
 from .requests import Header
 
-RECV_BYTES = 65536
+RECV_BYTES = 8192
 """Size of one read; the streams of the users arrive in pieces of some 100 bytes."""
 
+MAX_TURN_BYTES = 8192
+"""Bytes that are read from one connection before the event loop is given back: splitting
+the shortest events takes some microseconds for each."""
+
+MAX_TURN_STEPS = 64
+"""Reads and HTTP events of one connection before the event loop is given back."""
+
 USER_TIMEOUT_MS = 3000
 """How long sent data may stay unacknowledged before the connection fails, in milliseconds:
 a VM that loses power closes no connections."""
@@ -99,23 +107,60 @@
     return False
 
 
-def receive(sock: Any) -> bytes:  # noqa: ANN401
+class LoopShare:
+    """A connection's share of one turn of the event loop.
+
+    A greenlet only gives the loop back when it waits. Without this, a peer whose data is
+    always there would stop all others, and the timeouts of its own request.
+    """
+
+    def __init__(self) -> None:
+        self._bytes = 0
+        self._steps = 0
+
+    def begin_step(self) -> None:
+        """Give the loop back if the share is used up; call before each read or event."""
+        if self._bytes >= MAX_TURN_BYTES or self._steps >= MAX_TURN_STEPS:
+            eventlet.sleep(0)
+            self.renew()
+        self._steps += 1
+
+    def add_bytes(self, count: int) -> None:
+        """Count bytes that were read."""
+        self._bytes += count
+
+    def renew(self) -> None:
+        """Begin a new share: the connection has waited."""
+        self._bytes = 0
+        self._steps = 0
+
+
+def receive(sock: Any, share: LoopShare | None = None) -> bytes:  # noqa: ANN401
     """Read the available data; empty if the peer closed the connection in order.
 
     eventlet's own `recv` also returns no data after a reset, so that a truncated response
     without a length would look complete.
 
+    Args:
+        sock: The socket.
+        share: Gives the event loop back when data is always there.
+
     Raises:
         OSError: The connection was reset.
         TimeoutError: No data arrived within the socket's timeout.
     """
     raw_sock = sock.fd
+    share = share or LoopShare()
+    share.begin_step()
     while True:
         try:
             data: bytes = raw_sock.recv(RECV_BYTES)
-            return data
         except BlockingIOError:
             _await_data(sock)
+            share.renew()
+        else:
+            share.add_bytes(len(data))
+            return data
 
 
 def _await_data(sock: Any) -> None:  # noqa: ANN401
--- /dev/null
+++ b/tests/direct/test_endpoint_connection.py
@@ -0,0 +1,116 @@
+"""Responses without end: the other greenlets go on, and each limit ends in an error."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from itertools import chain, repeat
+from typing import Any
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from dockreach.direct.endpoint_connection import EndpointConnection
+from dockreach.direct.http1 import RECV_BYTES, ResponseError
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+UNFRAMED_HEAD = HEAD + b"\r\n"
+
+MAX_BYTES_PER_TURN = 16384
+MAX_READS_PER_TURN = 256
+
+
+class ReadySocket:
+    """A socket whose data is always ready, and that counts reads between turns.
+
+    Args:
+        pieces: What the reads return.
+    """
+
+    def __init__(self, pieces: Iterator[bytes]) -> None:
+        self._pieces = pieces
+        self._piece = b""
+        self.fd = self
+        self.turns = 0
+        self.read_bytes = 0
+        self.reads_by_turn: dict[int, int] = {}
+        self.bytes_by_turn: dict[int, int] = {}
+        self.counter = eventlet.spawn(self._count_turns)
+
+    def _count_turns(self) -> None:
+        while True:
+            self.turns += 1
+            eventlet.sleep(0)
+
+    def recv(self, size: int, _flags: int = 0) -> bytes:
+        """Return the next piece, or as much of it as is asked for."""
+        self._piece = self._piece or next(self._pieces, b"")
+        data, self._piece = self._piece[:size], self._piece[size:]
+        self.read_bytes += len(data)
+        self.reads_by_turn[self.turns] = self.reads_by_turn.get(self.turns, 0) + 1
+        self.bytes_by_turn[self.turns] = self.bytes_by_turn.get(self.turns, 0) + len(data)
+        return data
+
+    def gettimeout(self) -> float | None:
+        """Return that there is no timeout."""
+        return None
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        """Accept all calls that need no answer, such as `connect`."""
+        return lambda *_: None
+
+
+@pytest.fixture
+def connect(monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., Any]]:
+    """Return a function that opens a connection on which a request was sent."""
+    socks: list[ReadySocket] = []
+
+    def connect(*pieces: bytes, then: bytes = b"") -> tuple[EndpointConnection, Any]:
+        sock = ReadySocket(chain(pieces, repeat(then)))
+        socks.append(sock)
+        monkeypatch.setattr(socket, "socket", lambda *_: sock)
+        conn = EndpointConnection("127.0.0.1:1", 1.0)
+        conn.send(b"GET", b"/", [(b"Host", b"h")], None)
+        return conn, sock
+
+    yield connect
+    for sock in socks:
+        sock.counter.kill()
+
+
+@pytest.mark.parametrize(
+    "endless",
+    [b"\xa5" * RECV_BYTES, b"\xa5", b": comment\n"],
+    ids=["full reads", "single bytes", "comments"],
+)
+def test_a_body_without_end_does_not_hold_up_other_greenlets(
+    connect: Callable[..., Any], endless: bytes
+) -> None:
+    conn, sock = connect(UNFRAMED_HEAD, then=endless)
+    conn.read_head()
+    for _ in range(4 * MAX_READS_PER_TURN):
+        conn.read_data()
+    assert max(sock.bytes_by_turn.values()) <= MAX_BYTES_PER_TURN
+    assert max(sock.reads_by_turn.values()) <= MAX_READS_PER_TURN
+
+
+def test_many_chunks_in_one_read_do_not_hold_up_other_greenlets(
+    connect: Callable[..., Any],
+) -> None:
+    chunks = b"1\r\nx\r\n" * 10_000
+    conn, sock = connect(CHUNKED_HEAD, then=chunks)
+    conn.read_head()
+    first_turn = sock.turns
+    for _ in range(8192):
+        assert conn.read_data() == b"x"
+    assert sock.turns - first_turn >= 8192 // MAX_READS_PER_TURN
+
+
+def test_a_head_without_end_does_not_hold_up_other_greenlets(
+    connect: Callable[..., Any],
+) -> None:
+    conn, sock = connect(then=b"x")
+    with pytest.raises(ResponseError):
+        conn.read_head()
+    assert max(sock.reads_by_turn.values()) <= MAX_READS_PER_TURN
