--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -12,6 +12,7 @@
     LOST_PEER_TIMEOUT_MS,
     SLOW_READER_TIMEOUT_MS,
     ConnectError,
+    LoopShare,
     RawHead,
     ResponseError,
     receive,
@@ -65,6 +66,7 @@
         self.was_reused = False
         """Whether an earlier request on this connection was answered."""
         self._is_aborted = False
+        self._share = LoopShare()
 
     def send(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes | None
@@ -181,13 +183,16 @@
         )
         self._http.send(dummy)
         self._http.send(h11.EndOfMessage())
-        self._http.receive_data(remainder)
+        if remainder:
+            # No data would tell h11 that the endpoint has closed the connection.
+            self._http.receive_data(remainder)
         if is_closed:
             self._http.receive_data(b"")
 
     def _next_event(self) -> Any:  # noqa: ANN401
         try:
             while True:
+                self._share.begin_step()
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
@@ -196,7 +201,7 @@
             raise ResponseError(f"{self.address}: {exc}") from exc
 
     def _receive(self) -> bytes:
-        data = receive(self._sock)
+        data = receive(self._sock, share=self._share)
         if self._is_aborted:
             # A response without a length would otherwise seem to be complete here.
             raise ResponseError(f"{self.address}: the endpoint's incarnation has ended")
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -148,6 +148,20 @@
     assert body_of(caller.read_response()) == b"right"
 
 
+def test_a_response_that_follows_a_late_one_after_a_pause_is_not_lost() -> None:
+    def respond_late_and_pause(dialog: Dialog) -> None:
+        dialog.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r-old\r\nContent-Length: 5\r\n\r\nwrong"
+        )
+        eventlet.sleep(0.1)
+        dialog.respond(b"right")
+
+    caller = Caller(start_entry(EndpointStandIn(respond_late_and_pause)))
+    caller.send("/once/a", rid="r-new")
+    response = caller.read_response()
+    assert (status_of(response), body_of(response)) == (200, b"right")
+
+
 def test_a_response_without_length_that_is_reset_is_not_complete() -> None:
     def reset_unframed_response(dialog: Dialog) -> None:
         dialog.send(b"HTTP/1.1 200 OK\r\nRequest-Id: " + dialog.rid + b"\r\n\r\nhalf")
@@ -339,6 +353,30 @@
     assert body_of(caller.read_response()) == events(1, 2, 3)
 
 
+def test_a_resumable_stream_whose_event_never_ends_is_resumed() -> None:
+    def send_endless_event(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(1))
+        while True:
+            dialog.chunk(b"x" * 65536)
+            eventlet.sleep(0)
+
+    def send_rest(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(events(2, 3))
+        dialog.chunk(b"")
+
+    scripts = [send_endless_event, send_rest]
+
+    def send_next(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(send_next) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a")
+    assert body_of(caller.read_response()) == events(1, 2, 3)
+
+
 def test_line_ends_after_the_last_event_do_not_break_a_stream_off() -> None:
     def send_line_ends(dialog: Dialog) -> None:
         dialog.start_stream()
