Log each silence of an endpoint with event 709

The logs did not show when a read timeout, and not a broken connection, ended an upstream attempt. Event 709 has the endpoint, for how long it had sent nothing, and the events before.

--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -318,6 +318,8 @@
         except (ResponseError, _ReadTimeoutError) as exc:
             row.record_failure(self._ctx.now())
             is_broken = isinstance(exc, ResponseError)
+            if not is_broken:
+                self._log_silence(row)
             if is_broken:
                 row.mark_connection_broken(self._ctx.now())
             self._report_unanswered(row, sent_at, is_connection_broken=is_broken)
@@ -607,6 +609,15 @@
         for part, _ in self._req.prefix:
             row.record_prefix(part, now)
 
+    def _log_silence(self, row: EndpointRow) -> None:
+        log(
+            Event.ENDPOINT_SILENT,
+            rid=self._req.rid,
+            endpoint=row.id,
+            silent_ms=round((self._ctx.now() - self.last_data_at) * 1000),
+            events=self.progress.events,
+        )
+
     def _log_attempt(self, attempt: Attempt) -> None:
         log(
             Event.ATTEMPT_ENDED,
