Split one upstream request out of the forwarder

UpstreamRequest owns the slot, the connection and what has arrived of one response, and returns it as items: events, the end of a stream, a plain response, a refusal. Reading may stop without an item and go on later. The read timeout counts from the last progress of a response, also within a plain body. Otherwise requests are handled as before.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -149,8 +149,8 @@
     Edit(
         "after a stalled connection no idle one is reused",
         "direct/forwarder.py",
-        "                self._ctx.pool.close_all()\n",
-        "                pass\n",
+        "            self._ctx.pool.close_all()\n",
+        "            pass\n",
     ),
     Edit(
         "a request whose caller has disconnected is not served",
@@ -223,8 +223,8 @@
     Edit(
         "a send to a reused address does not count as an attempt",
         "direct/forwarder.py",
-        "attempt.outcome is not AttemptOutcome.MISDIRECTED",
-        "True",
+        "attempt.outcome is AttemptOutcome.MISDIRECTED",
+        "False",
     ),
     Edit(
         "an endpoint that may be cold gets no more than its budget",
@@ -482,9 +482,9 @@
     ),
     Edit(
         "a stream that ends inside an event is broken off",
-        "direct/forwarder.py",
-        "        if splitter.is_inside_event:\n",
-        "        if splitter.is_inside_event and not conn.is_framed:\n",
+        "direct/upstream_request.py",
+        "        if self._splitter.is_inside_event:\n",
+        "        if self._splitter.is_inside_event and not conn.is_framed:\n",
     ),
     Edit(
         "a broken connection is no crash while the engine listens",
--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import eventlet
@@ -50,6 +51,9 @@
         """Whether the response's end can be distinguished from that of the connection."""
         self.was_reused = False
         """Whether an earlier request on this connection was answered."""
+        self.read_until = math.inf
+        """Monotonic time until which reads wait for data, in seconds; then they raise
+        `SilentError`, and may be repeated."""
         self._is_aborted = False
 
     def send(
@@ -168,7 +172,7 @@
             raise ResponseError(f"{self.address}: {exc}") from exc
 
     def _receive(self) -> bytes:
-        data = receive(self._sock)
+        data = receive(self._sock, self.read_until)
         if self._is_aborted:
             # A response without a length would otherwise seem to be complete here.
             raise ResponseError(f"{self.address}: the endpoint's incarnation has ended")
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -3,36 +3,37 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack
+from functools import singledispatchmethod
 
 import eventlet
 
-from ..errors import CallerGoneError, DockreachError
+from ..errors import DockreachError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .attempt import NOT_RUN_OUTCOMES, Attempt, AttemptOutcome, Placement
 from .context import Context
 from .crash_reporter import UnansweredRequest
 from .dispatching import VERSION_GONE_REFUSAL
-from .endpoint_connection import EndpointConnection
-from .endpoints import EndpointRow, EventGapMeter
-from .event_stream import CONTENT_TYPE, EventSplitter
-from .http1 import ConnectError, RawHead, ResponseError, end_to_end
+from .endpoints import EndpointRow
+from .http1 import ConnectError, RawHead, ResponseError, SilentError
 from .jobs import Job, queue_timeout_s
-from .notice import InvalidValue
 from .outcomes import DeliveryProgress
 from .pool import MAX_IDLE_WITHOUT_RETRY_S
-from .quarantine import HARMLESS_EVENTS, HARMLESS_RUN_S
-from .requests import ExecutionStatus, InboundRequest, ResponseHead
+from .requests import InboundRequest
 from .response_sink import ResponseSink
 from .routing_config import RetryMode
 from .slot_messages import SampleKind
 from .stream_versions import StreamOrigin, UnknownVersion
-
-MAX_BUFFERED_BYTES = 1 << 20
-"""Responses up to this size are buffered whole before they are passed on, so that the
-request can be retried if one is truncated."""
+from .upstream_request import (
+    EventBatch,
+    Item,
+    MisdirectedResponse,
+    NotRunResponse,
+    PlainResponse,
+    StreamEnd,
+    UpstreamRequest,
+)
 
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.5
 """Read timeout for the first event, in objectives, after which a resumable stream is tried
@@ -67,10 +68,6 @@
     """The caller's deadline or the route's timeout has passed."""
 
 
-class _ReadTimeoutError(DockreachError):
-    """An endpoint sent nothing within the read timeout; the request may be retried."""
-
-
 class Forwarder:
     """Makes the upstream attempts of one request.
 
@@ -108,24 +105,34 @@
         self._suspects = suspects
         self._fingerprint, *parts = suspects
         self._part_fingerprints = tuple(parts)
-        self._has_proven_parts = False
         self._is_probe = is_probe
         self._deadline = job.deadline
         self._max_idle = max_idle
         self._attempts_sent = 0
+        self._possible_runs = 0
         self._last_event_id = req.last_event_id
         self._last_error_response: tuple[RawHead, bytes] | None = None
+        self._open: list[UpstreamRequest] = []
+        self._current: UpstreamRequest | None = None
         self.attempts: list[Attempt] = []
         self.progress = DeliveryProgress()
-        self.placement: Placement | None = None
-        self.last_data_at = -math.inf
-        """Monotonic time of the last data from the current endpoint, in seconds."""
-        self._first_event_at: float | None = None
-        self._event_count = 0
-        self._attempt_sent_at = -math.inf
-        self.may_have_run = False
         self._origin: StreamOrigin | None = None
 
+    @property
+    def last_data_at(self) -> float:
+        """Monotonic time of the last data from the current endpoint, in seconds."""
+        return -math.inf if self._current is None else self._current.last_data_at
+
+    @property
+    def placement(self) -> Placement | None:
+        """Where the request was placed last."""
+        return None if self._current is None else self._current.placement
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request."""
+        return self._possible_runs > 0
+
     def run(self) -> Refusal | None:
         """Forward the request until its deadline.
 
@@ -144,32 +151,30 @@
             reason = Reason.DEADLINE if self.may_have_run else Reason.SHED
             return Refusal(verdict, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
         finally:
+            self._abandon_open()
             if self._origin is not None:
                 self._ctx.streams.end(self._origin)
 
+    def _abandon_open(self) -> None:
+        """Close the upstream requests that have not ended."""
+        with ExitStack() as stack:
+            for upstream in self._open:
+                stack.callback(upstream.close, self._max_idle)
+                if upstream.is_sent:
+                    self._report_unanswered(upstream, is_connection_broken=False)
+
     def _attempt_all(self) -> Refusal | None:
         job = self._job
         failed_connects = 0
         while True:
-            found = self._acquire_slot()
+            found = self._acquire_slot(job)
             if isinstance(found, Refusal):
                 return self._finish_unserved(found)
-            self.placement = self._make_placement(found)
-            may_have_run_before = self.may_have_run
-            try:
-                attempt = self._attempt(found)
-            finally:
-                self._ctx.scheduler.release_slot(job)
-            if attempt.outcome in NOT_RUN_OUTCOMES:
-                self.may_have_run = may_have_run_before
-            self.attempts.append(attempt)
-            job.tried_endpoints.add(found.id)
+            attempt = self._attempt(found)
             if attempt.outcome is AttemptOutcome.DELIVERED:
                 if not self.progress.is_failure:
                     self._ctx.crashes.record_completion(self._fingerprint)
-                    self._record_harmless_parts()
                 return None
-            self._log_attempt(attempt)
             if attempt.outcome is AttemptOutcome.NOT_SENT:
                 failed_connects += 1
                 if failed_connects < MAX_FAILED_CONNECTS:
@@ -181,11 +186,10 @@
             if not self._may_retry(attempt):
                 return self._finish_unserved(self._refusal_after(attempt))
 
-    def _acquire_slot(self) -> EndpointRow | Refusal:
+    def _acquire_slot(self, job: Job) -> EndpointRow | Refusal:
         """Wait for the slot of an endpoint that may run the request."""
-        job = self._job
         while True:
-            refusal = self._require_software_version()
+            refusal = self._require_software_version(job)
             # A refusal is falsy, so compare with `None` instead of testing its truth.
             if refusal is not None:
                 return refusal
@@ -199,7 +203,7 @@
                 # or one crashed during its previous attempt.
                 self._ctx.scheduler.release_slot(job)
                 return self._ctx.crashes.quarantine.refusal(*self._suspects)
-            if job.fits(found) and not self._must_know_version():
+            if job.fits(found) and not self._must_know_version(job):
                 return found
             # While it waited, the endpoint's record has changed, or a second software
             # version has appeared.
@@ -207,17 +211,17 @@
                 job.tried_endpoints.add(found.id)
             self._ctx.scheduler.release_slot(job)
 
-    def _require_software_version(self) -> Refusal | None:
+    def _require_software_version(self, job: Job) -> Refusal | None:
         """Require the software version that began the stream, if it goes on.
 
         Returns:
             A refusal if the version is not known while several serve.
         """
-        if not self._must_know_version():
+        if not self._must_know_version(job):
             return None
         version: str | None | UnknownVersion = UnknownVersion("its endpoint has restarted")
         if self._origin is None:
-            version = self._ctx.streams.find(self._req.stream_rid, self._job.service)
+            version = self._ctx.streams.find(self._req.stream_rid, job.service)
         if isinstance(version, UnknownVersion):
             return Refusal(
                 Verdict.NOT_RUN,
@@ -225,15 +229,14 @@
                 version.reason,
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
             )
-        self._job.software_version = version
+        job.software_version = version
         return None
 
-    def _must_know_version(self) -> bool:
+    def _must_know_version(self, job: Job) -> bool:
         """Return whether the stream goes on, but not at a known software version.
 
         While one version serves, the stream may go on anywhere.
         """
-        job = self._job
         if self._origin is not None:
             job.software_version = self._origin.software_version
         goes_on = self._origin is not None or bool(self._req.last_event_id)
@@ -243,24 +246,20 @@
             and self._ctx.streams.is_mixed(job.service)
         )
 
-    def _make_placement(self, row: EndpointRow) -> Placement:
+    def _make_placement(self, row: EndpointRow, job: Job) -> Placement:
         return Placement(
             endpoint=row.id,
             waited_s=self._ctx.now() - self._req.arrived_at,
             in_flight_here=row.in_flight_here,
             in_flight_elsewhere=row.in_flight_elsewhere,
             slots=row.published.slots,
-            granted_by=self._job.granted_by,
-            load_percent=self._job.load_percent,
+            granted_by=job.granted_by,
+            load_percent=job.load_percent,
             software_version=row.published.software_version,
         )
 
     def _may_retry(self, attempt: Attempt) -> bool:
         """Return whether the request may be sent to another endpoint."""
-        # A misdirected attempt is not counted: its endpoint was gone before it was sent.
-        self._attempts_sent += attempt.outcome is not AttemptOutcome.MISDIRECTED
-        if attempt.response is not None:
-            self._last_error_response = attempt.response
         if (
             attempt.outcome not in NOT_RUN_OUTCOMES
             and self._route.retry_mode is RetryMode.NEVER
@@ -297,98 +296,84 @@
 
     def _attempt(self, row: EndpointRow) -> Attempt:
         """Send the request to one endpoint and pass on its response if it is usable."""
-        max_idle_s = None if self._has_another_attempt else MAX_IDLE_WITHOUT_RETRY_S
+        upstream = self._open_upstream(row, self._job)
+        self._current = upstream
         try:
-            conn = self._ctx.pool.get(row.published.address, max_idle_s=max_idle_s)
+            self._send(upstream)
+            attempt = self._relay(upstream)
         except ConnectError as exc:
             row.mark_unreachable(self._ctx.now())
-            return Attempt(AttemptOutcome.NOT_SENT, row.id, str(exc))
-        keep_alive_s: float | None = 0.0
-        sent_at = self._ctx.now()
-        self._attempt_sent_at = sent_at
-        self.last_data_at = sent_at
-        self._first_event_at = None
-        self._event_count = 0
-        self._has_proven_parts = False
-        row.connections.add(conn)
-        try:
-            head = self._send(conn, row, sent_at)
-            attempt = self._relay_response(conn, row, head, sent_at)
-            keep_alive_s = head.keep_alive_s
-        except (ResponseError, _ReadTimeoutError) as exc:
-            row.record_failure(self._ctx.now())
-            is_broken = isinstance(exc, ResponseError)
-            if not is_broken:
-                self._log_silence(row)
-            if is_broken:
-                row.mark_connection_broken(self._ctx.now())
-            self._report_unanswered(row, sent_at, is_connection_broken=is_broken)
-            if conn.was_reused and isinstance(exc, _ReadTimeoutError):
-                # Idle connections stall together, for example when a middlebox loses its
-                # state: without this, each of them would cost one more request.
-                self._ctx.pool.close_all()
-            return Attempt(AttemptOutcome.LOST, row.id, str(exc))
-        except (CallerGoneError, _DeadlineError):
-            self._report_unanswered(row, sent_at, is_connection_broken=False)
-            raise
-        finally:
-            row.connections.discard(conn)
-            self._ctx.pool.put(conn, keep_alive_s, self._max_idle)
+            attempt = Attempt(AttemptOutcome.NOT_SENT, row.id, str(exc))
+        except ResponseError as exc:
+            attempt = self._record_broken(upstream, exc)
+        except SilentError:
+            attempt = self._record_timeout(upstream)
+        self._end(upstream, attempt)
         return attempt
 
-    def _send(self, conn: EndpointConnection, row: EndpointRow, now: float) -> ResponseHead:
-        """Send the request and read the head of its response.
+    def _open_upstream(self, row: EndpointRow, job: Job) -> UpstreamRequest:
+        placement = self._make_placement(row, job)
+        upstream = UpstreamRequest(self._ctx, self._req, job, row, placement)
+        self._open.append(upstream)
+        return upstream
+
+    def _send(self, upstream: UpstreamRequest) -> None:
+        """Connect and send the request.
 
         Raises:
-            ResponseError: The connection broke, or the response to a request that ran has
-                no request id.
+            ConnectError: No connection could be opened.
+            ResponseError: The connection broke.
         """
-        req = self._req
+        upstream.connect(None if self._has_another_attempt else MAX_IDLE_WITHOUT_RETRY_S)
+        self._attempts_sent += 1
+        self._possible_runs += 1
         headers = self._ctx.adapter.endpoint_headers(
-            req,
-            row.published,
+            self._req,
+            upstream.row.published,
             organisation=self._organisation,
-            time_left_s=max(self._deadline - now, 0.0),
+            time_left_s=max(self._deadline - self._ctx.now(), 0.0),
             resume_after=self._last_event_id,
         )
-        self.may_have_run = True
-        conn.send(req.method, req.target, headers, req.body if req.has_body else None)
-        with self._read_timeout(self._first_timeout_s()):
-            return self._read_own_head(conn, row, now)
-
-    def _read_own_head(
-        self, conn: EndpointConnection, row: EndpointRow, sent_at: float
-    ) -> ResponseHead:
-        while True:
-            head = self._ctx.adapter.read_response(conn.read_head())
-            self.last_data_at = self._ctx.now()
-            # For a late response to another request, the send time is not known.
-            is_own = head.rid in (self._req.rid, "")
-            request_sent_at = sent_at if is_own else -math.inf
-            self._ctx.notices.apply_notice(
-                row, head.notice, request_sent_at=request_sent_at, rid=head.rid
-            )
-            if head.rid == self._req.rid:
-                self._record_load(row, head)
-                return head
-            if not head.rid and head.execution_status is not ExecutionStatus.RAN:
-                self._record_load(row, head)
-                return head
-            if not head.rid:
-                raise ResponseError(f"{conn.address}: response without a request id")
-            self._ctx.counters.late_answers += 1
-            conn.skip_response()
-
-    def _record_load(self, row: EndpointRow, head: ResponseHead) -> None:
-        """Record the load that an endpoint reports in the head of its own response."""
-        if head.execution_status is ExecutionStatus.MISDIRECTED or head.load is None:
-            return
-        if isinstance(head.load, InvalidValue):
-            self._ctx.counters.invalid_loads += 1
-            self._ctx.notices.log_invalid_load(row, head.load)
-            return
-        self._ctx.endpoints.record_load(row, head.load, self._ctx.now())
-        self._ctx.scheduler.record_load(row)
+        upstream.send(headers)
+
+    def _record_broken(self, upstream: UpstreamRequest, exc: ResponseError) -> Attempt:
+        """Record that the connection of an upstream request broke."""
+        row = upstream.row
+        row.record_failure(self._ctx.now())
+        row.mark_connection_broken(self._ctx.now())
+        self._report_unanswered(upstream, is_connection_broken=True)
+        return Attempt(AttemptOutcome.LOST, row.id, str(exc))
+
+    def _record_timeout(self, upstream: UpstreamRequest) -> Attempt:
+        """Record that an upstream request is given up since it was silent."""
+        row = upstream.row
+        self._log_silence(upstream)
+        row.record_failure(self._ctx.now())
+        self._report_unanswered(upstream, is_connection_broken=False)
+        if upstream.is_connection_reused:
+            # Idle connections stall together, for example when a middlebox loses its
+            # state: without this, each of them would cost one more request.
+            self._ctx.pool.close_all()
+        silent_s = self._ctx.now() - upstream.progressed_at
+        return Attempt(AttemptOutcome.LOST, row.id, f"no data for {silent_s:.1f} s")
+
+    def _end(self, upstream: UpstreamRequest, attempt: Attempt) -> None:
+        """Close an upstream request and record how it ended."""
+        self._open.remove(upstream)
+        upstream.close(self._max_idle)
+        if upstream.is_sent:
+            # A misdirected attempt is not counted: its endpoint was gone before that.
+            self._attempts_sent -= attempt.outcome is AttemptOutcome.MISDIRECTED
+            self._possible_runs -= attempt.outcome in NOT_RUN_OUTCOMES
+        if attempt.response is not None:
+            self._last_error_response = attempt.response
+        self.attempts.append(attempt)
+        self._job.tried_endpoints.add(upstream.row.id)
+        if attempt.outcome is AttemptOutcome.DELIVERED:
+            if not self.progress.is_failure:
+                self._record_harmless_parts(upstream)
+        else:
+            self._log_attempt(upstream, attempt)
 
     @property
     def _is_quarantined(self) -> bool:
@@ -397,27 +382,26 @@
         return self._ctx.crashes.quarantine.is_quarantined(*self._suspects)
 
     def _report_unanswered(
-        self, row: EndpointRow, sent_at: float, *, is_connection_broken: bool
+        self, upstream: UpstreamRequest, *, is_connection_broken: bool
     ) -> None:
-        """Have the crash reporter check if the engine crashed in the current attempt.
+        """Have the crash reporter check if the engine crashed in an upstream request.
 
         A stream that has run for a while without harm is not reported.
 
         Args:
-            row: The engine's endpoint.
-            sent_at: Monotonic time at which the request was sent to it, in seconds.
+            upstream: The upstream request.
             is_connection_broken: Whether the connection to the engine broke.
         """
         now = self._ctx.now()
-        if self._has_run_without_harm(now):
+        if upstream.has_run_without_harm(now):
             return
         crashes = self._ctx.crashes
         unanswered = UnansweredRequest(
             self._req.path,
             self._fingerprint,
             self._organisation,
-            row,
-            sent_at,
+            upstream.row,
+            upstream.sent_at,
             now,
             parts=self._req.shared_parts,
             part_fingerprints=self._part_fingerprints,
@@ -428,27 +412,25 @@
         else:
             crashes.record_abandoned(unanswered)
 
-    def _has_run_without_harm(self, now: float) -> bool:
-        """Return whether the stream has run for a while without a crash."""
-        ran_s = now - self._first_event_at if self._first_event_at is not None else 0.0
-        return self._event_count >= HARMLESS_EVENTS or ran_s >= HARMLESS_RUN_S
-
-    def _record_harmless_parts(self) -> None:
+    def _record_harmless_parts(self, upstream: UpstreamRequest) -> None:
         """Record, once in an attempt, that the prompt's parts crash no engine."""
-        if not self._has_proven_parts and self._part_fingerprints:
-            self._has_proven_parts = True
-            began_at = self._attempt_sent_at
-            if self._first_event_at is not None:
-                began_at = self._first_event_at
+        if not upstream.has_proven_parts and self._part_fingerprints:
+            upstream.has_proven_parts = True
+            began_at = upstream.sent_at
+            if upstream.first_event_at is not None:
+                began_at = upstream.first_event_at
             self._ctx.crashes.record_harmless_parts(self._part_fingerprints, began_at)
 
     @property
     def _has_another_attempt(self) -> bool:
-        """Whether the request may be sent again if the current attempt fails."""
+        """Whether the request may be sent again if the attempt that begins now fails."""
+        return self._may_send_again(self._attempts_sent + 1)
+
+    def _may_send_again(self, attempts_sent: int) -> bool:
+        """Return whether the request may be sent again after some attempts."""
         route = self._route
         return (
-            route.retry_mode is not RetryMode.NEVER
-            and self._attempts_sent + 1 < route.max_attempts
+            route.retry_mode is not RetryMode.NEVER and attempts_sent < route.max_attempts
         )
 
     def _first_timeout_s(self) -> float | None:
@@ -457,7 +439,7 @@
         It is ``None`` if the request cannot be retried; then only its deadline applies.
         """
         route = self._route
-        if not self._has_another_attempt:
+        if not self._may_send_again(self._attempts_sent):
             return None
         factor = (
             FIRST_EVENT_TIMEOUT_OBJECTIVES if route.is_stream else PLAIN_TIMEOUT_OBJECTIVES
@@ -467,123 +449,119 @@
     def _gap_timeout_s(self) -> float | None:
         """Return the read timeout between events, in seconds; ``None`` for no timeout."""
         route = self._route
-        if route.retry_mode is not RetryMode.RESUME or not self._has_another_attempt:
+        if route.retry_mode is not RetryMode.RESUME or not self._may_send_again(
+            self._attempts_sent
+        ):
             return None
         return max(GAP_TIMEOUT_OBJECTIVES * route.gap_objective_s, route.objective_s)
 
-    @contextmanager
-    def _read_timeout(self, timeout_s: float | None) -> Iterator[None]:
-        if timeout_s is None:
-            yield
-            return
-        with eventlet.Timeout(
-            timeout_s, _ReadTimeoutError(f"no data for {timeout_s:.1f} s")
-        ):
-            yield
+    def _silent_at(self, upstream: UpstreamRequest) -> float:
+        """Return when a read of a response times out, in monotonic seconds."""
+        if upstream.first_event_at is None:
+            timeout_s = self._first_timeout_s()
+        else:
+            timeout_s = self._gap_timeout_s()
+        return math.inf if timeout_s is None else upstream.progressed_at + timeout_s
 
-    def _relay_response(
-        self, conn: EndpointConnection, row: EndpointRow, head: ResponseHead, sent_at: float
-    ) -> Attempt:
-        if head.execution_status is ExecutionStatus.MISDIRECTED:
-            conn.read_body(MAX_BUFFERED_BYTES)
-            row.mark_address_reused(self._ctx.now())
-            return Attempt(
-                AttemptOutcome.MISDIRECTED, row.id, "another endpoint uses the address"
-            )
-        if head.execution_status is ExecutionStatus.NOT_RUN:
-            conn.read_body(MAX_BUFFERED_BYTES)
-            if head.status in OVERLOAD_STATUSES:
-                row.record_failure(self._ctx.now())
-            return Attempt(
-                AttemptOutcome.NOT_RUN, row.id, f"endpoint refused: status {head.status}"
-            )
-        raw = RawHead(head.status, head.reason, end_to_end(head.headers))
-        if self._is_event_stream(head):
-            return self._relay_stream(conn, row, raw, sent_at)
-        body = conn.read_body(MAX_BUFFERED_BYTES)
-        self._record_success(row, self._ctx.now())
-        if head.status in SERVER_ERRORS:
-            return Attempt(
-                AttemptOutcome.FAILED, row.id, f"status {head.status}", (raw, body)
-            )
+    def _relay(self, upstream: UpstreamRequest) -> Attempt:
+        """Pass on the response of an endpoint as it arrives.
+
+        Raises:
+            ResponseError: The response was truncated.
+            SilentError: The read timeout has passed.
+        """
+        while True:
+            attempt = self._deliver(upstream.next_item(self._silent_at(upstream)), upstream)
+            if attempt is not None:
+                return attempt
+
+    @singledispatchmethod
+    def _deliver(self, item: Item, upstream: UpstreamRequest) -> Attempt | None:
+        """Pass on an item of a response if it is usable.
+
+        Returns:
+            How the attempt ended; ``None`` if the response goes on.
+        """
+        raise TypeError(f"no item of a response: {item!r} of {upstream.row.id}")
+
+    @_deliver.register
+    def _deliver_events(self, item: EventBatch, upstream: UpstreamRequest) -> None:
+        now = item.at
+        events = item.events
+        if item.is_first:
+            self._record_success(upstream.row)
+            self._record_prefill_end(upstream, now)
+            self._record_origin(upstream)
+        upstream.pace.count(len(events), now)
+        if upstream.has_run_without_harm(now):
+            self._record_harmless_parts(upstream)
+        upstream.job.record_events(upstream.job.events + len(events), now)
+        self.progress.record(len(events), now)
+        self._start_stream(item.head)
+        for event in events:
+            self._last_event_id = event.id or self._last_event_id
+        self._caller.send_data(b"".join(event.data for event in events))
+
+    @_deliver.register
+    def _deliver_end(self, item: StreamEnd, upstream: UpstreamRequest) -> Attempt:
+        self._start_stream(item.head)
+        self._caller.send_data(item.remainder)
+        self._caller.end()
+        return Attempt(AttemptOutcome.DELIVERED, upstream.row.id)
+
+    @_deliver.register
+    def _deliver_response(self, item: PlainResponse, upstream: UpstreamRequest) -> Attempt:
+        row = upstream.row
+        self._record_success(row)
+        status = item.head.status
+        if status in SERVER_ERRORS:
+            response = (item.head, item.body)
+            return Attempt(AttemptOutcome.FAILED, row.id, f"status {status}", response)
         if self._caller.head_sent:
-            return Attempt(
-                AttemptOutcome.FAILED, row.id, f"status {head.status} on resuming"
-            )
+            return Attempt(AttemptOutcome.FAILED, row.id, f"status {status} on resuming")
         now = self._ctx.now()
         row.record_measurement(
-            SampleKind.PLAIN, now - sent_at, percent=row.load.mean_percent(sent_at, now)
+            SampleKind.PLAIN,
+            now - upstream.sent_at,
+            percent=row.load.mean_percent(upstream.sent_at, now),
         )
         self.progress.record(0, now)
-        self.progress.is_failure = head.status >= MIN_FAILURE_STATUS
-        self._caller.send_response(raw, body)
+        self.progress.is_failure = status >= MIN_FAILURE_STATUS
+        self._caller.send_response(item.head, item.body)
         return Attempt(AttemptOutcome.DELIVERED, row.id)
 
-    @staticmethod
-    def _is_event_stream(head: ResponseHead) -> bool:
-        types = [value for name, value in head.headers if name.lower() == b"content-type"]
-        return head.status == 200 and any(CONTENT_TYPE in value for value in types)
+    @_deliver.register
+    def _record_refusal(self, item: NotRunResponse, upstream: UpstreamRequest) -> Attempt:
+        row = upstream.row
+        if item.status in OVERLOAD_STATUSES:
+            row.record_failure(self._ctx.now())
+        detail = f"endpoint refused: status {item.status}"
+        return Attempt(AttemptOutcome.NOT_RUN, row.id, detail)
 
-    def _relay_stream(
-        self, conn: EndpointConnection, row: EndpointRow, head: RawHead, sent_at: float
+    @_deliver.register
+    def _record_misdirection(
+        self, _: MisdirectedResponse, upstream: UpstreamRequest
     ) -> Attempt:
-        """Pass on a stream's events as they arrive.
-
-        Raises:
-            ResponseError: The stream was truncated.
-        """
-        splitter = EventSplitter()
-        pace = EventGapMeter(row)
-        timeout_s = self._first_timeout_s()
-        while True:
-            with self._read_timeout(timeout_s):
-                data = conn.read_data()
-            if data is None:
-                break
-            now = self._ctx.now()
-            self.last_data_at = now
-            events = splitter.feed(data)
-            if not events:
-                continue
-            if self._first_event_at is None:
-                self._first_event_at = now
-                self._record_success(row, now)
-                self._record_prefill_end(row, sent_at, now)
-                timeout_s = self._gap_timeout_s()
-                self._record_origin(row, sent_at)
-            pace.count(len(events), now)
-            self._event_count += len(events)
-            if self._has_run_without_harm(now):
-                self._record_harmless_parts()
-            self._job.record_events(self._job.events + len(events), now)
-            self.progress.record(len(events), now)
-            self._start_stream(head)
-            for event in events:
-                self._last_event_id = event.id or self._last_event_id
-            self._caller.send_data(b"".join(event.data for event in events))
-        if splitter.is_inside_event:
-            raise ResponseError(f"{conn.address}: stream ended within an event")
-        self._start_stream(head)
-        self._caller.send_data(splitter.remainder)
-        self._caller.end()
-        return Attempt(AttemptOutcome.DELIVERED, row.id)
+        row = upstream.row
+        row.mark_address_reused(self._ctx.now())
+        detail = "another endpoint uses the address"
+        return Attempt(AttemptOutcome.MISDIRECTED, row.id, detail)
 
-    def _record_origin(self, row: EndpointRow, sent_at: float) -> None:
+    def _record_origin(self, upstream: UpstreamRequest) -> None:
         """Record which software version began a stream that may be continued."""
         if self._origin is not None or self._route.retry_mode is not RetryMode.RESUME:
             return
-        published = row.published
+        published = upstream.row.published
+        version = upstream.job.software_version
         self._origin = self._ctx.streams.begin(
             self._req.stream_rid or self._req.rid,
             published,
-            sent_at=sent_at,
-            software_version=published.software_version
-            if self._job.software_version is None
-            else self._job.software_version,
+            sent_at=upstream.sent_at,
+            software_version=published.software_version if version is None else version,
         )
 
-    def _record_success(self, row: EndpointRow, now: float) -> None:
-        row.record_success(now)
+    def _record_success(self, row: EndpointRow) -> None:
+        row.record_success(self._ctx.now())
         self._ctx.crashes.record_alive(row)
 
     def _start_stream(self, head: RawHead) -> None:
@@ -591,16 +569,16 @@
         if not self._caller.head_sent:
             self._caller.send_head(head)
 
-    def _record_prefill_end(self, row: EndpointRow, sent_at: float, now: float) -> None:
+    def _record_prefill_end(self, upstream: UpstreamRequest, now: float) -> None:
         """Record the end of the prefill and the time to the first event."""
-        job = self._job
+        job, row = upstream.job, upstream.row
         if job.found_free_slot:
             tokens = job.prefill_ahead + job.prefill_tokens
             row.record_measurement(
                 SampleKind.FIRST_EVENT,
-                now - sent_at,
+                now - upstream.sent_at,
                 tokens,
-                row.load.mean_percent(sent_at, now),
+                row.load.mean_percent(upstream.sent_at, now),
             )
         self._ctx.scheduler.record_prefill_end(job)
         self._record_cached_prefix(row, now)
@@ -609,22 +587,22 @@
         for part, _ in self._req.prefix:
             row.record_prefix(part, now)
 
-    def _log_silence(self, row: EndpointRow) -> None:
+    def _log_silence(self, upstream: UpstreamRequest) -> None:
         log(
             Event.ENDPOINT_SILENT,
             rid=self._req.rid,
-            endpoint=row.id,
-            silent_ms=round((self._ctx.now() - self.last_data_at) * 1000),
+            endpoint=upstream.row.id,
+            silent_ms=round((self._ctx.now() - upstream.progressed_at) * 1000),
             events=self.progress.events,
         )
 
-    def _log_attempt(self, attempt: Attempt) -> None:
+    def _log_attempt(self, upstream: UpstreamRequest, attempt: Attempt) -> None:
         log(
             Event.ATTEMPT_ENDED,
             rid=self._req.rid,
             fingerprint=self._fingerprint.hex(),
             endpoint=attempt.endpoint,
-            version=self.placement.software_version if self.placement else None,
+            version=upstream.placement.software_version,
             resumed_after=self._last_event_id,
             fate=attempt.outcome.value,
             detail=attempt.detail,
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import errno
+import math
 import struct
 from typing import Any, NamedTuple
 
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
+from .. import clock
 from ..errors import DockreachError
 from .requests import Header
 
@@ -62,6 +64,10 @@
     """An endpoint's response was truncated, or is not HTTP."""
 
 
+class SilentError(DockreachError):
+    """What was waited for has not arrived in time; reading may go on."""
+
+
 class RawRequest(NamedTuple):
     """A request as sent on the wire."""
 
@@ -99,15 +105,20 @@
     return False
 
 
-def receive(sock: Any) -> bytes:  # noqa: ANN401
+def receive(sock: Any, until: float = math.inf) -> bytes:  # noqa: ANN401
     """Read the available data; empty if the peer closed the connection in order.
 
     eventlet's own `recv` also returns no data after a reset, so that a truncated response
     without a length would look complete.
 
+    Args:
+        sock: The socket.
+        until: Monotonic time until which to wait for data, in seconds.
+
     Raises:
         OSError: The connection was reset.
         TimeoutError: No data arrived within the socket's timeout.
+        SilentError: No data arrived until the given time.
     """
     raw_sock = sock.fd
     while True:
@@ -115,10 +126,14 @@
             data: bytes = raw_sock.recv(RECV_BYTES)
             return data
         except BlockingIOError:
-            _await_data(sock)
+            _await_data(sock, until)
 
 
-def _await_data(sock: Any) -> None:  # noqa: ANN401
+def _await_data(sock: Any, until: float) -> None:  # noqa: ANN401
+    if until < math.inf:
+        left_s = max(until - clock.now(), 0.0)
+        trampoline(sock.fd, read=True, timeout=left_s, timeout_exc=SilentError)
+        return
     timeout_s = sock.gettimeout()
     try:
         trampoline(sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
--- /dev/null
+++ b/dockreach/direct/upstream_request.py
@@ -0,0 +1,282 @@
+"""One upstream request: its slot, its connection, and what arrives of its response."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from .attempt import Placement
+from .context import Context
+from .endpoint_connection import EndpointConnection
+from .endpoints import EndpointRow, EventGapMeter
+from .event_stream import CONTENT_TYPE, EventSplitter, StreamEvent
+from .http1 import RawHead, ResponseError, end_to_end
+from .jobs import Job
+from .notice import InvalidValue
+from .quarantine import HARMLESS_EVENTS, HARMLESS_RUN_S
+from .requests import ExecutionStatus, Header, InboundRequest, ResponseHead
+
+MAX_BUFFERED_BYTES = 1 << 20
+"""Responses up to this size are buffered whole before they are passed on, so that the
+request can be retried if one is truncated."""
+
+
+@dataclass(frozen=True, slots=True)
+class EventBatch:
+    """Complete events of a stream.
+
+    Attributes:
+        head: Head of the response.
+        is_first: Whether no events of this response came before.
+        at: Monotonic time at which they were received, in seconds.
+    """
+
+    head: RawHead
+    events: list[StreamEvent]
+    is_first: bool
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnd:
+    """The end of a complete stream.
+
+    Attributes:
+        head: Head of the response.
+        remainder: Bytes after its last event.
+    """
+
+    head: RawHead
+    remainder: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PlainResponse:
+    """A complete response that is not a stream."""
+
+    head: RawHead
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NotRunResponse:
+    """The endpoint reports that it has not run the request."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class MisdirectedResponse:
+    """Another endpoint uses the address now; it has not run the request."""
+
+
+Item = EventBatch | StreamEnd | PlainResponse | NotRunResponse | MisdirectedResponse
+
+
+class UpstreamRequest:
+    """A request as sent to one endpoint.
+
+    Reading may stop at any time without an item, and go on later: nothing is lost.
+
+    Args:
+        ctx: State shared by all requests of the entry.
+        req: The caller's request.
+        job: The job that holds the slot.
+        row: The endpoint of the slot.
+        placement: Why it is sent there.
+
+    Attributes:
+        sent_at: Monotonic time at which it was sent, in seconds; minus infinity before.
+        last_data_at: Monotonic time of the last data of the response, in seconds.
+        progressed_at: Monotonic time at which it was sent, or at which the head or the last
+            complete event was received, in seconds.
+        first_event_at: Monotonic time of the first event, in seconds.
+        event_count: Events that were received.
+        has_proven_parts: Whether it was recorded that its prompt's parts are harmless.
+        pace: Measures the interval between its events.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        req: InboundRequest,
+        job: Job,
+        row: EndpointRow,
+        placement: Placement,
+    ) -> None:
+        self._ctx = ctx
+        self._req = req
+        self.job = job
+        self.row = row
+        self.placement = placement
+        self.sent_at = -math.inf
+        self.last_data_at = -math.inf
+        self.progressed_at = -math.inf
+        self.first_event_at: float | None = None
+        self.event_count = 0
+        self.has_proven_parts = False
+        self.pace = EventGapMeter(row)
+        self._conn: EndpointConnection | None = None
+        self._keep_alive_s: float | None = 0.0
+        self._head: ResponseHead | None = None
+        self._raw_head = RawHead(0, b"", [])
+        self._is_skipping = False
+        self._splitter = EventSplitter()
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request, or a part of it, was sent."""
+        return self.sent_at > -math.inf
+
+    @property
+    def is_connection_reused(self) -> bool:
+        """Whether an earlier request was answered on its connection."""
+        return self._conn is not None and self._conn.was_reused
+
+    @property
+    def _connection(self) -> EndpointConnection:
+        if self._conn is None:
+            raise ResponseError(f"{self.row.published.address}: not connected")
+        return self._conn
+
+    def connect(self, max_idle_s: float | None) -> None:
+        """Take a connection from the pool, or open a new one.
+
+        Args:
+            max_idle_s: Longest time that a pooled one may have been idle, in seconds.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
+        self._conn = self._ctx.pool.get(self.row.published.address, max_idle_s=max_idle_s)
+        self.row.connections.add(self._conn)
+
+    def send(self, headers: list[Header]) -> None:
+        """Send the request.
+
+        Raises:
+            ResponseError: The connection broke; a part of the request may have arrived.
+        """
+        req = self._req
+        self.sent_at = self.last_data_at = self.progressed_at = self._ctx.now()
+        body = req.body if req.has_body else None
+        self._connection.send(req.method, req.target, headers, body)
+
+    def next_item(self, until: float = math.inf) -> Item:
+        """Read the next item of the response.
+
+        Args:
+            until: Monotonic time until which to wait for it, in seconds.
+
+        Raises:
+            SilentError: There is no complete item yet.
+            ResponseError: The connection broke, or the response is not valid.
+        """
+        self._connection.read_until = until
+        if self._head is None:
+            self._head = self._read_own_head()
+            head = self._head
+            self._raw_head = RawHead(head.status, head.reason, end_to_end(head.headers))
+        if self._head.execution_status is ExecutionStatus.RAN and _is_stream(self._head):
+            return self._next_of_stream(self._head)
+        body = self._read_body()
+        self._keep_alive_s = self._head.keep_alive_s
+        if self._head.execution_status is ExecutionStatus.MISDIRECTED:
+            return MisdirectedResponse()
+        if self._head.execution_status is ExecutionStatus.NOT_RUN:
+            return NotRunResponse(self._head.status)
+        return PlainResponse(self._raw_head, body)
+
+    def _read_own_head(self) -> ResponseHead:
+        conn = self._connection
+        while True:
+            if self._is_skipping:
+                conn.skip_response()
+                self._is_skipping = False
+            head = self._ctx.adapter.read_response(conn.read_head())
+            self.last_data_at = self.progressed_at = self._ctx.now()
+            # For a late response to another request, the send time is not known.
+            is_own = head.rid in (self._req.rid, "")
+            self._ctx.notices.apply_notice(
+                self.row,
+                head.notice,
+                request_sent_at=self.sent_at if is_own else -math.inf,
+                rid=head.rid,
+            )
+            if head.rid == self._req.rid:
+                self._record_load(head)
+                return head
+            if not head.rid and head.execution_status is not ExecutionStatus.RAN:
+                self._record_load(head)
+                return head
+            if not head.rid:
+                raise ResponseError(f"{conn.address}: response without a request id")
+            self._ctx.counters.late_answers += 1
+            self._is_skipping = True
+
+    def _record_load(self, head: ResponseHead) -> None:
+        """Record the load that an endpoint reports in the head of its own response."""
+        if head.execution_status is ExecutionStatus.MISDIRECTED or head.load is None:
+            return
+        if isinstance(head.load, InvalidValue):
+            self._ctx.counters.invalid_loads += 1
+            self._ctx.notices.log_invalid_load(self.row, head.load)
+            return
+        self._ctx.endpoints.record_load(self.row, head.load, self._ctx.now())
+        self._ctx.scheduler.record_load(self.row)
+
+    def _read_body(self) -> bytes:
+        conn = self._connection
+        while (data := conn.read_data()) is not None:
+            self.last_data_at = self._ctx.now()
+            self._body.append(data)
+            self._body_bytes += len(data)
+            if self._body_bytes > MAX_BUFFERED_BYTES:
+                raise ResponseError(
+                    f"{conn.address}: response over {MAX_BUFFERED_BYTES} bytes"
+                )
+        return b"".join(self._body)
+
+    def _next_of_stream(self, head: ResponseHead) -> EventBatch | StreamEnd:
+        conn = self._connection
+        while (data := conn.read_data()) is not None:
+            now = self.last_data_at = self._ctx.now()
+            events = self._splitter.feed(data)
+            if not events:
+                continue
+            self.progressed_at = now
+            is_first = self.first_event_at is None
+            if self.first_event_at is None:
+                self.first_event_at = now
+            self.event_count += len(events)
+            return EventBatch(self._raw_head, events, is_first, now)
+        if self._splitter.is_inside_event:
+            raise ResponseError(f"{conn.address}: stream ended within an event")
+        self._keep_alive_s = head.keep_alive_s
+        return StreamEnd(self._raw_head, self._splitter.remainder)
+
+    def has_run_without_harm(self, now: float) -> bool:
+        """Return whether the stream has run for a while without a crash."""
+        ran_s = now - self.first_event_at if self.first_event_at is not None else 0.0
+        return self.event_count >= HARMLESS_EVENTS or ran_s >= HARMLESS_RUN_S
+
+    def close(self, max_idle: int) -> None:
+        """Release the slot, and pool the connection if its response was read completely.
+
+        Args:
+            max_idle: Maximum number of idle connections to the endpoint.
+        """
+        conn, self._conn = self._conn, None
+        try:
+            if conn is not None:
+                self.row.connections.discard(conn)
+                self._ctx.pool.put(conn, self._keep_alive_s, max_idle)
+        finally:
+            self._ctx.scheduler.release_slot(self.job)
+
+
+def _is_stream(head: ResponseHead) -> bool:
+    types = [value for name, value in head.headers if name.lower() == b"content-type"]
+    return head.status == 200 and any(CONTENT_TYPE in value for value in types)
