--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import eventlet
 import h11
 from eventlet.green import socket
 
+from .. import clock
 from .http1 import (
     LOST_PEER_TIMEOUT_MS,
     SLOW_READER_TIMEOUT_MS,
@@ -15,6 +17,7 @@
     LoopShare,
     RawHead,
     ResponseError,
+    SilentError,
     receive,
     set_send_timeout,
     set_socket_options,
@@ -65,6 +68,9 @@
         """Whether the response's end can be distinguished from that of the connection."""
         self.was_reused = False
         """Whether an earlier request on this connection was answered."""
+        self.read_until = math.inf
+        """Monotonic time until which reads wait for data, in seconds; then they raise
+        `SilentError`, and may be repeated."""
         self._is_aborted = False
         self._share = LoopShare()
 
@@ -201,12 +207,21 @@
             raise ResponseError(f"{self.address}: {exc}") from exc
 
     def _receive(self) -> bytes:
-        data = receive(self._sock, share=self._share)
+        data = self._receive_until()
         if self._is_aborted:
             # A response without a length would otherwise seem to be complete here.
             raise ResponseError(f"{self.address}: the endpoint's incarnation has ended")
         return data
 
+    def _receive_until(self) -> bytes:
+        if self.read_until == math.inf:
+            return receive(self._sock, share=self._share)
+        left_s = max(self.read_until - clock.now(), 0.0)
+        try:
+            return receive(self._sock, left_s, share=self._share)
+        except TimeoutError as exc:
+            raise SilentError(f"{self.address}: {exc}") from exc
+
     def abort(self) -> None:
         """Make a read of the response fail at once; safe to call from another greenlet."""
         self._is_aborted = True
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -74,6 +74,10 @@
     """An endpoint's response was truncated, or is not HTTP."""
 
 
+class SilentError(DockreachError):
+    """What was waited for has not arrived in time; reading may go on."""
+
+
 class RawRequest(NamedTuple):
     """A request as sent on the wire."""
 
