Soak silent endpoints beside changes, reloads and stops, and judge every unanswered request

No soak had endpoints that are silent for a moment and go on, and no invariant judged requests that end so beside a change or a reload.

Some soaks have one endpoint a service, two slots or no retries. Callers keep their connections, see an idle close before they send, and pipeline now and then. Two invariants hold in every theme: a request that was sent whole gets a complete response or a refusal, and an entry fails no request whose silent endpoint would have answered in time. The proxy in front of the entry tells when a request was passed on and whether the entry reset the connection, since an entry that exits or closes with unread bytes does, and eventlet hides a reset from the caller. A larger body that a configuration newly allows is refused by no entry once the configuration must be applied.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -61,6 +61,13 @@
     type=Theme,
     help="Entries that are cut off from the store.",
 )
+@click.option(
+    "--silences",
+    "theme",
+    flag_value=Theme.SILENCES,
+    type=Theme,
+    help="Endpoints that are silent for a moment, beside changes and stops.",
+)
 @click.option("--all", "theme", flag_value=Theme.ALL, type=Theme, help="All three.")
 @click.option("--one", type=int, help="Run only this seed, in this process.")
 def main(
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import re
 import time
@@ -12,6 +13,9 @@
 import eventlet
 import h11
 from eventlet.green import socket
+from eventlet.green.socket import MSG_DONTWAIT, MSG_PEEK
+
+from .proxy import Proxy
 
 RESPONSE_TIMEOUT_S = 4.0
 """How long a caller waits for a response, in seconds."""
@@ -54,6 +58,9 @@
 MAX_TAKE_UPS = 2
 """How often a caller takes a broken stream up."""
 
+PIPELINED_FRACTION = 0.1
+"""Fraction of the requests behind which a caller that pipelines sends another at once."""
+
 _EVENT_NUMBER = re.compile(rb"^id: (\d+)\n[^\0]*?\n\n", re.MULTILINE)
 
 ROUTE_KINDS = ("once", "safe", "draft", "brief", "new")
@@ -82,6 +89,11 @@
         organisation: Name of the organisation, if it competes for slots.
         after: Number of the last event of the stream that it continues; 0 for none.
         stream_rid: The attempt that brought the first event of that stream.
+        arrived_at: Monotonic time at which the proxy had passed all of it on to the entry,
+            in seconds; 0 if it did not.
+        was_reset: Whether the entry reset its connection, as it does with unread bytes.
+        is_dropped: Whether it was pipelined behind a request whose response ended the
+            connection.
     """
 
     rid: str
@@ -103,6 +115,9 @@
     organisation: str = ""
     after: int = 0
     stream_rid: str = ""
+    arrived_at: float = 0.0
+    was_reset: bool = False
+    is_dropped: bool = False
 
     @property
     def last_event(self) -> int:
@@ -135,6 +150,7 @@
         addresses: Returns the name and address of each entry.
         newest_version: Returns the newest configuration version that every entry must have
             applied.
+        proxies: The proxy in front of each entry, by the entry's name.
         rng: Draws the requests.
         max_pause_s: Longest pause of a caller between requests, in seconds.
         is_stopped: Whether callers stop after their current request.
@@ -143,10 +159,15 @@
             wait.
         takes_up: Whether callers take broken streams up at another entry.
         kinds: Kinds of routes, of which each request draws one.
+        pipelines: Whether callers pipeline now and then, and see that an idle connection
+            was closed before they use it again.
+        body_bytes: Returns the size of the bodies of requests of kind ``new`` from the
+            configuration version that they need; ``None`` for bodies like all others.
     """
 
     addresses: Callable[[], list[tuple[str, str]]]
     newest_version: Callable[[], int]
+    proxies: dict[str, Proxy]
     rng: random.Random
     max_pause_s: float = MAX_PAUSE_S
     outcomes: list[Outcome] = field(default_factory=list)
@@ -155,6 +176,8 @@
     comes_back: bool = False
     takes_up: bool = False
     kinds: tuple[str, ...] = ROUTE_KINDS
+    pipelines: bool = False
+    body_bytes: Callable[[int], int] | None = None
     _requests_made: int = 0
 
     def run_caller(self, key: str) -> None:
@@ -162,16 +185,21 @@
         conn: _Connection | None = None
         while not self.is_stopped:
             eventlet.sleep(self.rng.uniform(0.0, self.max_pause_s))
+            if conn is not None and self.pipelines and conn.was_closed():
+                conn.close()
+                conn = None
             if conn is None:
                 entry, address = self.rng.choice(self.addresses())
-                conn = _Connection(entry, address)
+                conn = _Connection(entry, address, self.proxies[entry])
             outcome = self._next_request(conn.entry)
             outcome.organisation = key if self.comes_back else ""
-            if not conn.exchange(outcome, key):
+            behind = None
+            if self.pipelines and self.rng.random() < PIPELINED_FRACTION:
+                behind = self._next_request(conn.entry)
+            if not conn.exchange(outcome, key, behind):
                 conn.close()
                 conn = None
-            outcome.ended_at = time.monotonic()
-            self.outcomes.append(outcome)
+            self.outcomes += [row for row in (outcome, behind) if row is not None]
             if self.comes_back and outcome.status == 503 and outcome.retry_after:
                 self._come_back(outcome, key)
             if self.takes_up and outcome.is_broken_stream:
@@ -229,10 +257,9 @@
 
     def _send_once(self, outcome: Outcome, address: str, key: str) -> None:
         """Send a request on a connection of its own."""
-        conn = _Connection(outcome.entry, address)
+        conn = _Connection(outcome.entry, address, self.proxies[outcome.entry])
         conn.exchange(outcome, key)
         conn.close()
-        outcome.ended_at = time.monotonic()
         self.outcomes.append(outcome)
 
     def run_crashing_requests(self, key: str, for_s: float) -> None:
@@ -259,10 +286,9 @@
         outcome.is_crashing = True
         if rng.random() < CRASHING_ABANDONED_FRACTION:
             outcome.timeout_s = rng.uniform(0.0, MAX_CRASHING_ABANDON_S)
-        conn = _Connection(entry, address)
+        conn = _Connection(entry, address, self.proxies[entry])
         conn.exchange(outcome, key)
         conn.close()
-        outcome.ended_at = time.monotonic()
         self.outcomes.append(outcome)
 
     def _next_request(self, entry: str) -> Outcome:
@@ -270,9 +296,12 @@
         kind = self.rng.choice(self.kinds)
         outcome = Outcome(f"{kind}-{self._requests_made}", kind, entry, time.monotonic())
         if kind == "new":
-            outcome.path = f"/new-{self.newest_version()}/x"
+            version = self.newest_version()
+            outcome.path = f"/new-{version}/x"
         if self.has_distinct_bodies and self.rng.random() > IDENTICAL_FRACTION:
             outcome.request_body = outcome.rid.encode()
+        if kind == "new" and self.body_bytes is not None:
+            outcome.request_body = outcome.rid.encode().ljust(self.body_bytes(version))
         if self.rng.random() < ABANDONED_FRACTION:
             outcome.timeout_s = self.rng.uniform(0.0, MAX_ABANDON_S)
         elif self.comes_back:
@@ -282,56 +311,91 @@
 
 
 class _Connection:
-    def __init__(self, entry: str, address: str) -> None:
+    def __init__(self, entry: str, address: str, proxy: Proxy) -> None:
         self.entry = entry
+        self._proxy = proxy
+        self._sent_at = math.inf
         self._address = address
         self._sock: Any = None
         self._http = h11.Connection(h11.CLIENT)
 
-    def exchange(self, outcome: Outcome, key: str) -> bool:
+    def exchange(self, outcome: Outcome, key: str, behind: Outcome | None = None) -> bool:
         """Send a request and read its response.
 
+        Args:
+            outcome: The request.
+            key: The API key.
+            behind: A request that is pipelined behind it, with its own response.
+
         Returns:
             Whether the connection can be used for another request.
         """
+        self._sent_at = math.inf
+        is_reusable = self._finish(outcome, lambda: self._send(outcome, key, behind))
+        if behind is None:
+            return is_reusable
+        if not is_reusable:
+            behind.is_dropped = True
+            behind.error, behind.ended_at = outcome.error, outcome.ended_at
+            behind.abandoned_at = outcome.abandoned_at
+            behind.arrived_at, behind.was_reset = outcome.arrived_at, outcome.was_reset
+            return False
+        # From now on its response is due.
+        behind.sent_at = time.monotonic()
+        return self._finish(behind, lambda: _encode(self._http, behind, key))
+
+    def _finish(self, outcome: Outcome, send: Callable[[], object]) -> bool:
+        """Read the response; return whether the connection can be used again."""
         try:
             with eventlet.Timeout(outcome.timeout_s):
-                return self._exchange(outcome, key)
+                send()
+                self._read_response(outcome)
+                return self._start_next_cycle()
         except eventlet.Timeout as exc:
             outcome.abandoned_at = time.monotonic()
             outcome.error = repr(exc)
         except (OSError, h11.ProtocolError) as exc:
             outcome.error = repr(exc)
+        finally:
+            outcome.ended_at = time.monotonic()
+            self._record_arrival(outcome)
         return False
 
-    def _exchange(self, outcome: Outcome, key: str) -> bool:
+    def _record_arrival(self, outcome: Outcome) -> None:
+        """Record when the proxy passed a request on, and whether it met a reset."""
+        if math.isinf(self._sent_at):
+            return
+        port = self._sock.getsockname()[1]
+        at = self._proxy.passed_on_at.get(port, 0.0)
+        outcome.arrived_at = at if at >= self._sent_at else 0.0
+        outcome.was_reset = port in self._proxy.reset_by_server
+
+    def _send(self, outcome: Outcome, key: str, behind: Outcome | None) -> None:
         if self._sock is None:
             ip, _, port = self._address.rpartition(":")
             self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._sock.connect((ip, int(port)))
-        head = h11.Request(
-            method="POST",
-            target=outcome.path or f"/{outcome.kind}/x",
-            headers=[
-                ("Host", "tools.example"),
-                ("Request-Id", outcome.rid),
-                ("Request-Deadline-Ms", str(int(outcome.deadline_s * 1000))),
-                ("X-Api-Key", key),
-                ("Token-Counts", "16,4"),
-                ("Content-Length", str(len(outcome.request_body))),
-                *_take_up_headers(outcome),
-            ],
-        )
-        data = self._http.send(head) or b""
-        if outcome.request_body:
-            data += self._http.send(h11.Data(data=outcome.request_body)) or b""
-        self._sock.sendall(data + (self._http.send(h11.EndOfMessage()) or b""))
-        self._read_response(outcome)
+        data = _encode(self._http, outcome, key)
+        if behind is not None:
+            data += _encode(h11.Connection(h11.CLIENT), behind, key)
+        self._sent_at = time.monotonic()
+        self._sock.sendall(data)
+
+    def _start_next_cycle(self) -> bool:
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
         return True
 
+    def was_closed(self) -> bool:
+        """Return whether the entry has closed the idle connection."""
+        try:
+            return not self._sock.fd.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _read_response(self, outcome: Outcome) -> None:
         while True:
             event = self._http.next_event()
@@ -355,6 +419,27 @@
             self._sock.close()
 
 
+def _encode(http: h11.Connection, outcome: Outcome, key: str) -> bytes:
+    """Return the bytes of a request, and record in the HTTP state that they are sent."""
+    head = h11.Request(
+        method="POST",
+        target=outcome.path or f"/{outcome.kind}/x",
+        headers=[
+            ("Host", "tools.example"),
+            ("Request-Id", outcome.rid),
+            ("Request-Deadline-Ms", str(int(outcome.deadline_s * 1000))),
+            ("X-Api-Key", key),
+            ("Token-Counts", "16,4"),
+            ("Content-Length", str(len(outcome.request_body))),
+            *_take_up_headers(outcome),
+        ],
+    )
+    data = http.send(head) or b""
+    if outcome.request_body:
+        data += http.send(h11.Data(data=outcome.request_body)) or b""
+    return data + (http.send(h11.EndOfMessage()) or b"")
+
+
 def _take_up_headers(outcome: Outcome) -> list[tuple[str, str]]:
     """Return the headers of a request that continues a stream."""
     if not outcome.after:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import eventlet
 
@@ -87,6 +88,27 @@
 """How long an endpoint is cold after a start, in seconds."""
 
 
+SILENT_FRACTION = 0.25
+"""Fraction of the responses in which endpoints fall silent, where they do."""
+
+FEW_WORKERS = (1, 1, 2, WORKERS_PER_SERVICE)
+FEW_SLOTS = (2, SLOTS)
+"""Endpoints of a service and their slots there; one of each is drawn for a soak."""
+
+RETRY_BURSTS = (0.0, 10.0)
+"""Retries that settings allow there, besides no fraction of the requests with the first."""
+
+IDLE_TIMEOUTS_MS = (60, 1000, 15000)
+TIMEOUTS_MS = (3000, 4000)
+LATENCIES_MS = (200, 500)
+GAPS_MS = (100, 300)
+"""Limits and objectives among which configurations change there, in milliseconds."""
+
+FIRST_BODY_BYTES = 256
+BODY_STEP_BYTES = 16
+"""The largest body grows by this with each configuration there."""
+
+
 class Cluster:
     """All parts of the system under test, and what was observed of them.
 
@@ -129,7 +151,10 @@
         ]
         self.caller_proxies = [Proxy(f"{entry.ip}:{FRONT_PORT}") for entry in self.entries]
         self.callers = Callers(
-            self._addresses, self._newest_applied_version, random.Random(seed + 1)
+            self._addresses,
+            self._newest_applied_version,
+            {entry.name: self.caller_proxies[i] for i, entry in enumerate(self.entries)},
+            random.Random(seed + 1),
         )
         self.callers.has_distinct_bodies = theme.has_distinct_bodies
         self.callers.comes_back = theme.has_overload
@@ -138,12 +163,24 @@
             self.callers.kinds = (*ROUTE_KINDS, *RESUMABLE_KINDS)
         self.software_version = SOFTWARE_VERSIONS[0] if theme.has_software_versions else ""
         self.observations.outcomes = self.callers.outcomes
+        self.workers_per_service = WORKERS_PER_SERVICE
+        self.slots = OVERLOAD_SLOTS if theme.has_overload else SLOTS
+        self.silent_fraction = 0.0
+        self._seed = seed
+        if theme.has_silences:
+            self.silent_fraction = SILENT_FRACTION
+            self.workers_per_service = self.rng.choice(FEW_WORKERS)
+            self.slots = self.rng.choice(FEW_SLOTS)
+            self.callers.pipelines = True
+            self.callers.body_bytes = _largest_body
+            for entry in self.entries:
+                self.draw_retry_budget(entry)
 
     def start(self) -> None:
         """Start everything except the callers."""
         self.publish_configuration()
         for service in SERVICES:
-            for _ in range(WORKERS_PER_SERVICE):
+            for _ in range(self.workers_per_service):
                 self.add_worker(service)
         if self.theme.has_software_versions:
             for _ in range(WORKERS_PER_SERVICE):
@@ -208,10 +245,18 @@
                 {"name": "free", "api_keys": ["key-free"]},
                 *_competing_organisations(),
             ]
+        if self.theme.has_silences:
+            _draw_limits(content, random.Random(f"{self._seed} {self._version}"))
         text = json.dumps(content).encode()
         self.store.put("op/config", text)
         self.observations.route_changes.append((time.monotonic(), service))
 
+    def draw_retry_budget(self, entry: EntryProcess) -> None:
+        """Draw whether an entry may retry, from its next settings on."""
+        burst = self.rng.choice(RETRY_BURSTS)
+        ratio = {} if burst else {"retry_budget_ratio": 0.0}
+        entry.more_bounds = {"retry_burst": burst, **ratio}
+
     def _publish_configurations(self) -> None:
         """Publish configurations regularly, so that one follows soon after each fault."""
         while not self.callers.is_stopped:
@@ -256,6 +301,8 @@
             worker.on_crashing_request = self._crash_once
         if self.theme.has_overload:
             worker.reported_load = lambda running: f"{running},0,2,100".encode()
+        worker.silent_fraction = self.silent_fraction
+        worker.silence_seed = self._seed
         self.workers[worker.name] = worker
         self.observations.halls[worker.name] = worker.hall
         if cold_s:
@@ -287,7 +334,7 @@
             service=worker.service,
             address=worker.proxy.address,
             zone=worker.hall,
-            slots=OVERLOAD_SLOTS if self.theme.has_overload else SLOTS,
+            slots=self.slots,
             state=state,
             born=worker.born,
             sequence=self._records_written,
@@ -433,7 +480,12 @@
             worker.proxy.set_fault(LinkFault.NONE)
             worker.failure_fraction = 0.0
             worker.slowdown = 1.0
+            worker.silent_fraction = 0.0
         self.store.failure_mode = ""
+        if self.theme.has_silences:
+            self.silent_fraction = 0.0
+            for service in SERVICES * WORKERS_PER_SERVICE:
+                self.add_worker(service)
 
 
 def _configuration(version: int, service: str, *, has_restarts: bool) -> dict[str, object]:
@@ -459,6 +511,26 @@
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
 
 
+def _largest_body(version: int) -> int:
+    """Return the largest body that a configuration allows, in bytes."""
+    return FIRST_BODY_BYTES + BODY_STEP_BYTES * version
+
+
+def _draw_limits(content: dict[str, Any], rng: random.Random) -> None:
+    """Draw the limits and the objectives of a configuration."""
+    content["limits"] = {
+        "idle_timeout_ms": rng.choice(IDLE_TIMEOUTS_MS),
+        "max_body_bytes": _largest_body(content["version"]),
+    }
+    objectives = {
+        "timeout_ms": rng.choice(TIMEOUTS_MS),
+        "target_latency_ms": rng.choice(LATENCIES_MS),
+        "gap_aim_ms": rng.choice(GAPS_MS),
+    }
+    for route in content["routes"]:
+        route.update(objectives)
+
+
 def _competing_organisations() -> list[dict[str, object]]:
     return [
         {"name": name, "api_keys": [f"key-{name}"], "rate_per_s": rate, "burst": rate}
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -66,6 +66,7 @@
         name: The name of the entry.
         ip: Its own loopback address.
         unexpected_exits: Exit codes of exits without a SIGTERM or SIGKILL from the soak.
+        more_bounds: Bounds of its settings beside those of all soaks.
     """
 
     def __init__(self, number: int, net: int, store: str, folder: Path) -> None:
@@ -79,6 +80,7 @@
         self._starts = 0
         self._is_exit_expected = False
         self.unexpected_exits: list[int] = []
+        self.more_bounds: dict[str, float] = {}
 
     @property
     def callers_address(self) -> tuple[str, int]:
@@ -137,6 +139,7 @@
                 "evac_ms": EVACUATION_S * 1000,
                 "cold_over": COLD_OVER,
                 "cold_slack": COLD_SLACK,
+                **self.more_bounds,
             },
             "platform": {"address": self._store_address},
         }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -95,6 +95,12 @@
         entry.send_signal(signal.SIGHUP)
 
 
+def _change_retry_budget(cluster: Cluster) -> None:
+    """Change the settings of an entry so that it may retry, or may not."""
+    cluster.draw_retry_budget(_entry(cluster))
+    _change_settings(cluster)
+
+
 def _configure(cluster: Cluster) -> None:
     for _ in range(cluster.rng.randint(1, 4)):
         cluster.publish_configuration()
@@ -439,6 +445,16 @@
 )
 """Faults of soaks with entries that are cut off, separate for the same reason."""
 
+SILENCE_FAULTS: tuple[Fault, ...] = (
+    *(_change_settings,) * 2,
+    *(_change_retry_budget,) * 2,
+    *(_configure,) * 3,
+    *(_stop,) * 4,
+    _replace_worker,
+    _kill,
+)
+"""Faults of soaks with silent endpoints, separate for the same reason."""
+
 THEME_FAULTS: dict[Theme, tuple[Fault, ...]] = {
     Theme.RESTARTS: RESTART_FAULTS,
     Theme.CRASHING_REQUESTS: CRASHING_REQUEST_FAULTS,
@@ -446,6 +462,7 @@
     Theme.OVERLOAD: OVERLOAD_FAULTS,
     Theme.SOFTWARE_VERSIONS: SOFTWARE_VERSION_FAULTS,
     Theme.CUT_OFF: CUT_OFF_FAULTS,
+    Theme.SILENCES: SILENCE_FAULTS,
     Theme.ALL: (*RESTART_FAULTS, *CRASHING_REQUEST_FAULTS, *NOTICE_FAULTS),
 }
 """Faults of each theme; a soak without a theme draws some kinds from `FAULTS`."""
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -15,7 +15,11 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 """Statuses that guarantee that the request was not run."""
 
-NOT_FOUND = 404
+UNKNOWN_STATUSES = (404, 413)
+"""Statuses for a route, or the size of a body, that an older configuration lacks."""
+
+OWN_FAILURES = (502, 504)
+"""Statuses with which only entries end requests that may have run."""
 
 AT_MOST_ONCE_KINDS = ("once", "draft")
 """Kinds of routes whose requests must not run more than once."""
@@ -32,6 +36,18 @@
 TIMEOUT_S = 3.0
 """The routes' timeout, in seconds: entries end a response that takes longer."""
 
+LOSS_SLACK_S = 0.2
+"""Time after its last byte in which a request may cross the close of its connection, in
+seconds, if no endpoint receives it."""
+
+LATE_SEND_S = 3.0
+GRACE_FRACTION = 1 / 6
+"""A stop may cut a request that was sent up to this many seconds after its signal, while an
+endpoint works on it in this last fraction of the grace time."""
+
+MAX_WORK_S = 0.7
+"""Longest time that an endpoint takes for a response besides its silence, in seconds."""
+
 EVACUATION_S = 2.0
 """Time after which an evacuated data hall receives no more requests, in seconds."""
 
@@ -178,6 +194,12 @@
             observed, by_rid
         ),
         "refused by an older configuration": _unknown_routes(observed),
+        "sent whole, but got neither a complete response nor a refusal": _unanswered(
+            observed, by_rid
+        ),
+        "failed although its silent endpoint would have answered": _needless_failures(
+            observed, by_rid
+        ),
         "cut off by a planned stop": _cut_by_stop(observed, by_rid),
         "sent to an endpoint after its caller had left": _sent_after_abandon(
             observed, by_rid
@@ -394,7 +416,7 @@
     """Return requests refused for an unknown route that the entry should have known."""
     unknown = []
     for row in observed.outcomes:
-        if row.kind != "new" or row.status != NOT_FOUND:
+        if row.kind != "new" or row.status not in UNKNOWN_STATUSES:
             continue
         spans = [span for span in observed.disruptions if span.target in ("", row.entry)]
         if not _overlaps_any(
@@ -434,6 +456,71 @@
     return cut
 
 
+def _unanswered(observed: Observations, by_rid: dict[str, list[Run]]) -> list[str]:
+    """Return requests that were sent whole and not answered, unless that is allowed."""
+    arrived = {arrival.rid for arrival in observed.endpoint_log.arrivals} | by_rid.keys()
+    return [
+        f"{_describe(row)} after {row.ended_at - row.arrived_at:.2f} s"
+        for row in observed.outcomes
+        if row.arrived_at
+        and not row.is_whole
+        and not row.is_abandoned_early
+        and not _may_be_unread(row, has_arrived=row.rid in arrived)
+        and not (row.status and row.ended_at - row.sent_at >= TIMEOUT_S)
+        and not _is_impaired(observed, row)
+        and not _is_at_work_until_exit(observed, row, by_rid.get(row.rid, []))
+    ]
+
+
+def _may_be_unread(row: Outcome, *, has_arrived: bool) -> bool:
+    """Return whether a request may have crossed the close of its connection.
+
+    An entry that closes a connection, or exits, with a request that it has not read resets
+    the connection.
+    """
+    if row.is_dropped and row.abandoned_at:
+        return True
+    is_crossing = row.ended_at <= row.arrived_at + LOSS_SLACK_S
+    is_unread = row.was_reset and not row.status
+    return not has_arrived and (row.is_dropped or is_crossing or is_unread)
+
+
+def _is_impaired(observed: Observations, row: Outcome) -> bool:
+    """Return whether an unplanned fault of its entry, or of an engine, may have cut it."""
+    spans = [span for span in observed.disruptions if span.target in ("", row.entry)]
+    return _overlaps_any(spans, row.sent_at - CONVERGENCE_S, row.ended_at)
+
+
+def _is_at_work_until_exit(observed: Observations, row: Outcome, runs: list[Run]) -> bool:
+    """Return whether an endpoint worked on a request until its entry had to exit."""
+    for stop in observed.planned_stops:
+        last_s = (stop.end - stop.start) * GRACE_FRACTION
+        if (
+            stop.target == row.entry
+            and row.sent_at <= stop.start + LATE_SEND_S
+            and stop.end - last_s <= row.ended_at <= stop.end
+            and any(run.ended_at >= stop.end - last_s for run in runs)
+        ):
+            return True
+    return False
+
+
+def _needless_failures(observed: Observations, by_rid: dict[str, list[Run]]) -> list[str]:
+    """Return requests that an entry failed before a silent endpoint would have answered."""
+    return [
+        f"{_describe(row)} after {row.ended_at - row.sent_at:.2f} s"
+        for row in observed.outcomes
+        if row.status in OWN_FAILURES
+        and row.ended_at < row.sent_at + TIMEOUT_S
+        and any(
+            run.silence_s
+            and run.started_at + run.silence_s + MAX_WORK_S <= row.sent_at + TIMEOUT_S
+            for run in by_rid.get(row.rid, [])
+        )
+        and not _is_impaired(observed, row)
+    ]
+
+
 def _sent_after_abandon(observed: Observations, by_rid: dict[str, list[Run]]) -> list[str]:
     return [
         f"{row.rid} at {row.entry} {run.started_at - row.abandoned_at:.1f} s after"
@@ -532,6 +619,7 @@
         and row.status != 429
         and not row.is_abandoned_early
         and not row.is_crashing
+        and not row.is_dropped
     ]
     unserved = [row for row in rows if row.status != 200 or not row.is_whole]
     if not rows:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,15 +4,15 @@
 
 import contextlib
 import enum
+import time
 from typing import Any
 
 import eventlet
 from eventlet.green import socket
 
+from dockreach.direct.http1 import receive
 from tests.direct.standins import accept_all, address_of, listen_locally, reset
 
-BUFFER_BYTES = 65536
-
 
 class LinkFault(enum.Enum):
     """The fault that the proxy applies to the connections that pass through it."""
@@ -43,6 +43,9 @@
 
     Attributes:
         address: IP address and port on which the proxy listens.
+        passed_on_at: Monotonic time at which data of a client was last sent to the server,
+            in seconds, by the client's port.
+        reset_by_server: Ports of the clients whose connections the server reset.
     """
 
     def __init__(self, upstream: str) -> None:
@@ -51,6 +54,8 @@
         self._fault = LinkFault.NONE
         self._pairs: set[tuple[Any, Any]] = set()
         self._stalled: set[tuple[Any, Any]] = set()
+        self.passed_on_at: dict[int, float] = {}
+        self.reset_by_server: set[int] = set()
         self.address = address_of(self._listener)
         eventlet.spawn(accept_all, self._listener, self._serve)
 
@@ -77,18 +82,21 @@
             _reset_if_open(client)
             return
         pair = (client, server)
+        self.reset_by_server.discard(client.getpeername()[1])
         self._pairs.add(pair)
         eventlet.spawn_n(self._copy, client, server, pair)
         self._copy(server, client, pair)
 
     def _copy(self, source: Any, sink: Any, pair: tuple[Any, Any]) -> None:  # noqa: ANN401
         try:
-            while data := source.recv(BUFFER_BYTES):
+            while data := self._read(source, pair):
                 if self._fault is LinkFault.DELAY:
                     eventlet.sleep(DELAY_S)
                 self._wait_while_blocked(source, pair)
                 if pair not in self._stalled:
                     sink.sendall(data)
+                    if sink is pair[1]:
+                        self.passed_on_at[source.getpeername()[1]] = time.monotonic()
             if pair not in self._stalled:
                 sink.shutdown(socket.SHUT_WR)
         except (OSError, EOFError):
@@ -98,6 +106,15 @@
             if source is pair[1]:
                 self._pairs.discard(pair)
 
+    def _read(self, source: Any, pair: tuple[Any, Any]) -> bytes:  # noqa: ANN401
+        """Read from one side; nothing if it closed or reset the connection."""
+        try:
+            return receive(source)
+        except ConnectionResetError:
+            if source is pair[1]:
+                self.reset_by_server.add(pair[0].getpeername()[1])
+            return b""
+
     def _wait_while_blocked(self, source: Any, pair: tuple[Any, Any]) -> None:  # noqa: ANN401
         """Wait for as long as the fault blocks data from a side of a connection.
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -343,3 +343,81 @@
     assert "too few streams were taken up: 12" in found
     observed.version_changes.append((10.2, {"v1": 1}))
     assert violations(observed) == []
+
+
+def unanswered(rid: str, *, status: int = 0, ended_at: float = 10.9) -> Outcome:
+    """Return a request that was sent whole and whose connection was closed."""
+    row = make_outcome(rid, status=status, is_whole=False, response_body=b"")
+    row.arrived_at, row.ended_at, row.error = row.sent_at, ended_at, "closed"
+    return row
+
+
+def test_a_stream_cut_while_its_endpoint_was_silent_is_detected() -> None:
+    row = unanswered("brief-1", status=200)
+    run = replace(make_run("brief-1"), silence_s=1.2, ended_at=10.9)
+    (found,) = violations(observe(row, runs=(run,)))
+    assert "neither a complete response nor a refusal: 1 (brief-1" in found
+
+
+def test_a_request_on_a_kept_connection_that_is_closed_beside_a_change_is_detected() -> (
+    None
+):
+    # It was read, since the connection was open for longer than requests take to cross.
+    observed = observe(unanswered("safe-1"))
+    observed.route_changes.append((10.1, "a"))
+    (found,) = violations(observed)
+    assert "neither a complete response nor a refusal: 1 (safe-1" in found
+    observed.outcomes[0].was_reset = True
+    assert violations(observed) == []
+    # It was closed soon, but an endpoint had received the request by then.
+    observed = observe(unanswered("safe-2", ended_at=10.15))
+    assert violations(observed) == []
+    observed.endpoint_log.arrivals.append(Arrival("safe-2", "i-1", 10.1))
+    assert violations(observed)
+
+
+def test_a_request_that_is_never_answered_is_detected_however_late_it_is() -> None:
+    row = unanswered("safe-1", ended_at=14.0)
+    row.abandoned_at = row.ended_at
+    (found,) = violations(observe(row, runs=(make_run("safe-1", started_at=13.9),)))
+    assert "neither a complete response nor a refusal" in found
+
+
+def test_a_response_cut_at_its_timeout_or_beside_an_unplanned_fault_is_allowed() -> None:
+    run = make_run("draft-1")
+    late = unanswered("draft-1", status=200, ended_at=13.0)
+    assert violations(observe(late, runs=(run,))) == []
+    observed = observe(unanswered("draft-1", status=200), runs=(run,))
+    observed.disruptions.append(Span("entry-9", 9.0, 10.0))
+    assert violations(observed)
+    observed.disruptions.append(Span("", 7.5, 8.0, is_engine_fault=True))
+    assert violations(observed) == []
+
+
+def test_a_response_cut_at_the_end_of_the_grace_time_is_allowed_to_early_requests() -> None:
+    row = unanswered("draft-1", status=200, ended_at=12.5)
+    run = make_run("draft-1")
+    observed = observe(row, runs=(run,))
+    observed.planned_stops.append(Span(row.entry, 7.5, 12.6))
+    run.ended_at = 11.0
+    assert violations(observed)
+    run.ended_at = 12.4
+    assert all("neither" not in line for line in violations(observed))
+    observed.planned_stops[0].start = 6.5
+    assert any("neither" in line for line in violations(observed))
+
+
+def test_a_request_behind_the_response_that_ended_its_connection_may_be_dropped() -> None:
+    row = unanswered("once-1")
+    row.is_dropped = True
+    assert violations(observe(row)) == []
+    assert violations(observe(row, runs=(make_run("once-1"),)))
+
+
+def test_a_failure_in_place_of_the_response_of_a_silent_endpoint_is_detected() -> None:
+    row = make_outcome("safe-1", status=502, ended_at=11.0)
+    run = replace(make_run("safe-1"), silence_s=1.2)
+    (found,) = violations(observe(row, runs=(run,)))
+    assert "its silent endpoint would have answered: 1 (safe-1" in found
+    run.silence_s = 2.5
+    assert violations(observe(row, runs=(run,))) == []
--- a/tests/soak/theme.py
+++ b/tests/soak/theme.py
@@ -35,6 +35,10 @@
     """Single entries lose their path to the store, again and again, while endpoints leave
     without saying so and others join; at times the store is away for all."""
 
+    SILENCES = "silences"
+    """Endpoints fall silent for a moment within responses and go on, while configurations
+    and settings change and entries stop; callers pipeline now and then."""
+
     ALL = "all"
     """Restarts, crashing requests and notices at once."""
 
@@ -48,6 +52,11 @@
         """Whether most requests have distinct bodies, as in production."""
         return self not in (Theme.ORDINARY, Theme.RESTARTS)
 
+    @property
+    def has_silences(self) -> bool:
+        """Whether endpoints fall silent within responses and go on."""
+        return self is Theme.SILENCES
+
     @property
     def has_software_versions(self) -> bool:
         """Whether endpoints of several software versions serve side by side."""
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -14,6 +14,7 @@
 
 from .clients import CRASHING_PREFIX
 from .proxy import Proxy
+from .silences import SILENCE_S, SilentDialog, draw_part
 
 SLOTS = 6
 SERVICE_TIME_S = 0.03
@@ -30,6 +31,8 @@
 
 NO_LIMIT = math.inf
 
+STREAM_PATHS = ("/draft/", "/brief/")
+
 MAX_WAITING = 6
 """Requests beyond its slots that an endpoint accepts before it rejects more."""
 
@@ -44,6 +47,7 @@
         tokens: Tokens that count against the organisation's limit.
         started_at: Monotonic time at which the endpoint started it, in seconds.
         ended_at: Monotonic time at which the endpoint stopped working on it, in seconds.
+        silence_s: For how long it falls silent within the response, in seconds.
     """
 
     rid: str
@@ -53,6 +57,7 @@
     tokens: int
     started_at: float
     ended_at: float = 0.0
+    silence_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +146,8 @@
         failure_fraction: Fraction of its requests to which it responds with 500.
         broken_fraction: Fraction of its streams that it breaks off.
         slowdown: Factor by which it is slower than usual.
+        silent_fraction: Fraction of its responses in which it falls silent and goes on.
+        silence_seed: Seed of these silences, which differ by request.
         limit_per_s: Requests per second that it advertises; `NO_LIMIT` for none.
         limited_until: Monotonic time until which it advertises that limit, in seconds.
         is_leaving: Whether it announces in responses that it leaves.
@@ -171,6 +178,8 @@
         self.failure_fraction = 0.0
         self.broken_fraction = 0.0
         self.slowdown = 1.0
+        self.silent_fraction = 0.0
+        self.silence_seed = 0
         self.limit_per_s = NO_LIMIT
         self.limited_until = 0.0
         self.is_leaving = False
@@ -225,23 +234,33 @@
     def _run(self, dialog: Dialog) -> None:
         run = self._record_run(dialog)
         try:
-            self._respond(dialog)
+            self._respond(self._with_silence(dialog, run))
         finally:
             run.ended_at = time.monotonic()
 
+    def _with_silence(self, dialog: Dialog, run: Run) -> Dialog:
+        """Return the dialog, with a silence if one is drawn for the run."""
+        rng = random.Random(f"{self.silence_seed} {run.rid} {run.worker}")
+        if rng.random() >= self.silent_fraction:
+            return dialog
+        events = None
+        if _path_of(dialog).startswith(STREAM_PATHS):
+            events = stream_length(run.rid) - _last_event_of(dialog)
+        run.silence_s = rng.uniform(*SILENCE_S)
+        return SilentDialog(dialog, draw_part(rng, events), run.silence_s)
+
     def _respond(self, dialog: Dialog) -> None:
         if self.on_crashing_request is not None and CRASHING_PREFIX in dialog.request:
             eventlet.sleep(CRASH_DELAY_S)
             eventlet.spawn_n(self.on_crashing_request, self.name)
             eventlet.sleep(SERVICE_TIME_S)
             return
-        path = dialog.request.split(b" ", 2)[1].decode()
         if self._rng.random() < self.failure_fraction:
             headers = self._notice_headers(dialog)
             dialog.respond(b"failed", b"500 Internal Server Error", headers)
             return
         serve: Callable[[Dialog], None] = self._send_plain
-        if path.startswith(("/draft/", "/brief/")):
+        if _path_of(dialog).startswith(STREAM_PATHS):
             serve = self._send_stream
         serve(dialog)
 
@@ -292,7 +311,7 @@
 
     def _send_stream(self, dialog: Dialog) -> None:
         rid = dialog.rid.decode()
-        after = int(header_of(dialog.request, b"last-event-id") or 0)
+        after = _last_event_of(dialog)
         dialog.start_stream(self._notice_headers(dialog))
         is_broken = self.broken_fraction and self._rng.random() < self.broken_fraction
         for number in range(after + 1, stream_length(rid) + 1):
@@ -302,3 +321,12 @@
             eventlet.sleep(EVENT_GAP_S * self.slowdown)
             dialog.chunk(stream_event(rid, number, self.software_version))
         dialog.chunk(b"")
+
+
+def _path_of(dialog: Dialog) -> str:
+    return dialog.request.split(b" ", 2)[1].decode()
+
+
+def _last_event_of(dialog: Dialog) -> int:
+    """Return the number of the event after which a request continues; 0 for none."""
+    return int(header_of(dialog.request, b"last-event-id") or 0)
