Answer a request that follows a response during which a stop began

What callers saw: a request that had been sent whole, and read, on a connection that nothing had announced to close got neither an answer nor a refusal.

Cause: a stop marks all connections as closing. Where the head of a response had been sent before, it announced no close; the connection was closed after that response all the same, and a request that had been pipelined behind it, which the watcher for disconnects had read already, was dropped.

Change: only a close that a response announced, which h11 knows, ends the connection there. Else the next request is served or refused with Connection: close, and a connection on which none comes is closed as idle when the entry closes those.

Evidence, test_a_request_behind_a_response_during_which_a_stop_began_is_answered: before, both cases (pipelined, and sent after the response) fail with "closed without an answer"; with the change the 24 tests of test_serving pass.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -264,8 +264,9 @@
     def prepare_next_request(self) -> bool:
         """Prepare for another request; return whether the connection allows one."""
         self._pipelined_bytes = 0
-        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not done or self.is_closing:
+        # A close that the response did not announce waits for the next request: callers may
+        # have sent it already.
+        if (self._http.our_state, self._http.their_state) != (h11.DONE, h11.DONE):
             return False
         self._http.start_next_cycle()
         return True
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -379,3 +379,43 @@
     assert header_of(response, b"retry-after") is not None
     assert header_of(response, b"connection") == b"close"
     assert len(endpoint.requests) == 1
+
+
+@pytest.mark.parametrize("is_pipelined", [True, False])
+def test_a_request_behind_a_response_during_which_a_stop_began_is_answered(
+    is_pipelined: bool,
+) -> None:
+    """The head of the first response was sent before, so it announced no close."""
+    is_stopping = eventlet.event.Event()
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: a\n\n")
+        is_stopping.wait()
+        dialog.chunk(b"")
+
+    endpoint = EndpointStandIn(stream, respond_ok)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    caller.send("/draft/a", rid="r-1")
+    data = caller.read_available()
+    if is_pipelined:
+        caller.send("/once/a", rid="r-2")
+    eventlet.sleep(0.1)
+    eventlet.spawn(entry.stop)
+    eventlet.sleep(0.1)
+    is_stopping.send()
+    while not data.endswith(b"0\r\n\r\n") and b"fine" not in data:
+        received = caller.read_available()
+        assert received
+        data += received
+    if not is_pipelined:
+        caller.send("/once/a", rid="r-2")
+    while received := caller.read_available():
+        data += received
+    first, _, second = data.partition(b"0\r\n\r\n")
+    assert header_of(first, b"connection") is None
+    assert second, "closed without an answer"
+    assert status_of(second) == 200
+    assert header_of(second, b"connection") == b"close"
+    assert len(endpoint.requests) == 2
