--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -387,6 +387,11 @@
     run = make_run("draft-1")
     late = unanswered("draft-1", status=200, ended_at=13.0)
     assert violations(observe(late, runs=(run,))) == []
+    late.ended_at = 12.9
+    assert violations(observe(late, runs=(run,)))
+    # Pipelined: its time began when the response before it had been sent.
+    late.arrived_at = 9.0
+    assert violations(observe(late, runs=(run,))) == []
     observed = observe(unanswered("draft-1", status=200), runs=(run,))
     observed.disruptions.append(Span("entry-9", 9.0, 10.0))
     assert violations(observed)
