Do not close the response of a silent endpoint while no other one can respond

Callers saw: a stream that was reset midway, or a 502, although its endpoint was only silent for a moment and then went on.

Cause: when a read timeout passed, the connection was closed first. Only then it was asked whether a retry is allowed, and without another endpoint, retry budget or attempts the request was lost.

Change: a silence closes nothing. The response is read on, up to the deadline, unless the request may be sent again and another endpoint has a free slot. Event 709 names in second what stands against that.

--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -87,3 +87,7 @@
     def try_acquire_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; return whether there was one left."""
         return self.retry_budget.try_acquire(service, self.entry_count, self.now())
+
+    def has_retry_left(self, service: str) -> bool:
+        """Return whether a service's budget has a retry left."""
+        return self.retry_budget.has_left(service, self.entry_count, self.now())
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -16,6 +16,7 @@
 from .crash_reporter import UnansweredRequest
 from .dispatching import VERSION_GONE_REFUSAL
 from .endpoints import EndpointRow
+from .hedging import LASTING_BARRIERS, HedgeBarrier
 from .http1 import ConnectError, RawHead, ResponseError, SilentError
 from .jobs import Job, queue_timeout_s
 from .outcomes import DeliveryProgress
@@ -36,16 +37,16 @@
 )
 
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.5
-"""Read timeout for the first event, in objectives, after which a resumable stream is tried
-at another endpoint. Callers give up after four objectives."""
+"""Silence before the first event of a stream, in objectives, after which a resumable one is
+tried at another endpoint. Callers give up after four objectives."""
 
 GAP_TIMEOUT_OBJECTIVES = 3.0
-"""Read timeout between events, in gap objectives, after which a resumable stream is resumed
-at another endpoint."""
+"""Silence between events, in gap objectives, after which a resumable stream is resumed at
+another endpoint."""
 
 PLAIN_TIMEOUT_OBJECTIVES = 2.0
-"""Read timeout for a plain response, in objectives, after which a request that may be
-retried is sent to another endpoint."""
+"""Silence before or within a plain response, in objectives, after which a request that may
+be retried is sent to another endpoint."""
 
 MAX_FAILED_CONNECTS = 4
 """Failed connection attempts after which a request is refused."""
@@ -347,7 +348,6 @@
     def _record_timeout(self, upstream: UpstreamRequest) -> Attempt:
         """Record that an upstream request is given up since it was silent."""
         row = upstream.row
-        self._log_silence(upstream)
         row.record_failure(self._ctx.now())
         self._report_unanswered(upstream, is_connection_broken=False)
         if upstream.is_connection_reused:
@@ -424,54 +424,75 @@
     @property
     def _has_another_attempt(self) -> bool:
         """Whether the request may be sent again if the attempt that begins now fails."""
-        return self._may_send_again(self._attempts_sent + 1)
-
-    def _may_send_again(self, attempts_sent: int) -> bool:
-        """Return whether the request may be sent again after some attempts."""
         route = self._route
         return (
-            route.retry_mode is not RetryMode.NEVER and attempts_sent < route.max_attempts
+            route.retry_mode is not RetryMode.NEVER
+            and self._attempts_sent + 1 < route.max_attempts
         )
 
-    def _first_timeout_s(self) -> float | None:
-        """Return the read timeout up to the first event or a plain response, in seconds.
+    def _silent_at(self, upstream: UpstreamRequest) -> float:
+        """Return when an endpoint that sends nothing is silent, in monotonic seconds."""
+        since = max(upstream.progressed_at, upstream.silence_noted_at)
+        return since + self._silence_timeout_s(upstream)
 
-        It is ``None`` if the request cannot be retried; then only its deadline applies.
-        """
+    def _silence_timeout_s(self, upstream: UpstreamRequest) -> float:
         route = self._route
-        if not self._may_send_again(self._attempts_sent):
-            return None
-        factor = (
-            FIRST_EVENT_TIMEOUT_OBJECTIVES if route.is_stream else PLAIN_TIMEOUT_OBJECTIVES
-        )
-        return factor * route.objective_s
+        if not route.is_stream:
+            return PLAIN_TIMEOUT_OBJECTIVES * route.objective_s
+        if upstream.first_event_at is None:
+            return FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_s
+        return max(GAP_TIMEOUT_OBJECTIVES * route.gap_objective_s, route.objective_s)
 
-    def _gap_timeout_s(self) -> float | None:
-        """Return the read timeout between events, in seconds; ``None`` for no timeout."""
-        route = self._route
-        if route.retry_mode is not RetryMode.RESUME or not self._may_send_again(
-            self._attempts_sent
+    def _hedge_barrier(self) -> HedgeBarrier | None:
+        """Return why no second upstream request may be sent now beside a silent one."""
+        route, job = self._route, self._job
+        is_begun = self.progress.events > 0
+        if route.retry_mode is RetryMode.NEVER or (
+            is_begun and route.retry_mode is not RetryMode.RESUME
         ):
-            return None
-        return max(GAP_TIMEOUT_OBJECTIVES * route.gap_objective_s, route.objective_s)
+            return HedgeBarrier.RETRY_MODE
+        if self._attempts_sent >= route.max_attempts:
+            return HedgeBarrier.ATTEMPTS
+        if self._ctx.crashes.quarantine.is_quarantined(*self._suspects):
+            return HedgeBarrier.QUARANTINE
+        if not self._ctx.has_retry_left(job.service):
+            return HedgeBarrier.RETRY_BUDGET
+        others = self._ctx.endpoints.accepting(
+            job.service, job.allowed_halls, job.software_version
+        )
+        if not any(self._is_free(row) for row in others):
+            return HedgeBarrier.NO_ENDPOINT
+        return None
 
-    def _silent_at(self, upstream: UpstreamRequest) -> float:
-        """Return when a read of a response times out, in monotonic seconds."""
-        if upstream.first_event_at is None:
-            timeout_s = self._first_timeout_s()
-        else:
-            timeout_s = self._gap_timeout_s()
-        return math.inf if timeout_s is None else upstream.progressed_at + timeout_s
+    def _is_free(self, row: EndpointRow) -> bool:
+        """Return whether the request may be sent to an endpoint now beside the current."""
+        current = self._current.row.id if self._current is not None else ""
+        return (
+            row.id not in {*self._job.tried_endpoints, current}
+            and row.free_slots > 0
+            and row.circuit_open_until <= self._ctx.now()
+        )
 
     def _relay(self, upstream: UpstreamRequest) -> Attempt:
         """Pass on the response of an endpoint as it arrives.
 
         Raises:
             ResponseError: The response was truncated.
-            SilentError: The read timeout has passed.
+            SilentError: The endpoint is silent, and another one can respond.
         """
         while True:
-            attempt = self._deliver(upstream.next_item(self._silent_at(upstream)), upstream)
+            try:
+                item = upstream.next_item(self._silent_at(upstream))
+            except SilentError:
+                barrier = self._hedge_barrier()
+                self._log_silence(upstream, barrier)
+                if barrier is None:
+                    raise
+                upstream.silence_noted_at = (
+                    math.inf if barrier in LASTING_BARRIERS else self._ctx.now()
+                )
+                continue
+            attempt = self._deliver(item, upstream)
             if attempt is not None:
                 return attempt
 
@@ -587,13 +608,14 @@
         for part, _ in self._req.prefix:
             row.record_prefix(part, now)
 
-    def _log_silence(self, upstream: UpstreamRequest) -> None:
+    def _log_silence(self, upstream: UpstreamRequest, barrier: HedgeBarrier | None) -> None:
         log(
             Event.ENDPOINT_SILENT,
             rid=self._req.rid,
             endpoint=upstream.row.id,
             silent_ms=round((self._ctx.now() - upstream.progressed_at) * 1000),
             events=self.progress.events,
+            second="sent" if barrier is None else barrier.value,
         )
 
     def _log_attempt(self, upstream: UpstreamRequest, attempt: Attempt) -> None:
--- a/dockreach/direct/retry_budget.py
+++ b/dockreach/direct/retry_budget.py
@@ -44,6 +44,19 @@
     def try_acquire(self, service: str, entries: int, now: float) -> bool:
         """Take one retry from the budget; return whether there was one left.
 
+        Args:
+            service: The service that the request goes to.
+            entries: Entries that may be alive, this one included.
+            now: Monotonic time, in seconds.
+        """
+        if not self.has_left(service, entries, now):
+            return False
+        self._times_in_window(self._retries, service, now).append(now)
+        return True
+
+    def has_left(self, service: str, entries: int, now: float) -> bool:
+        """Return whether the budget has a retry left.
+
         Args:
             service: The service that the request goes to.
             entries: Entries that may be alive, this one included.
@@ -52,10 +65,7 @@
         requests = self._times_in_window(self._requests, service, now)
         retries = self._times_in_window(self._retries, service, now)
         allowed = self.policy.ratio * len(requests) + self.policy.burst / max(entries, 1)
-        if len(retries) + 1 > USABLE_FRACTION * allowed:
-            return False
-        retries.append(now)
-        return True
+        return len(retries) + 1 <= USABLE_FRACTION * allowed
 
     def _times_in_window(
         self, times_by_service: dict[str, deque[float]], service: str, now: float
--- a/dockreach/direct/upstream_request.py
+++ b/dockreach/direct/upstream_request.py
@@ -90,6 +90,8 @@
         last_data_at: Monotonic time of the last data of the response, in seconds.
         progressed_at: Monotonic time at which it was sent, or at which the head or the last
             complete event was received, in seconds.
+        silence_noted_at: Monotonic time at which its silence was last dealt with, in
+            seconds; infinite if nothing can be done about it.
         first_event_at: Monotonic time of the first event, in seconds.
         event_count: Events that were received.
         has_proven_parts: Whether it was recorded that its prompt's parts are harmless.
@@ -112,6 +114,7 @@
         self.sent_at = -math.inf
         self.last_data_at = -math.inf
         self.progressed_at = -math.inf
+        self.silence_noted_at = -math.inf
         self.first_event_at: float | None = None
         self.event_count = 0
         self.has_proven_parts = False
