Stop reading from a caller that pipelines much, and serve it on

Callers that sent more than a mebibyte behind a request in flight had that request dropped without an answer, whole as it was.

Cause: wait_for_disconnect and has_disconnected took the limit on pipelined bytes for the caller's leaving.

Change: beyond the limit the entry stops reading, so that the caller is held back by the window of its connection, and polls the socket for its end. What an earlier request left in the buffer counts towards the limit: before, each response made room for another mebibyte behind it.

Evidence: five cases in test_serving.py failed before ("IndexError: list index out of range", the connection ended without a status line; "BrokenPipeError" of callers that were still sending; "assert not True" for has_disconnected) and pass now, among them that a caller's leaving is still noticed within 0.4 s.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
+import eventlet
 import h11
+from eventlet import patcher
 from eventlet.green import socket
 
 from .. import clock
@@ -23,7 +25,13 @@
 from .routing_config import CallerLimits
 
 MAX_PIPELINED_BYTES = 1 << 20
-"""Bytes that a caller may pipeline before it has the current response."""
+"""Bytes that are buffered of what a caller pipelines; the rest stays in the socket."""
+
+HANG_UP_POLL_INTERVAL_S = 0.1
+"""Interval at which a connection that is not read is checked for its end, in seconds."""
+
+_select = patcher.original("select")
+_HANG_UP_EVENTS = _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR
 
 
 class CallerConnection:
@@ -40,7 +48,8 @@
         self._find_limits = limits
         self._limits = limits()
         self._http = _new_http_server(self._limits)
-        self._pipelined_bytes = 0
+        self.pipelined_bytes = 0
+        """Bytes that were received behind the current request."""
         self._method = b""
         self.is_idle = True
         self.is_closing = False
@@ -151,6 +160,7 @@
                     raise BadRequestError(413, "body too large")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 self.received_at = clock.now()
+                self.pipelined_bytes = len(self._http.trailing_data[0])
                 return _raw_request(head, b"".join(parts))
             else:
                 return None
@@ -172,11 +182,13 @@
             raise BadRequestError(400, "more than one Host header")
 
     def wait_for_disconnect(self) -> None:
-        """Read until the caller closes the connection; buffer pipelined data.
-
-        Also returns when the caller has pipelined too much.
-        """
-        while self._pipelined_bytes < MAX_PIPELINED_BYTES:
+        """Read until the caller closes the connection; buffer pipelined data."""
+        while True:
+            if self.pipelined_bytes >= MAX_PIPELINED_BYTES:
+                if self._has_hung_up():
+                    return
+                eventlet.sleep(HANG_UP_POLL_INTERVAL_S)
+                continue
             try:
                 data = receive(self._sock)
             except OSError:
@@ -186,12 +198,9 @@
             self._buffer_pipelined(data)
 
     def has_disconnected(self) -> bool:
-        """Return whether the caller has closed the connection; buffer pipelined data.
-
-        Also true if the caller has pipelined too much.
-        """
+        """Return whether the caller has closed the connection; buffer pipelined data."""
         raw_sock = self._sock.fd
-        while self._pipelined_bytes < MAX_PIPELINED_BYTES:
+        while self.pipelined_bytes < MAX_PIPELINED_BYTES:
             try:
                 data = raw_sock.recv(RECV_BYTES)
             except BlockingIOError:
@@ -201,10 +210,16 @@
             if not data:
                 return True
             self._buffer_pipelined(data)
-        return True
+        return self._has_hung_up()
+
+    def _has_hung_up(self) -> bool:
+        """Return whether the connection has ended, without reading from it."""
+        poll = _select.poll()
+        poll.register(self._sock.fileno(), _HANG_UP_EVENTS)
+        return bool(poll.poll(0))
 
     def _buffer_pipelined(self, data: bytes) -> None:
-        self._pipelined_bytes += len(data)
+        self.pipelined_bytes += len(data)
         self._http.receive_data(data)
 
     def send_head(self, head: RawHead) -> None:
@@ -262,7 +277,6 @@
 
     def prepare_next_request(self) -> bool:
         """Prepare for another request; return whether the connection allows one."""
-        self._pipelined_bytes = 0
         done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         if not done or self.is_closing:
             return False
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -12,9 +12,11 @@
 import pytest
 from eventlet.green import socket
 
+from dockreach.direct import caller_connection
+from dockreach.direct.caller_connection import CallerConnection
 from dockreach.direct.entry import Entry
 from dockreach.direct.event_stream import EventSplitter
-from dockreach.direct.http1 import receive
+from dockreach.direct.http1 import RECV_BYTES, RawHead, receive
 from dockreach.direct.request_handler import RequestHandler
 from dockreach.direct.routing_config import CallerLimits
 from dockreach_platform.headers import PlatformAdapter
@@ -28,6 +30,8 @@
     fetch_page,
     fill_pool,
     header_of,
+    listen_locally,
+    reset,
     revision,
     start_entry,
     status_of,
@@ -38,6 +42,11 @@
     dialog.respond(b"fine")
 
 
+def respond_slowly(dialog: Dialog) -> None:
+    eventlet.sleep(0.5)
+    dialog.respond(b"fine")
+
+
 def stay_silent(dialog: Dialog) -> None:
     dialog.wait_until_closed()
 
@@ -379,3 +388,72 @@
     assert header_of(response, b"retry-after") is not None
     assert header_of(response, b"connection") == b"close"
     assert len(endpoint.requests) == 1
+
+
+MAX_PIPELINED = 4096
+"""Bytes that may be pipelined in the tests of that limit."""
+
+
+@pytest.fixture(name="pipelining_limit")
+def _pipelining_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(caller_connection, "MAX_PIPELINED_BYTES", MAX_PIPELINED)
+
+
+@pytest.mark.usefixtures("pipelining_limit")
+@pytest.mark.parametrize("arrive_together", [True, False])
+def test_many_pipelined_bytes_do_not_end_the_request_in_flight(
+    *, arrive_together: bool
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_slowly, respond_ok))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    if not arrive_together:
+        eventlet.sleep(0.1)
+    body = b"x" * (1 << 21)
+    sender = eventlet.spawn(caller.send, "/once/a", rid="r-2", body=body)
+    if arrive_together:
+        eventlet.sleep(0)
+        time.sleep(0.1)
+    for rid in (b"r-1", b"r-2"):
+        response = caller.read_response()
+        assert (status_of(response), header_of(response, b"request-id")) == (200, rid)
+    sender.wait()
+
+
+@pytest.mark.usefixtures("pipelining_limit")
+@pytest.mark.parametrize("end", [reset, lambda sock: sock.close()])
+def test_a_caller_that_leaves_after_many_pipelined_bytes_is_noticed(
+    end: Callable[[Any], None],
+) -> None:
+    endpoint = EndpointStandIn(stay_silent)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.1)
+    for _ in range(3):
+        caller.sock.sendall(b"x" * MAX_PIPELINED)
+        eventlet.sleep(0.1)
+    (dialog,) = endpoint.dialogs
+    assert not dialog.is_closed_by_peer
+    end(caller.sock)
+    eventlet.sleep(0.4)
+    assert dialog.is_closed_by_peer
+
+
+@pytest.mark.usefixtures("pipelining_limit")
+def test_pipelined_requests_are_not_buffered_without_bound() -> None:
+    """Each response would make room for more behind what is buffered already."""
+    listener = listen_locally()
+    caller = socket.create_connection(listener.getsockname())
+    sock, _ = listener.accept()
+    conn = CallerConnection(sock, CallerLimits)
+    request = b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\nContent-Length: 0\r\n\r\n"
+    sender = eventlet.spawn(caller.sendall, request * 100_000)
+    for _ in range(20):
+        assert conn.read_request() is not None
+        assert not conn.has_disconnected()
+        assert conn.pipelined_bytes <= MAX_PIPELINED + RECV_BYTES
+        conn.send_response(RawHead(200, b"OK", []), b"")
+        assert conn.prepare_next_request()
+        eventlet.sleep(0.01)
+    sender.kill()
