Deliver the last response of a connection before closing it

Callers that were still sending when the entry refused a request, or answered the last one of a connection, had an error from their system in place of the response. A response without a length that was broken off, since its caller seemed gone, ended like a complete one.

Cause: a close with unread bytes resets the connection, which can destroy the response (RFC 9112, section 9.6); a partial response was closed in order.

Change: after a complete last response the entry shuts down its sending side, then reads and drops for at most 1 s and 8 MiB until the caller closes, and a stop waits for that within its grace time. A partial response is always reset. Connections that are closed idle, unread or reset don't linger.

Evidence: in test_serving.py, test_bytes_that_stay_unread_do_not_destroy_the_last_response failed before in all three cases (ConnectionResetError and BrokenPipeError at the caller), and test_a_truncated_response_ends_in_a_reset_when_its_caller_seems_gone with "DID NOT RAISE ConnectionResetError"; all pass now, as do the tests of the bounds in time, bytes and at a stop.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -30,6 +30,13 @@
 HANG_UP_POLL_INTERVAL_S = 0.1
 """Interval at which a connection that is not read is checked for its end, in seconds."""
 
+LINGER_S = 1.0
+"""Longest time for which a connection whose last response was sent waits for the caller to
+close it, in seconds."""
+
+MAX_LINGER_BYTES = 8 << 20
+"""Bytes that are read and dropped in that time."""
+
 _select = patcher.original("select")
 _HANG_UP_EVENTS = _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR
 
@@ -288,9 +295,32 @@
         reset(self._sock)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; a partial response is reset, a complete one delivered.
+
+        A close with unread bytes would reset the connection, which can destroy the response
+        before the caller has read it (RFC 9112, section 9.6).
+        """
+        if self.is_complete:
+            self._linger()
+        elif self.head_sent:
+            self.abort()
         self._sock.close()
 
+    def _linger(self) -> None:
+        """Shut down the sending side, and drop what arrives until the caller closes too."""
+        deadline = clock.now() + LINGER_S
+        dropped = 0
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            while dropped < MAX_LINGER_BYTES and (left_s := deadline - clock.now()) > 0:
+                data = receive(self._sock, left_s)
+                if not data:
+                    return
+                dropped += len(data)
+        except OSError:
+            # The caller has closed the connection, or did not do so in time.
+            return
+
 
 def _new_http_server(limits: CallerLimits) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
--- a/dockreach/direct/connection_ends.py
+++ b/dockreach/direct/connection_ends.py
@@ -19,6 +19,9 @@
     ANNOUNCED = "announced"
     """The last response said so, as the caller or a stop of the entry wanted."""
 
+    CUT = "cut"
+    """A response could not be completed, and was reset."""
+
     BAD_REQUEST = "bad_request"
     """After the refusal of a malformed request."""
 
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -89,6 +89,7 @@
     def __init__(self, entry: ServingEntry) -> None:
         self._entry = entry
         self._connections: dict[CallerConnection, Any] = {}
+        self._lingering = 0
 
     def __len__(self) -> int:
         return len(self._connections)
@@ -118,7 +119,14 @@
         finally:
             del self._connections[conn]
             self._entry.ctx.ends.closed[cause] += 1
+            self._close(conn)
+
+    def _close(self, conn: CallerConnection) -> None:
+        self._lingering += 1
+        try:
             conn.close()
+        finally:
+            self._lingering -= 1
 
     def _end_after_fault(self, conn: CallerConnection, exc: Exception) -> None:
         """Refuse the request after an unexpected error; reset a partial response."""
@@ -181,7 +189,7 @@
                 self._refuse_malformed(conn, exc)
                 return CloseCause.BAD_REQUEST
             if not conn.prepare_next_request():
-                return CloseCause.ANNOUNCED
+                return CloseCause.ANNOUNCED if conn.is_complete else CloseCause.CUT
 
     def _serve_watched(self, conn: CallerConnection, raw: RawRequest) -> None:
         """Serve a request; stop at once when the caller closes its connection.
@@ -259,7 +267,7 @@
         while clock.now() < since + grace_s - EXIT_MARGIN_S:
             if clock.now() >= since + SERVE_WHILE_STOPPING_S:
                 self._close_idle()
-                if not self._connections:
+                if not self._connections and not self._lingering:
                     return
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
         for conn in self._connections:
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -457,3 +457,107 @@
         assert conn.prepare_next_request()
         eventlet.sleep(0.01)
     sender.kill()
+
+
+REQUEST = (
+    b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\nRequest-Id: r-1\r\n"
+    b"X-Api-Key: key-1\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (REQUEST + b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000, 413),
+        (b"no request\r\n\r\n" + b"x" * 100_000, 400),
+        (REQUEST + b"Connection: close\r\nContent-Length: 0\r\n\r\n" + b"x" * 1000, 200),
+    ],
+)
+def test_bytes_that_stay_unread_do_not_destroy_the_last_response(
+    data: bytes, status: int
+) -> None:
+    """A close with unread bytes resets the connection, and a reset discards responses."""
+    limits = replace(CallerLimits(), body_bytes=1000)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    sock = plain_socket.create_connection((LOCAL, entry.settings.callers_address.port))
+    eventlet.sleep(0.05)
+    sock.sendall(data)
+    # A caller that sends before it reads has an error from its system after a reset.
+    for _ in range(3):
+        eventlet.sleep(0.1)
+        sock.sendall(b"x")
+    sock.setblocking(False)
+    response = sock.recv(65536)
+    assert status_of(response) == status
+    assert header_of(response, b"connection") == b"close"
+    sock.close()
+    eventlet.sleep(0.1)
+    assert len(entry.callers) == 0
+
+
+def test_a_caller_that_goes_on_sending_does_not_hold_its_connection_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "LINGER_S", 0.2)
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.sock.sendall(b"no request\r\n\r\n")
+    assert status_of(caller.read_response()) == 400
+    began_at = time.monotonic()
+    with pytest.raises(OSError):  # noqa: PT011
+        while time.monotonic() < began_at + 2.0:
+            caller.sock.sendall(b"x")
+            eventlet.sleep(0.02)
+    assert 0.1 < time.monotonic() - began_at < 1.0
+
+
+def test_a_lingering_connection_drops_a_bounded_number_of_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "MAX_LINGER_BYTES", 100_000)
+    monkeypatch.setattr(caller_connection, "LINGER_S", 60.0)
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.sock.sendall(b"no request\r\n\r\n")
+    assert status_of(caller.read_response()) == 400
+    with pytest.raises(OSError):  # noqa: PT011
+        for _ in range(100):
+            caller.sock.sendall(b"x" * 65536)
+            eventlet.sleep(0.01)
+
+
+def test_a_lingering_connection_ends_with_the_grace_time_of_a_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "LINGER_S", 60.0)
+    settings = entry_settings(grace_s=1.0)
+    entry = start_entry(EndpointStandIn(respond_ok), settings=settings)
+    caller = Caller(entry)
+    caller.sock.sendall(b"no request\r\n\r\n")
+    assert status_of(caller.read_response()) == 400
+    began_at = time.monotonic()
+    entry.stop()
+    assert time.monotonic() - began_at < 1.0
+
+
+def test_a_truncated_response_ends_in_a_reset_when_its_caller_seems_gone() -> None:
+    """Without a length, a response that ends early would look complete."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        dialog.wait_until_closed()
+
+    entry = start_entry(EndpointStandIn(stream))
+    sock = plain_socket.create_connection((LOCAL, entry.settings.callers_address.port))
+    sock.sendall(
+        b"POST /draft/a HTTP/1.0\r\nHost: tools.example\r\nRequest-Id: r-1\r\n"
+        b"X-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+    )
+    eventlet.sleep(0.2)
+    sock.setblocking(False)
+    assert b"id: 1" in sock.recv(65536)
+    sock.shutdown(plain_socket.SHUT_WR)
+    eventlet.sleep(0.2)
+    with pytest.raises(ConnectionResetError):
+        sock.recv(65536)
