--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -12,9 +12,11 @@
 import pytest
 from eventlet.green import socket
 
+from dockreach.direct import caller_connection
+from dockreach.direct.caller_connection import CallerConnection
 from dockreach.direct.entry import Entry
 from dockreach.direct.event_stream import EventSplitter
-from dockreach.direct.http1 import receive
+from dockreach.direct.http1 import RECV_BYTES, RawHead, receive
 from dockreach.direct.request_handler import RequestHandler
 from dockreach.direct.routing_config import CallerLimits
 from dockreach_platform.headers import PlatformAdapter
@@ -28,6 +30,8 @@
     fetch_page,
     fill_pool,
     header_of,
+    listen_locally,
+    reset,
     revision,
     start_entry,
     status_of,
@@ -38,6 +42,11 @@
     dialog.respond(b"fine")
 
 
+def respond_slowly(dialog: Dialog) -> None:
+    eventlet.sleep(0.5)
+    dialog.respond(b"fine")
+
+
 def stay_silent(dialog: Dialog) -> None:
     dialog.wait_until_closed()
 
@@ -419,3 +428,176 @@
     assert status_of(second) == 200
     assert header_of(second, b"connection") == b"close"
     assert len(endpoint.requests) == 2
+
+
+MAX_PIPELINED = 4096
+"""Bytes that may be pipelined in the tests of that limit."""
+
+
+@pytest.fixture(name="pipelining_limit")
+def _pipelining_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(caller_connection, "MAX_PIPELINED_BYTES", MAX_PIPELINED)
+
+
+@pytest.mark.usefixtures("pipelining_limit")
+@pytest.mark.parametrize("arrive_together", [True, False])
+def test_many_pipelined_bytes_do_not_end_the_request_in_flight(
+    *, arrive_together: bool
+) -> None:
+    entry = start_entry(EndpointStandIn(respond_slowly, respond_ok))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    if not arrive_together:
+        eventlet.sleep(0.1)
+    body = b"x" * (1 << 21)
+    sender = eventlet.spawn(caller.send, "/once/a", rid="r-2", body=body)
+    if arrive_together:
+        eventlet.sleep(0)
+        time.sleep(0.1)
+    for rid in (b"r-1", b"r-2"):
+        response = caller.read_response()
+        assert (status_of(response), header_of(response, b"request-id")) == (200, rid)
+    sender.wait()
+
+
+@pytest.mark.usefixtures("pipelining_limit")
+@pytest.mark.parametrize("end", [reset, lambda sock: sock.close()])
+def test_a_caller_that_leaves_after_many_pipelined_bytes_is_noticed(
+    end: Callable[[Any], None],
+) -> None:
+    endpoint = EndpointStandIn(stay_silent)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.1)
+    for _ in range(3):
+        caller.sock.sendall(b"x" * MAX_PIPELINED)
+        eventlet.sleep(0.1)
+    (dialog,) = endpoint.dialogs
+    assert not dialog.is_closed_by_peer
+    end(caller.sock)
+    eventlet.sleep(0.4)
+    assert dialog.is_closed_by_peer
+
+
+@pytest.mark.usefixtures("pipelining_limit")
+def test_pipelined_requests_are_not_buffered_without_bound() -> None:
+    """Each response would make room for more behind what is buffered already."""
+    listener = listen_locally()
+    caller = socket.create_connection(listener.getsockname())
+    sock, _ = listener.accept()
+    conn = CallerConnection(sock, CallerLimits)
+    request = b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\nContent-Length: 0\r\n\r\n"
+    sender = eventlet.spawn(caller.sendall, request * 100_000)
+    for _ in range(20):
+        assert conn.read_request() is not None
+        assert not conn.has_disconnected()
+        assert conn.pipelined_bytes <= MAX_PIPELINED + RECV_BYTES
+        conn.send_response(RawHead(200, b"OK", []), b"")
+        assert conn.prepare_next_request()
+        eventlet.sleep(0.01)
+    sender.kill()
+
+
+REQUEST = (
+    b"POST /safe/a HTTP/1.1\r\nHost: tools.example\r\nRequest-Id: r-1\r\n"
+    b"X-Api-Key: key-1\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (REQUEST + b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000, 413),
+        (b"no request\r\n\r\n" + b"x" * 100_000, 400),
+        (REQUEST + b"Connection: close\r\nContent-Length: 0\r\n\r\n" + b"x" * 1000, 200),
+    ],
+)
+def test_bytes_that_stay_unread_do_not_destroy_the_last_response(
+    data: bytes, status: int
+) -> None:
+    """A close with unread bytes resets the connection, and a reset discards responses."""
+    limits = replace(CallerLimits(), body_bytes=1000)
+    entry = start_entry(EndpointStandIn(respond_ok), config=revision(limits=limits))
+    sock = plain_socket.create_connection((LOCAL, entry.settings.callers_address.port))
+    eventlet.sleep(0.05)
+    sock.sendall(data)
+    # A caller that sends before it reads has an error from its system after a reset.
+    for _ in range(3):
+        eventlet.sleep(0.1)
+        sock.sendall(b"x")
+    sock.setblocking(False)
+    response = sock.recv(65536)
+    assert status_of(response) == status
+    assert header_of(response, b"connection") == b"close"
+    sock.close()
+    eventlet.sleep(0.1)
+    assert len(entry.callers) == 0
+
+
+def test_a_caller_that_goes_on_sending_does_not_hold_its_connection_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "LINGER_S", 0.2)
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.sock.sendall(b"no request\r\n\r\n")
+    assert status_of(caller.read_response()) == 400
+    began_at = time.monotonic()
+    with pytest.raises(OSError):  # noqa: PT011
+        while time.monotonic() < began_at + 2.0:
+            caller.sock.sendall(b"x")
+            eventlet.sleep(0.02)
+    assert 0.1 < time.monotonic() - began_at < 1.0
+
+
+def test_a_lingering_connection_drops_a_bounded_number_of_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "MAX_LINGER_BYTES", 100_000)
+    monkeypatch.setattr(caller_connection, "LINGER_S", 60.0)
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.sock.sendall(b"no request\r\n\r\n")
+    assert status_of(caller.read_response()) == 400
+    with pytest.raises(OSError):  # noqa: PT011
+        for _ in range(100):
+            caller.sock.sendall(b"x" * 65536)
+            eventlet.sleep(0.01)
+
+
+def test_a_lingering_connection_ends_with_the_grace_time_of_a_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "LINGER_S", 60.0)
+    settings = entry_settings(grace_s=1.0)
+    entry = start_entry(EndpointStandIn(respond_ok), settings=settings)
+    caller = Caller(entry)
+    caller.sock.sendall(b"no request\r\n\r\n")
+    assert status_of(caller.read_response()) == 400
+    began_at = time.monotonic()
+    entry.stop()
+    assert time.monotonic() - began_at < 1.0
+
+
+def test_a_truncated_response_ends_in_a_reset_when_its_caller_seems_gone() -> None:
+    """Without a length, a response that ends early would look complete."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        dialog.wait_until_closed()
+
+    entry = start_entry(EndpointStandIn(stream))
+    sock = plain_socket.create_connection((LOCAL, entry.settings.callers_address.port))
+    sock.sendall(
+        b"POST /draft/a HTTP/1.0\r\nHost: tools.example\r\nRequest-Id: r-1\r\n"
+        b"X-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+    )
+    eventlet.sleep(0.2)
+    sock.setblocking(False)
+    assert b"id: 1" in sock.recv(65536)
+    sock.shutdown(plain_socket.SHUT_WR)
+    eventlet.sleep(0.2)
+    with pytest.raises(ConnectionResetError):
+        sock.recv(65536)
