Check the head of an endpoint's response before it is parsed

An endpoint could stop an entry for seconds or minutes with a head of a few KiB.

Cause: h11's expressions for a header and for a chunk's header take a time that grows with the square of a run of blanks: 0.08, 0.31 and 1.23 s of processor time for a header of 4,000, 8,000 and 16,000 blanks that ends in a character that is not allowed, 0.34 s for a chunk extension of 16,000; a head may have 128 KiB. A head of 15,000 short headers took 30 ms in one go. The error then contained the whole head, and was logged with it.

Change: MessageParser passes a head to h11 once it is complete and has neither a run of over 256 blanks nor over 1,000 lines, and a chunked body in pieces of 1 KiB, which bounds chunk headers and trailers. The limit of 64 KiB for a head is exact now. A description of a broken response has at most 200 characters.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -16,6 +16,7 @@
     receive,
     set_socket_options,
 )
+from .message_parser import MessageParser
 from .requests import Header
 
 MAX_INLINE_BYTES = 8192
@@ -25,6 +26,9 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Largest head of a response."""
 
+MAX_PROBLEM_CHARACTERS = 200
+"""Length of the description of a broken response, which may contain a part of it."""
+
 
 class EndpointConnection:
     """The client side of a connection.
@@ -49,7 +53,7 @@
         except OSError as exc:
             self._sock.close()
             raise ConnectError(f"{address}: {exc}") from exc
-        self._http = _new_http_client()
+        self._parser = _new_parser()
         self._request = h11.Request(method="GET", target="/", headers=[("Host", "-")])
         self._writer: Any = None
         self._is_written = True
@@ -77,10 +81,11 @@
         if body is not None:
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         self._request = h11.Request(method=method, target=target, headers=headers)
-        data = self._http.send(self._request) or b""
+        http = self._parser.http
+        data = http.send(self._request) or b""
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+            data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
         self._is_written = False
         if len(data) > MAX_INLINE_BYTES:
             self._writer = eventlet.spawn(self._write, data)
@@ -154,29 +159,30 @@
         """
         while self.read_data() is not None:
             pass
-        remainder, is_closed = self._http.trailing_data
-        self._http = _new_http_client()
+        late = self._parser
+        self._parser = _new_parser()
         dummy = h11.Request(
             method=self._request.method, target="/", headers=[("Host", "-")]
         )
-        self._http.send(dummy)
-        self._http.send(h11.EndOfMessage())
-        if remainder:
-            # No data would tell h11 that the endpoint has closed the connection.
-            self._http.receive_data(remainder)
-        if is_closed:
-            self._http.receive_data(b"")
+        self._parser.http.send(dummy)
+        self._parser.http.send(h11.EndOfMessage())
+        if late.has_remainder:
+            # No data would be taken for the end of the connection.
+            self._parser.receive_data(late.remainder)
+        if late.is_closed:
+            self._parser.receive_data(b"")
 
     def _next_event(self) -> Any:  # noqa: ANN401
         try:
             while True:
                 self._share.begin_step()
-                event = self._http.next_event()
+                event = self._parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(self._receive())
+                self._parser.receive_data(self._receive())
         except (h11.RemoteProtocolError, OSError) as exc:
-            raise ResponseError(f"{self.address}: {exc}") from exc
+            problem = str(exc)[:MAX_PROBLEM_CHARACTERS]
+            raise ResponseError(f"{self.address}: {problem}") from exc
 
     def _receive(self) -> bytes:
         data = receive(self._sock, self._share)
@@ -198,10 +204,11 @@
         """Prepare for another request; return whether the connection can be reused."""
         if self._is_aborted:
             return False
-        both_done = (self._http.our_state, self._http.their_state) == (h11.DONE, h11.DONE)
-        if not both_done or not self._is_written or self._http.trailing_data[0]:
+        http = self._parser.http
+        both_done = (http.our_state, http.their_state) == (h11.DONE, h11.DONE)
+        if not both_done or not self._is_written or self._parser.has_remainder:
             return False
-        self._http.start_next_cycle()
+        http.start_next_cycle()
         self.was_reused = True
         return True
 
@@ -231,5 +238,5 @@
     return bool(names & {b"content-length", b"transfer-encoding"})
 
 
-def _new_http_client() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
+def _new_parser() -> MessageParser:
+    return MessageParser(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterator
 from itertools import chain, repeat
 from typing import Any
 
 import eventlet
+import h11
 import pytest
 from eventlet.green import socket
 
@@ -79,6 +81,12 @@
         sock.counter.kill()
 
 
+def read_all(conn: EndpointConnection) -> None:
+    conn.read_head()
+    while conn.read_data() is not None:
+        pass
+
+
 @pytest.mark.parametrize(
     "endless",
     [b"\xa5" * RECV_BYTES, b"\xa5", b": comment\n"],
@@ -114,3 +122,39 @@
     with pytest.raises(ResponseError):
         conn.read_head()
     assert max(sock.reads_by_turn.values()) <= MAX_READS_PER_TURN
+
+
+class _RecordingPattern:
+    """A pattern that records how long the longest run of blanks is that it has to match."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self._pattern = pattern
+        self.longest_blanks = 0
+
+    def fullmatch(self, data: bytes) -> re.Match[bytes] | None:
+        runs = re.findall(rb"[ \t]+", data)
+        self.longest_blanks = max([self.longest_blanks, *map(len, runs)])
+        return self._pattern.fullmatch(data) if len(data) < 4096 else None
+
+
+@pytest.mark.parametrize(
+    ("pattern", "data"),
+    [
+        ("header_field_re", HEAD + b"a: " + b" \t" * 30_000 + b"\x00\r\n\r\n"),
+        ("header_field_re", CHUNKED_HEAD + b"0\r\na: " + b" " * 60_000 + b"\x00\r\n\r\n"),
+        ("chunk_header_re", CHUNKED_HEAD + b"1;" + b" " * 60_000 + b"\n\r\n"),
+    ],
+    ids=["header", "trailer", "chunk extension"],
+)
+def test_long_runs_of_blanks_are_rejected_before_they_take_long_to_match(
+    connect: Callable[..., Any],
+    monkeypatch: pytest.MonkeyPatch,
+    pattern: str,
+    data: bytes,
+) -> None:
+    recorder = _RecordingPattern(getattr(h11._readers, pattern))
+    monkeypatch.setattr(h11._readers, pattern, recorder)
+    conn, _ = connect(data)
+    with pytest.raises(ResponseError):
+        read_all(conn)
+    assert recorder.longest_blanks <= 2048
