Bound the number of interim responses before a response

A request whose endpoint sent 1xx responses without end was held until its deadline, and the entry parsed them all the while.

Cause: EndpointConnection.read_head skipped any number of them.

Change: more than 32 are an error, as if the connection had broken.

Evidence: the new test read 2,600,000 bytes of interim responses before, until they ended (expected 'interim responses', got "can't handle event type ConnectionClosed"), and under 4,096 now; the 10 tests of test_endpoint_connection.py pass.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -26,6 +26,9 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Largest head of a response."""
 
+MAX_INTERIM_RESPONSES = 32
+"""Most interim responses (1xx) before a response."""
+
 MAX_PROBLEM_CHARACTERS = 200
 """Length of the description of a broken response, which may contain a part of it."""
 
@@ -110,15 +113,19 @@
         """Read the head of the next response.
 
         Raises:
-            ResponseError: The connection broke, or the data is not HTTP.
+            ResponseError: The connection broke, the data is not HTTP, or there are too many
+                interim responses (1xx).
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = self._next_event()
             if isinstance(event, h11.Response):
                 self.is_framed = _is_framed(event, self._request.method)
                 return RawHead(event.status_code, event.reason, event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseError(f"{self.address}: closed without a response")
+        raise ResponseError(
+            f"{self.address}: over {MAX_INTERIM_RESPONSES} interim responses"
+        )
 
     def read_data(self) -> bytes | None:
         """Read a part of the body; ``None`` at its end.
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -21,6 +21,8 @@
 
 MAX_BYTES_PER_TURN = 16384
 MAX_READS_PER_TURN = 256
+MAX_READS = 100_000
+"""Reads after which an endless response ends, so that a test that fails ends too."""
 
 
 class ReadySocket:
@@ -69,7 +71,7 @@
     socks: list[ReadySocket] = []
 
     def connect(*pieces: bytes, then: bytes = b"") -> tuple[EndpointConnection, Any]:
-        sock = ReadySocket(chain(pieces, repeat(then)))
+        sock = ReadySocket(chain(pieces, repeat(then, MAX_READS)))
         socks.append(sock)
         monkeypatch.setattr(socket, "socket", lambda *_: sock)
         conn = EndpointConnection("127.0.0.1:1", 1.0)
@@ -158,3 +160,17 @@
     with pytest.raises(ResponseError):
         read_all(conn)
     assert recorder.longest_blanks <= 2048
+
+
+def test_interim_responses_without_end_are_not_read_on(connect: Callable[..., Any]) -> None:
+    conn, sock = connect(then=b"HTTP/1.1 102 Processing\r\n\r\n")
+    with pytest.raises(ResponseError, match="interim responses"):
+        conn.read_head()
+    assert sock.read_bytes < 4096
+    assert not conn.make_reusable()
+
+
+def test_some_interim_responses_are_skipped(connect: Callable[..., Any]) -> None:
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+    conn, _ = connect(interim, UNFRAMED_HEAD)
+    assert conn.read_head().status == 200
