Bound the late responses that are skipped before a response

An endpoint that sent responses to other requests, or one such response, without end held a request until its deadline, and the entry parsed all of it.

Cause: EndpointConnection.skip_response skipped any number of them, of any length.

Change: more than eight before the response to a request, or more than 1 MiB of their bodies, are an error, as if the connection had broken.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -29,6 +29,12 @@
 MAX_INTERIM_RESPONSES = 32
 """Most interim responses (1xx) before a response."""
 
+MAX_LATE_RESPONSES = 8
+"""Most late responses to earlier requests before the response to a request."""
+
+MAX_SKIPPED_BYTES = 1 << 20
+"""Most bytes of their bodies."""
+
 MAX_PROBLEM_CHARACTERS = 200
 """Length of the description of a broken response, which may contain a part of it."""
 
@@ -65,6 +71,8 @@
         self.was_reused = False
         """Whether an earlier request on this connection was answered."""
         self._is_aborted = False
+        self._late_responses = 0
+        self._skipped_bytes = 0
         self._share = LoopShare()
 
     def send(
@@ -162,10 +170,18 @@
         The HTTP state starts anew as if the current request had just been sent.
 
         Raises:
-            ResponseError: The body was truncated.
+            ResponseError: The body was truncated, or there are too many late responses or
+                too many bytes of them.
         """
-        while self.read_data() is not None:
-            pass
+        self._late_responses += 1
+        if self._late_responses > MAX_LATE_RESPONSES:
+            raise ResponseError(f"{self.address}: over {MAX_LATE_RESPONSES} late responses")
+        while (data := self.read_data()) is not None:
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ResponseError(
+                    f"{self.address}: over {MAX_SKIPPED_BYTES} bytes of late responses"
+                )
         late = self._parser
         self._parser = _new_parser()
         dummy = h11.Request(
@@ -216,6 +232,7 @@
         if not both_done or not self._is_written or self._parser.has_remainder:
             return False
         http.start_next_cycle()
+        self._late_responses = self._skipped_bytes = 0
         self.was_reused = True
         return True
 
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -12,7 +12,11 @@
 import pytest
 from eventlet.green import socket
 
-from dockreach.direct.endpoint_connection import EndpointConnection
+from dockreach.direct.endpoint_connection import (
+    MAX_LATE_RESPONSES,
+    MAX_SKIPPED_BYTES,
+    EndpointConnection,
+)
 from dockreach.direct.http1 import RECV_BYTES, ResponseError
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
@@ -174,3 +178,41 @@
     interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
     conn, _ = connect(interim, UNFRAMED_HEAD)
     assert conn.read_head().status == 200
+
+
+def skip_all(conn: EndpointConnection) -> None:
+    while True:
+        conn.read_head()
+        conn.skip_response()
+
+
+@pytest.mark.parametrize(
+    ("late", "then"),
+    [
+        (HEAD + b"Content-Length: 0\r\n\r\n", HEAD + b"Content-Length: 0\r\n\r\n"),
+        (UNFRAMED_HEAD, b"\xa5" * RECV_BYTES),
+    ],
+    ids=["many", "long"],
+)
+def test_late_responses_without_end_are_not_skipped_without_end(
+    connect: Callable[..., Any], late: bytes, then: bytes
+) -> None:
+    conn, sock = connect(late, then=then)
+    with pytest.raises(ResponseError, match="late responses"):
+        skip_all(conn)
+    assert sock.read_bytes < 2 * MAX_SKIPPED_BYTES
+    assert not conn.make_reusable()
+
+
+def test_late_responses_of_earlier_requests_do_not_count_for_the_next(
+    connect: Callable[..., Any],
+) -> None:
+    empty = HEAD + b"Content-Length: 0\r\n\r\n"
+    conn, _ = connect(then=empty)
+    for _ in range(3 * MAX_LATE_RESPONSES):
+        conn.read_head()
+        conn.skip_response()
+        conn.read_head()
+        assert conn.read_data() is None
+        assert conn.make_reusable()
+        conn.send(b"GET", b"/", [(b"Host", b"h")], None)
