Act on the head of an endpoint's refusal, whatever becomes of its body

Callers got a 502 for a request that an endpoint had refused unread, or waited for the end of their deadline and got a 504, though the request could have been sent to another endpoint.

Cause: the forwarder read the whole body of a refusal (not run, or misdirected) first. If that was truncated or too long, the request counted as one that may have run; a body without end held it until its deadline.

Change: the head alone decides. The rest is read for 50 ms and 64 KiB at most, to reuse the connection; else that is closed, and the attempt's detail says so.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -35,6 +35,12 @@
 MAX_SKIPPED_BYTES = 1 << 20
 """Most bytes of their bodies."""
 
+MAX_DRAINED_BYTES = 65536
+"""Most bytes of a body that are read only to reuse the connection."""
+
+DRAIN_TIMEOUT_S = 0.05
+"""Longest time for that, in seconds: the body of a refusal comes with its head."""
+
 MAX_PROBLEM_CHARACTERS = 200
 """Length of the description of a broken response, which may contain a part of it."""
 
@@ -164,6 +170,27 @@
                 raise ResponseError(f"{self.address}: response over {max_bytes} bytes")
         return b"".join(parts)
 
+    def drain_body(self) -> bool:
+        """Read a body that is not used, so that the connection can be reused.
+
+        A body that is long, slow or truncated is given up: the head has said everything,
+        and `make_reusable` rejects the connection.
+
+        Returns:
+            Whether the body was complete.
+        """
+        size = 0
+        with eventlet.Timeout(DRAIN_TIMEOUT_S, False):
+            while size <= MAX_DRAINED_BYTES:
+                try:
+                    data = self.read_data()
+                except ResponseError:
+                    return False
+                if data is None:
+                    return True
+                size += len(data)
+        return False
+
     def skip_response(self) -> None:
         """Skip the body of a late response to an earlier request.
 
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -483,18 +483,18 @@
         self, conn: EndpointConnection, row: EndpointRow, head: ResponseHead, sent_at: float
     ) -> Attempt:
         if head.execution_status is ExecutionStatus.MISDIRECTED:
-            conn.read_body(MAX_BUFFERED_BYTES)
+            conn.drain_body()
             row.mark_address_reused(self._ctx.now())
             return Attempt(
                 AttemptOutcome.MISDIRECTED, row.id, "another endpoint uses the address"
             )
         if head.execution_status is ExecutionStatus.NOT_RUN:
-            conn.read_body(MAX_BUFFERED_BYTES)
+            detail = f"endpoint refused: status {head.status}"
+            if not conn.drain_body():
+                detail += ", its body did not end"
             if head.status in OVERLOAD_STATUSES:
                 row.record_failure(self._ctx.now())
-            return Attempt(
-                AttemptOutcome.NOT_RUN, row.id, f"endpoint refused: status {head.status}"
-            )
+            return Attempt(AttemptOutcome.NOT_RUN, row.id, detail)
         raw = RawHead(head.status, head.reason, end_to_end(head.headers))
         if self._is_event_stream(head):
             return self._relay_stream(conn, row, raw, sent_at)
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -234,6 +234,42 @@
     assert header_of(response, b"seal") is None
 
 
+def send_drip(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"x")
+        eventlet.sleep(0.05)
+
+
+def send_flood(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"x" * 65536)
+        eventlet.sleep(0)
+
+
+@pytest.mark.parametrize(
+    "rest", [send_drip, send_flood, Dialog.wait_until_closed, Dialog.reset]
+)
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected Request"])
+def test_a_refusal_whose_body_does_not_end_still_says_that_the_request_was_not_run(
+    status: bytes, rest: Script
+) -> None:
+    """The head says so: the request may be sent to another endpoint, whatever follows."""
+
+    def refuse(dialog: Dialog) -> None:
+        dialog.send(
+            b"HTTP/1.1 "
+            + status
+            + b"\r\nRequest-Id: "
+            + dialog.rid
+            + b"\r\nNot-Executed: 1\r\nContent-Length: 10000000\r\n\r\nx"
+        )
+        rest(dialog)
+
+    caller = Caller(start_entry(EndpointStandIn(refuse)))
+    caller.send("/once/a", deadline_ms=1500)
+    assert status_of(caller.read_response()) == 503
+
+
 def test_an_unreachable_endpoint_costs_no_attempt() -> None:
     dead, live = EndpointStandIn(respond_ok), EndpointStandIn(respond_ok)
     dead.close()
