Resume a stream whatever the id of its last event

Callers of a resumable stream had their connection reset without the rest of it, when the stream broke off behind an event whose id no header can carry: with a blank around it, a control character, or too long.

Cause: the id goes into a header of the request to the next endpoint. h11 rejects such a value ('Illegal header value'), which nobody expected, and endpoints reject a long one.

Change: blanks around an id do not belong to it, as in a header. An event with a control character in its id, or with an id over 1,024 bytes, is not passed on: the stream has broken off, and is resumed behind the event before.

--- a/dockreach/direct/event_stream.py
+++ b/dockreach/direct/event_stream.py
@@ -13,6 +13,7 @@
 
 _BLANK_LINE = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_FIELD = re.compile(rb"^id: ?(.*?)\r?$", re.MULTILINE)
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 MAX_BLANK_LINE_BYTES = 4
 """Length of the longest separator of events."""
@@ -20,6 +21,11 @@
 MAX_EVENT_BYTES = 1 << 20
 """Largest size of an event."""
 
+MAX_ID_BYTES = 1024
+"""Largest size of an event's id."""
+
+MAX_LOGGED_ID_BYTES = 64
+
 CONTENT_TYPE = b"text/event-stream"
 
 
@@ -56,7 +62,7 @@
         """Add bytes; return the events that are now complete.
 
         Raises:
-            ResponseError: An event is over `MAX_EVENT_BYTES`.
+            ResponseError: An event is over `MAX_EVENT_BYTES`, or its id is not valid.
         """
         self._buffer += data
         events = []
@@ -74,5 +80,11 @@
 
 
 def _id_of(event: bytes) -> str:
+    """Return an event's id, which has to fit into a header when the stream is resumed."""
     id_line = _ID_FIELD.search(event)
-    return id_line[1].decode("latin-1") if id_line else ""
+    if id_line is None:
+        return ""
+    value = id_line[1].strip(b" \t")
+    if len(value) > MAX_ID_BYTES or _CONTROL_CHARACTER.search(value):
+        raise ResponseError(f"event with an invalid id: {value[:MAX_LOGGED_ID_BYTES]!r}")
+    return value.decode("latin-1")
--- a/tests/direct/test_event_stream.py
+++ b/tests/direct/test_event_stream.py
@@ -79,3 +79,14 @@
         event for i in range(0, len(data), 999) for event in splitter.feed(data[i:][:999])
     ]
     assert [event.data for event in events] == [data]
+
+
+@pytest.mark.parametrize("value", [b"\x00", b"a\rb", b"x" * 2000])
+def test_an_id_that_no_header_can_carry_is_rejected(value: bytes) -> None:
+    with pytest.raises(ResponseError, match="invalid id"):
+        EventSplitter().feed(b"id: " + value + b"\ndata: x\n\n")
+
+
+def test_blanks_around_an_id_do_not_belong_to_it() -> None:
+    (event,) = EventSplitter().feed(b"id:  7 \t\r\n\r\n")
+    assert event.id == "7"
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -413,6 +413,33 @@
     assert body_of(caller.read_response()) == events(1, 2, 3)
 
 
+@pytest.mark.parametrize("value", [b" 2", b"\x01", b"x" * 100_000])
+def test_a_stream_is_resumed_whatever_the_id_of_its_last_event(value: bytes) -> None:
+    def send_odd_id(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(1))
+        dialog.chunk(b"id: " + value + b"\ndata: piece 2\n\n")
+        eventlet.sleep(0.05)
+        dialog.reset()
+
+    def send_rest(dialog: Dialog) -> None:
+        last = int(header_of(dialog.request, b"last-event-id") or 0)
+        dialog.start_stream()
+        dialog.chunk(events(*range(last + 1, 4)))
+        dialog.chunk(b"")
+
+    scripts = [send_odd_id, send_rest]
+
+    def run_next_script(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(run_next_script) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a")
+    body = body_of(caller.read_response())
+    assert [body.count(b"piece %d\n" % number) for number in (1, 2, 3)] == [1, 1, 1]
+
+
 def test_line_ends_after_the_last_event_do_not_break_a_stream_off() -> None:
     def send_line_ends(dialog: Dialog) -> None:
         dialog.start_stream()
