--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -440,6 +440,32 @@
     assert [body.count(b"piece %d\n" % number) for number in (1, 2, 3)] == [1, 1, 1]
 
 
+def test_the_id_of_the_last_event_reaches_the_next_endpoint_unchanged() -> None:
+    def send_one_event(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: \xe9\xff\ndata: x\n\n")
+        eventlet.sleep(0.05)
+        dialog.reset()
+
+    def end_stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(2))
+        dialog.chunk(b"")
+
+    scripts = [send_one_event, end_stream]
+
+    def run_next_script(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(run_next_script) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a")
+    caller.read_response()
+    requests = [request for row in endpoints for request in row.requests]
+    ids = {header_of(request, b"last-event-id") for request in requests}
+    assert ids == {None, b"\xe9\xff"}
+
+
 def test_line_ends_after_the_last_event_do_not_break_a_stream_off() -> None:
     def send_line_ends(dialog: Dialog) -> None:
         dialog.start_stream()
