Count the responses that go over a limit, by that limit

Logs and metrics could not tell an endpoint that sends bytes without end from one that breaks off.

Change: errors of limits are of their own kind (ResponseLimitError) with the limit: head, interim responses, late responses, body, event.

--- a/dockreach/direct/attempt.py
+++ b/dockreach/direct/attempt.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass
 
-from .http1 import RawHead
+from .http1 import RawHead, ResponseLimit
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -41,12 +41,14 @@
 
     Attributes:
         response: Head and body of a response that was not passed on.
+        limit: The limit that the response went over.
     """
 
     outcome: AttemptOutcome
     endpoint: str
     detail: str = ""
     response: tuple[RawHead, bytes] | None = None
+    limit: ResponseLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -10,6 +11,7 @@
 from .crash_reporter import CrashReporter
 from .endpoints import EndpointTable
 from .first_attempts import FirstAttemptEstimator
+from .http1 import ResponseLimit
 from .notice_tracker import NoticeTracker
 from .outcomes import OutcomeCounter
 from .pool import ConnectionPool
@@ -35,6 +37,7 @@
         resumes: Not used, and always 0.
         late_answers: Late responses to earlier requests, which are skipped.
         invalid_loads: Responses whose header with the endpoint's load is not valid.
+        response_limits: Responses that went over a limit, by that limit.
     """
 
     requests: int = 0
@@ -47,6 +50,7 @@
     resumes: int = 0
     late_answers: int = 0
     invalid_loads: int = 0
+    response_limits: Counter[ResponseLimit] = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import Any
 
 import eventlet
@@ -13,6 +14,8 @@
     LoopShare,
     RawHead,
     ResponseError,
+    ResponseLimit,
+    ResponseLimitError,
     receive,
     set_socket_options,
 )
@@ -44,6 +47,8 @@
 MAX_PROBLEM_CHARACTERS = 200
 """Length of the description of a broken response, which may contain a part of it."""
 
+_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+
 
 class EndpointConnection:
     """The client side of a connection.
@@ -137,8 +142,9 @@
                 return RawHead(event.status_code, event.reason, event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseError(f"{self.address}: closed without a response")
-        raise ResponseError(
-            f"{self.address}: over {MAX_INTERIM_RESPONSES} interim responses"
+        raise self._limit_error(
+            ResponseLimit.INTERIM_RESPONSES,
+            f"over {MAX_INTERIM_RESPONSES} interim responses",
         )
 
     def read_data(self) -> bytes | None:
@@ -167,7 +173,9 @@
             parts.append(data)
             size += len(data)
             if size > max_bytes:
-                raise ResponseError(f"{self.address}: response over {max_bytes} bytes")
+                raise self._limit_error(
+                    ResponseLimit.BODY, f"response over {max_bytes} bytes"
+                )
         return b"".join(parts)
 
     def drain_body(self) -> bool:
@@ -202,12 +210,15 @@
         """
         self._late_responses += 1
         if self._late_responses > MAX_LATE_RESPONSES:
-            raise ResponseError(f"{self.address}: over {MAX_LATE_RESPONSES} late responses")
+            raise self._limit_error(
+                ResponseLimit.LATE_RESPONSES, f"over {MAX_LATE_RESPONSES} late responses"
+            )
         while (data := self.read_data()) is not None:
             self._skipped_bytes += len(data)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
-                raise ResponseError(
-                    f"{self.address}: over {MAX_SKIPPED_BYTES} bytes of late responses"
+                raise self._limit_error(
+                    ResponseLimit.LATE_RESPONSES,
+                    f"over {MAX_SKIPPED_BYTES} bytes of late responses",
                 )
         late = self._parser
         self._parser = _new_parser()
@@ -232,8 +243,13 @@
                 self._parser.receive_data(self._receive())
         except (h11.RemoteProtocolError, OSError) as exc:
             problem = str(exc)[:MAX_PROBLEM_CHARACTERS]
+            if getattr(exc, "error_status_hint", None) == _TOO_LARGE:
+                raise self._limit_error(ResponseLimit.HEAD, problem) from exc
             raise ResponseError(f"{self.address}: {problem}") from exc
 
+    def _limit_error(self, limit: ResponseLimit, problem: str) -> ResponseLimitError:
+        return ResponseLimitError(limit, f"{self.address}: {problem}")
+
     def _receive(self) -> bytes:
         data = receive(self._sock, self._share)
         if self._is_aborted:
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -18,7 +18,7 @@
 from .evacuated_halls import EvacuatedHalls
 from .feeds import Feeds
 from .gossip import Gossip
-from .http1 import RawHead
+from .http1 import RawHead, ResponseLimit
 from .peers import PeerTable
 from .routing_config import ConfigRevision
 from .send_guard import SendGuard
@@ -95,6 +95,13 @@
         entry = self._entry
         yield from process_samples(entry.started_at)
         yield from counter_samples("direct", entry.ctx.counters)
+        for limit in ResponseLimit:
+            yield Sample(
+                "dockreach_direct_response_limits_total",
+                "Responses of endpoints that went over a limit",
+                entry.ctx.counters.response_limits[limit],
+                {"limit": limit.value},
+            )
         yield from entry.ctx.outcomes.samples()
         now = clock.now()
         yield from entry.feeds.samples(now, entry.started_at)
--- a/dockreach/direct/event_stream.py
+++ b/dockreach/direct/event_stream.py
@@ -9,7 +9,7 @@
 import re
 from typing import NamedTuple
 
-from .http1 import ResponseError
+from .http1 import ResponseLimit, ResponseLimitError
 
 _BLANK_LINE = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_FIELD = re.compile(rb"^id: ?(.*?)\r?$", re.MULTILINE)
@@ -62,7 +62,7 @@
         """Add bytes; return the events that are now complete.
 
         Raises:
-            ResponseError: An event is over `MAX_EVENT_BYTES`, or its id is not valid.
+            ResponseLimitError: An event is over `MAX_EVENT_BYTES`, or its id is not valid.
         """
         self._buffer += data
         events = []
@@ -74,7 +74,9 @@
             events.append(StreamEvent(event, _id_of(event)))
         del self._buffer[:start]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ResponseError(f"event over {MAX_EVENT_BYTES} bytes")
+            raise ResponseLimitError(
+                ResponseLimit.EVENT, f"event over {MAX_EVENT_BYTES} bytes"
+            )
         self._searched = max(len(self._buffer) - MAX_BLANK_LINE_BYTES + 1, 0)
         return events
 
@@ -86,5 +88,8 @@
         return ""
     value = id_line[1].strip(b" \t")
     if len(value) > MAX_ID_BYTES or _CONTROL_CHARACTER.search(value):
-        raise ResponseError(f"event with an invalid id: {value[:MAX_LOGGED_ID_BYTES]!r}")
+        raise ResponseLimitError(
+            ResponseLimit.EVENT,
+            f"event with an invalid id: {value[:MAX_LOGGED_ID_BYTES]!r}",
+        )
     return value.decode("latin-1")
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -18,7 +18,7 @@
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EventGapMeter
 from .event_stream import CONTENT_TYPE, EventSplitter
-from .http1 import ConnectError, RawHead, ResponseError, end_to_end
+from .http1 import ConnectError, RawHead, ResponseError, ResponseLimitError, end_to_end
 from .jobs import Job, queue_timeout_s
 from .notice import InvalidValue
 from .outcomes import DeliveryProgress
@@ -325,7 +325,10 @@
                 # Idle connections stall together, for example when a middlebox loses its
                 # state: without this, each of them would cost one more request.
                 self._ctx.pool.close_all()
-            return Attempt(AttemptOutcome.LOST, row.id, str(exc))
+            limit = exc.limit if isinstance(exc, ResponseLimitError) else None
+            if limit is not None:
+                self._ctx.counters.response_limits[limit] += 1
+            return Attempt(AttemptOutcome.LOST, row.id, str(exc), limit=limit)
         except (CallerGoneError, _DeadlineError):
             self._report_unanswered(row, sent_at, is_connection_broken=False)
             raise
@@ -617,5 +620,6 @@
             resumed_after=self._last_event_id,
             fate=attempt.outcome.value,
             detail=attempt.detail,
+            limit=attempt.limit.value if attempt.limit else None,
             held_ms=round((self._ctx.now() - self._req.arrived_at) * 1000),
         )
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import enum
 import errno
 import struct
 from typing import Any, NamedTuple
@@ -70,6 +71,38 @@
     """An endpoint's response was truncated, or is not HTTP."""
 
 
+class ResponseLimit(enum.StrEnum):
+    """A limit on what an endpoint may send."""
+
+    HEAD = "head"
+    """Size of a head, of a chunk's header, or of the trailers."""
+
+    INTERIM_RESPONSES = "interim_responses"
+    """Number of interim responses before a response."""
+
+    LATE_RESPONSES = "late_responses"
+    """Number and size of late responses to other requests."""
+
+    BODY = "body"
+    """Size of a response that is buffered."""
+
+    EVENT = "event"
+    """Size of an event of a stream, and of its id."""
+
+
+class ResponseLimitError(ResponseError):
+    """An endpoint's response went over a limit.
+
+    Args:
+        limit: The limit.
+        problem: Description with the value of the limit.
+    """
+
+    def __init__(self, limit: ResponseLimit, problem: str) -> None:
+        super().__init__(problem)
+        self.limit = limit
+
+
 class RawRequest(NamedTuple):
     """A request as sent on the wire."""
 
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import logging
+import re
+
 import eventlet
 import pytest
 
+from dockreach.events import Event
+
 from .standins import (
     Caller,
     Dialog,
     EndpointStandIn,
     Script,
     body_of,
+    fetch_page,
     header_of,
     headers_of,
     start_entry,
@@ -541,3 +547,71 @@
     assert status_of(response) == 504
     eventlet.sleep(0.1)
     assert endpoint.dialogs[0].is_closed_by_peer
+
+
+def send_endless_event(dialog: Dialog) -> None:
+    dialog.start_stream()
+    send_flood_in_chunks(dialog)
+
+
+def send_flood_in_chunks(dialog: Dialog) -> None:
+    while True:
+        dialog.chunk(b"x" * 65536)
+        eventlet.sleep(0)
+
+
+def send_endless_head(dialog: Dialog) -> None:
+    dialog.send(b"HTTP/1.1 200 OK\r\nA: ")
+    send_flood(dialog)
+
+
+def send_endless_body(dialog: Dialog) -> None:
+    dialog.send(b"HTTP/1.1 200 OK\r\nRequest-Id: " + dialog.rid + b"\r\n\r\n")
+    send_flood(dialog)
+
+
+def send_endless_interim_responses(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+        eventlet.sleep(0)
+
+
+def send_endless_late_responses(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"HTTP/1.1 200 OK\r\nRequest-Id: r-old\r\nContent-Length: 1\r\n\r\nx")
+        eventlet.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ("script", "limit"),
+    [
+        (send_endless_event, "event"),
+        (send_endless_head, "head"),
+        (send_endless_body, "body"),
+        (send_endless_interim_responses, "interim_responses"),
+        (send_endless_late_responses, "late_responses"),
+    ],
+)
+def test_counter_and_log_say_which_limit_a_response_went_over(
+    script: Script,
+    limit: str,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(logging.getLogger("dockreach"), "propagate", True)
+    endpoint = EndpointStandIn(script)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    with caplog.at_level(logging.INFO, "dockreach"):
+        caller.send("/once/a" if limit != "event" else "/draft/a")
+        response = caller.read_response()
+    assert status_of(response) == 502
+    number = Event.ATTEMPT_ENDED.value
+    (line,) = [vars(row) for row in caplog.records if vars(row)["event"] == number]
+    assert (line["fate"], line["limit"]) == ("lost", limit)
+    assert entry.settings.metrics_address is not None
+    page = fetch_page(entry.settings.metrics_address, "/metrics").decode()
+    counts = dict(re.findall(r'response_limits_total\{.*limit="(\w+)".*\} ([\d.]+)', page))
+    assert [name for name, count in counts.items() if float(count)] == [limit]
+    with pytest.raises(OSError, match="reset|pipe"):
+        endpoint.dialogs[0].sock.sendall(b"x" * 10_000_000)
