--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -11,6 +12,7 @@
 from .crash_reporter import CrashReporter
 from .endpoints import EndpointTable
 from .first_attempts import FirstAttemptEstimator
+from .http1 import ResponseLimit
 from .notice_tracker import NoticeTracker
 from .outcomes import OutcomeCounter
 from .pool import ConnectionPool
@@ -37,6 +39,7 @@
         internal_errors: Requests that a fault of the program ended.
         late_answers: Late responses to earlier requests, which are skipped.
         invalid_loads: Responses whose header with the endpoint's load is not valid.
+        response_limits: Responses that went over a limit, by that limit.
     """
 
     requests: int = 0
@@ -50,6 +53,7 @@
     internal_errors: int = 0
     late_answers: int = 0
     invalid_loads: int = 0
+    response_limits: Counter[ResponseLimit] = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from http import HTTPStatus
 from typing import Any
 
 import eventlet
@@ -17,11 +18,14 @@
     LoopShare,
     RawHead,
     ResponseError,
+    ResponseLimit,
+    ResponseLimitError,
     SilentError,
     receive,
     set_send_timeout,
     set_socket_options,
 )
+from .message_parser import MessageParser
 from .requests import Header
 
 MAX_INLINE_BYTES = 8192
@@ -35,6 +39,26 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 """Largest head of a response."""
 
+MAX_INTERIM_RESPONSES = 32
+"""Most interim responses (1xx) before a response."""
+
+MAX_LATE_RESPONSES = 8
+"""Most late responses to earlier requests before the response to a request."""
+
+MAX_SKIPPED_BYTES = 1 << 20
+"""Most bytes of their bodies."""
+
+MAX_DRAINED_BYTES = 65536
+"""Most bytes of a body that are read only to reuse the connection."""
+
+DRAIN_TIMEOUT_S = 0.05
+"""Longest time for that, in seconds: the body of a refusal comes with its head."""
+
+MAX_PROBLEM_CHARACTERS = 200
+"""Length of the description of a broken response, which may contain a part of it."""
+
+_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+
 
 class EndpointConnection:
     """The client side of a connection.
@@ -59,7 +83,7 @@
         except OSError as exc:
             self._sock.close()
             raise ConnectError(f"{address}: {exc}") from exc
-        self._http = _new_http_client()
+        self._parser = _new_parser()
         self._request = h11.Request(method="GET", target="/", headers=[("Host", "-")])
         self._writer: Any = None
         self._send_timeout_ms = LOST_PEER_TIMEOUT_MS
@@ -72,6 +96,8 @@
         """Monotonic time until which reads wait for data, in seconds; then they raise
         `SilentError`, and may be repeated."""
         self._is_aborted = False
+        self._late_responses = 0
+        self._skipped_bytes = 0
         self._share = LoopShare()
 
     def send(
@@ -91,10 +117,11 @@
         if body is not None:
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         self._request = h11.Request(method=method, target=target, headers=headers)
-        data = self._http.send(self._request) or b""
+        http = self._parser.http
+        data = http.send(self._request) or b""
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+            data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
         self._is_written = False
         self._set_send_timeout(len(data))
         if len(data) > MAX_INLINE_BYTES:
@@ -133,15 +160,20 @@
         """Read the head of the next response.
 
         Raises:
-            ResponseError: The connection broke, or the data is not HTTP.
+            ResponseError: The connection broke, the data is not HTTP, or there are too many
+                interim responses (1xx).
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = self._next_event()
             if isinstance(event, h11.Response):
                 self.is_framed = _is_framed(event, self._request.method)
                 return RawHead(event.status_code, event.reason, event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseError(f"{self.address}: closed without a response")
+        raise self._limit_error(
+            ResponseLimit.INTERIM_RESPONSES,
+            f"over {MAX_INTERIM_RESPONSES} interim responses",
+        )
 
     def read_data(self) -> bytes | None:
         """Read a part of the body; ``None`` at its end.
@@ -169,42 +201,82 @@
             parts.append(data)
             size += len(data)
             if size > max_bytes:
-                raise ResponseError(f"{self.address}: response over {max_bytes} bytes")
+                raise self._limit_error(
+                    ResponseLimit.BODY, f"response over {max_bytes} bytes"
+                )
         return b"".join(parts)
 
+    def drain_body(self) -> bool:
+        """Read a body that is not used, so that the connection can be reused.
+
+        A body that is long, slow or truncated is given up: the head has said everything,
+        and `make_reusable` rejects the connection.
+
+        Returns:
+            Whether the body was complete.
+        """
+        size = 0
+        with eventlet.Timeout(DRAIN_TIMEOUT_S, False):
+            while size <= MAX_DRAINED_BYTES:
+                try:
+                    data = self.read_data()
+                except (ResponseError, SilentError):
+                    return False
+                if data is None:
+                    return True
+                size += len(data)
+        return False
+
     def skip_response(self) -> None:
         """Skip the body of a late response to an earlier request.
 
         The HTTP state starts anew as if the current request had just been sent.
 
         Raises:
-            ResponseError: The body was truncated.
+            ResponseError: The body was truncated, or there are too many late responses or
+                too many bytes of them.
         """
-        while self.read_data() is not None:
-            pass
-        remainder, is_closed = self._http.trailing_data
-        self._http = _new_http_client()
+        if self._late_responses >= MAX_LATE_RESPONSES:
+            raise self._limit_error(
+                ResponseLimit.LATE_RESPONSES, f"over {MAX_LATE_RESPONSES} late responses"
+            )
+        while (data := self.read_data()) is not None:
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise self._limit_error(
+                    ResponseLimit.LATE_RESPONSES,
+                    f"over {MAX_SKIPPED_BYTES} bytes of late responses",
+                )
+        self._late_responses += 1
+        late = self._parser
+        self._parser = _new_parser()
         dummy = h11.Request(
             method=self._request.method, target="/", headers=[("Host", "-")]
         )
-        self._http.send(dummy)
-        self._http.send(h11.EndOfMessage())
-        if remainder:
-            # No data would tell h11 that the endpoint has closed the connection.
-            self._http.receive_data(remainder)
-        if is_closed:
-            self._http.receive_data(b"")
+        self._parser.http.send(dummy)
+        self._parser.http.send(h11.EndOfMessage())
+        if late.has_remainder:
+            # No data would be taken for the end of the connection.
+            self._parser.receive_data(late.remainder)
+        if late.is_closed:
+            self._parser.receive_data(b"")
 
     def _next_event(self) -> Any:  # noqa: ANN401
         try:
             while True:
                 self._share.begin_step()
-                event = self._http.next_event()
+                event = self._parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(self._receive())
+                self._parser.receive_data(self._receive())
         except (h11.RemoteProtocolError, OSError) as exc:
-            raise ResponseError(f"{self.address}: {exc}") from exc
+            problem = str(exc)[:MAX_PROBLEM_CHARACTERS]
+            if getattr(exc, "error_status_hint", None) == _TOO_LARGE:
+                raise self._limit_error(ResponseLimit.HEAD, problem) from exc
+            raise ResponseError(f"{self.address}: {problem}") from exc
+
+    def _limit_error(self, limit: ResponseLimit, problem: str) -> ResponseLimitError:
+        return ResponseLimitError(limit, f"{self.address}: {problem}")
 
     def _receive(self) -> bytes:
         data = self._receive_until()
@@ -235,10 +307,12 @@
         """Prepare for another request; return whether the connection can be reused."""
         if self._is_aborted:
             return False
-        both_done = (self._http.our_state, self._http.their_state) == (h11.DONE, h11.DONE)
-        if not both_done or not self._is_written or self._http.trailing_data[0]:
+        http = self._parser.http
+        both_done = (http.our_state, http.their_state) == (h11.DONE, h11.DONE)
+        if not both_done or not self._is_written or self._parser.has_remainder:
             return False
-        self._http.start_next_cycle()
+        http.start_next_cycle()
+        self._late_responses = self._skipped_bytes = 0
         self.was_reused = True
         return True
 
@@ -268,5 +342,5 @@
     return bool(names & {b"content-length", b"transfer-encoding"})
 
 
-def _new_http_client() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
+def _new_parser() -> MessageParser:
+    return MessageParser(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -17,7 +17,7 @@
 from .dispatching import VERSION_GONE_REFUSAL
 from .endpoints import EndpointRow
 from .hedging import LASTING_BARRIERS, HedgeBarrier
-from .http1 import ConnectError, RawHead, ResponseError, SilentError
+from .http1 import ConnectError, RawHead, ResponseError, ResponseLimitError, SilentError
 from .jobs import Job, queue_timeout_s
 from .outcomes import DeliveryProgress
 from .pool import MAX_IDLE_WITHOUT_RETRY_S
@@ -343,7 +343,10 @@
         row.record_failure(self._ctx.now())
         row.mark_connection_broken(self._ctx.now())
         self._report_unanswered(upstream, is_connection_broken=True)
-        return Attempt(AttemptOutcome.LOST, row.id, str(exc))
+        limit = exc.limit if isinstance(exc, ResponseLimitError) else None
+        if limit is not None:
+            self._ctx.counters.response_limits[limit] += 1
+        return Attempt(AttemptOutcome.LOST, row.id, str(exc), limit=limit)
 
     def _record_timeout(self, upstream: UpstreamRequest) -> Attempt:
         """Record that an upstream request is given up since it was silent."""
@@ -557,6 +560,8 @@
         if item.status in OVERLOAD_STATUSES:
             row.record_failure(self._ctx.now())
         detail = f"endpoint refused: status {item.status}"
+        if not item.is_complete:
+            detail += ", its body did not end"
         return Attempt(AttemptOutcome.NOT_RUN, row.id, detail)
 
     @_deliver.register
@@ -628,5 +633,6 @@
             resumed_after=self._last_event_id,
             fate=attempt.outcome.value,
             detail=attempt.detail,
+            limit=attempt.limit.value if attempt.limit else None,
             held_ms=round((self._ctx.now() - self._req.arrived_at) * 1000),
         )
--- a/dockreach/direct/upstream_request.py
+++ b/dockreach/direct/upstream_request.py
@@ -10,7 +10,7 @@
 from .endpoint_connection import EndpointConnection
 from .endpoints import EndpointRow, EventGapMeter
 from .event_stream import CONTENT_TYPE, EventSplitter, StreamEvent
-from .http1 import RawHead, ResponseError, end_to_end
+from .http1 import RawHead, ResponseError, ResponseLimit, ResponseLimitError, end_to_end
 from .jobs import Job
 from .notice import InvalidValue
 from .quarantine import HARMLESS_EVENTS, HARMLESS_RUN_S
@@ -60,9 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRunResponse:
-    """The endpoint reports that it has not run the request."""
+    """The endpoint reports that it has not run the request.
+
+    Attributes:
+        is_complete: Whether the response's body ended.
+    """
 
     status: int
+    is_complete: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,14 +189,20 @@
             self._raw_head = RawHead(head.status, head.reason, end_to_end(head.headers))
         if self._head.execution_status is ExecutionStatus.RAN and _is_stream(self._head):
             return self._next_of_stream(self._head)
+        if self._head.execution_status is not ExecutionStatus.RAN:
+            return self._drain_refusal(self._head)
         body = self._read_body()
         self._keep_alive_s = self._head.keep_alive_s
-        if self._head.execution_status is ExecutionStatus.MISDIRECTED:
-            return MisdirectedResponse()
-        if self._head.execution_status is ExecutionStatus.NOT_RUN:
-            return NotRunResponse(self._head.status)
         return PlainResponse(self._raw_head, body)
 
+    def _drain_refusal(self, head: ResponseHead) -> NotRunResponse | MisdirectedResponse:
+        """Act on the head of a refusal, whatever becomes of its body."""
+        is_complete = self._connection.drain_body()
+        self._keep_alive_s = head.keep_alive_s
+        if head.execution_status is ExecutionStatus.MISDIRECTED:
+            return MisdirectedResponse()
+        return NotRunResponse(head.status, is_complete)
+
     def _read_own_head(self) -> ResponseHead:
         conn = self._connection
         while True:
@@ -237,8 +248,9 @@
             self._body.append(data)
             self._body_bytes += len(data)
             if self._body_bytes > MAX_BUFFERED_BYTES:
-                raise ResponseError(
-                    f"{conn.address}: response over {MAX_BUFFERED_BYTES} bytes"
+                raise ResponseLimitError(
+                    ResponseLimit.BODY,
+                    f"{conn.address}: response over {MAX_BUFFERED_BYTES} bytes",
                 )
         return b"".join(self._body)
 
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterator
 from itertools import chain, repeat
 from typing import Any
 
 import eventlet
+import h11
 import pytest
 from eventlet.green import socket
 
-from dockreach.direct.endpoint_connection import EndpointConnection
+from dockreach.direct.endpoint_connection import (
+    MAX_LATE_RESPONSES,
+    MAX_SKIPPED_BYTES,
+    EndpointConnection,
+)
 from dockreach.direct.http1 import RECV_BYTES, ResponseError
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
@@ -19,6 +25,8 @@
 
 MAX_BYTES_PER_TURN = 16384
 MAX_READS_PER_TURN = 256
+MAX_READS = 100_000
+"""Reads after which an endless response ends, so that a test that fails ends too."""
 
 
 class ReadySocket:
@@ -67,7 +75,7 @@
     socks: list[ReadySocket] = []
 
     def connect(*pieces: bytes, then: bytes = b"") -> tuple[EndpointConnection, Any]:
-        sock = ReadySocket(chain(pieces, repeat(then)))
+        sock = ReadySocket(chain(pieces, repeat(then, MAX_READS)))
         socks.append(sock)
         monkeypatch.setattr(socket, "socket", lambda *_: sock)
         conn = EndpointConnection("127.0.0.1:1", 1.0)
@@ -79,6 +87,12 @@
         sock.counter.kill()
 
 
+def read_all(conn: EndpointConnection) -> None:
+    conn.read_head()
+    while conn.read_data() is not None:
+        pass
+
+
 @pytest.mark.parametrize(
     "endless",
     [b"\xa5" * RECV_BYTES, b"\xa5", b": comment\n"],
@@ -114,3 +128,91 @@
     with pytest.raises(ResponseError):
         conn.read_head()
     assert max(sock.reads_by_turn.values()) <= MAX_READS_PER_TURN
+
+
+class _RecordingPattern:
+    """A pattern that records how long the longest run of blanks is that it has to match."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self._pattern = pattern
+        self.longest_blanks = 0
+
+    def fullmatch(self, data: bytes) -> re.Match[bytes] | None:
+        runs = re.findall(rb"[ \t]+", data)
+        self.longest_blanks = max([self.longest_blanks, *map(len, runs)])
+        return self._pattern.fullmatch(data) if len(data) < 4096 else None
+
+
+@pytest.mark.parametrize(
+    ("pattern", "data"),
+    [
+        ("header_field_re", HEAD + b"a: " + b" \t" * 30_000 + b"\x00\r\n\r\n"),
+        ("header_field_re", CHUNKED_HEAD + b"0\r\na: " + b" " * 60_000 + b"\x00\r\n\r\n"),
+        ("chunk_header_re", CHUNKED_HEAD + b"1;" + b" " * 60_000 + b"\n\r\n"),
+    ],
+    ids=["header", "trailer", "chunk extension"],
+)
+def test_long_runs_of_blanks_are_rejected_before_they_take_long_to_match(
+    connect: Callable[..., Any],
+    monkeypatch: pytest.MonkeyPatch,
+    pattern: str,
+    data: bytes,
+) -> None:
+    recorder = _RecordingPattern(getattr(h11._readers, pattern))
+    monkeypatch.setattr(h11._readers, pattern, recorder)
+    conn, _ = connect(data)
+    with pytest.raises(ResponseError):
+        read_all(conn)
+    assert recorder.longest_blanks <= 2048
+
+
+def test_interim_responses_without_end_are_not_read_on(connect: Callable[..., Any]) -> None:
+    conn, sock = connect(then=b"HTTP/1.1 102 Processing\r\n\r\n")
+    with pytest.raises(ResponseError, match="interim responses"):
+        conn.read_head()
+    assert sock.read_bytes < 4096
+    assert not conn.make_reusable()
+
+
+def test_some_interim_responses_are_skipped(connect: Callable[..., Any]) -> None:
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+    conn, _ = connect(interim, UNFRAMED_HEAD)
+    assert conn.read_head().status == 200
+
+
+def skip_all(conn: EndpointConnection) -> None:
+    while True:
+        conn.read_head()
+        conn.skip_response()
+
+
+@pytest.mark.parametrize(
+    ("late", "then"),
+    [
+        (HEAD + b"Content-Length: 0\r\n\r\n", HEAD + b"Content-Length: 0\r\n\r\n"),
+        (UNFRAMED_HEAD, b"\xa5" * RECV_BYTES),
+    ],
+    ids=["many", "long"],
+)
+def test_late_responses_without_end_are_not_skipped_without_end(
+    connect: Callable[..., Any], late: bytes, then: bytes
+) -> None:
+    conn, sock = connect(late, then=then)
+    with pytest.raises(ResponseError, match="late responses"):
+        skip_all(conn)
+    assert sock.read_bytes < 2 * MAX_SKIPPED_BYTES
+    assert not conn.make_reusable()
+
+
+def test_late_responses_of_earlier_requests_do_not_count_for_the_next(
+    connect: Callable[..., Any],
+) -> None:
+    empty = HEAD + b"Content-Length: 0\r\n\r\n"
+    conn, _ = connect(then=empty)
+    for _ in range(3 * MAX_LATE_RESPONSES):
+        conn.read_head()
+        conn.skip_response()
+        conn.read_head()
+        assert conn.read_data() is None
+        assert conn.make_reusable()
+        conn.send(b"GET", b"/", [(b"Host", b"h")], None)
--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import logging
+import re
+
 import eventlet
 import pytest
 
+from dockreach.events import Event
+
 from .standins import (
     Caller,
     Dialog,
     EndpointStandIn,
     Script,
     body_of,
+    fetch_page,
     header_of,
     headers_of,
     start_entry,
@@ -234,6 +240,42 @@
     assert header_of(response, b"seal") is None
 
 
+def send_drip(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"x")
+        eventlet.sleep(0.05)
+
+
+def send_flood(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"x" * 65536)
+        eventlet.sleep(0)
+
+
+@pytest.mark.parametrize(
+    "rest", [send_drip, send_flood, Dialog.wait_until_closed, Dialog.reset]
+)
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected Request"])
+def test_a_refusal_whose_body_does_not_end_still_says_that_the_request_was_not_run(
+    status: bytes, rest: Script
+) -> None:
+    """The head says so: the request may be sent to another endpoint, whatever follows."""
+
+    def refuse(dialog: Dialog) -> None:
+        dialog.send(
+            b"HTTP/1.1 "
+            + status
+            + b"\r\nRequest-Id: "
+            + dialog.rid
+            + b"\r\nNot-Executed: 1\r\nContent-Length: 10000000\r\n\r\nx"
+        )
+        rest(dialog)
+
+    caller = Caller(start_entry(EndpointStandIn(refuse)))
+    caller.send("/once/a", deadline_ms=1500)
+    assert status_of(caller.read_response()) == 503
+
+
 def test_an_unreachable_endpoint_costs_no_attempt() -> None:
     dead, live = EndpointStandIn(respond_ok), EndpointStandIn(respond_ok)
     dead.close()
@@ -377,6 +419,59 @@
     assert body_of(caller.read_response()) == events(1, 2, 3)
 
 
+@pytest.mark.parametrize("value", [b" 2", b"\x01", b"x" * 100_000])
+def test_a_stream_is_resumed_whatever_the_id_of_its_last_event(value: bytes) -> None:
+    def send_odd_id(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(1))
+        dialog.chunk(b"id: " + value + b"\ndata: piece 2\n\n")
+        eventlet.sleep(0.05)
+        dialog.reset()
+
+    def send_rest(dialog: Dialog) -> None:
+        last = int(header_of(dialog.request, b"last-event-id") or 0)
+        dialog.start_stream()
+        dialog.chunk(events(*range(last + 1, 4)))
+        dialog.chunk(b"")
+
+    scripts = [send_odd_id, send_rest]
+
+    def run_next_script(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(run_next_script) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a")
+    body = body_of(caller.read_response())
+    assert [body.count(b"piece %d\n" % number) for number in (1, 2, 3)] == [1, 1, 1]
+
+
+def test_the_id_of_the_last_event_reaches_the_next_endpoint_unchanged() -> None:
+    def send_one_event(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: \xe9\xff\ndata: x\n\n")
+        eventlet.sleep(0.05)
+        dialog.reset()
+
+    def end_stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(2))
+        dialog.chunk(b"")
+
+    scripts = [send_one_event, end_stream]
+
+    def run_next_script(dialog: Dialog) -> None:
+        scripts.pop(0)(dialog)
+
+    endpoints = [EndpointStandIn(run_next_script) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send("/brief/a")
+    caller.read_response()
+    requests = [request for row in endpoints for request in row.requests]
+    ids = {header_of(request, b"last-event-id") for request in requests}
+    assert ids == {None, b"\xe9\xff"}
+
+
 def test_line_ends_after_the_last_event_do_not_break_a_stream_off() -> None:
     def send_line_ends(dialog: Dialog) -> None:
         dialog.start_stream()
@@ -452,3 +547,71 @@
     assert status_of(response) == 504
     eventlet.sleep(0.1)
     assert endpoint.dialogs[0].is_closed_by_peer
+
+
+def send_endless_event(dialog: Dialog) -> None:
+    dialog.start_stream()
+    send_flood_in_chunks(dialog)
+
+
+def send_flood_in_chunks(dialog: Dialog) -> None:
+    while True:
+        dialog.chunk(b"x" * 65536)
+        eventlet.sleep(0)
+
+
+def send_endless_head(dialog: Dialog) -> None:
+    dialog.send(b"HTTP/1.1 200 OK\r\nA: ")
+    send_flood(dialog)
+
+
+def send_endless_body(dialog: Dialog) -> None:
+    dialog.send(b"HTTP/1.1 200 OK\r\nRequest-Id: " + dialog.rid + b"\r\n\r\n")
+    send_flood(dialog)
+
+
+def send_endless_interim_responses(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+        eventlet.sleep(0)
+
+
+def send_endless_late_responses(dialog: Dialog) -> None:
+    while True:
+        dialog.send(b"HTTP/1.1 200 OK\r\nRequest-Id: r-old\r\nContent-Length: 1\r\n\r\nx")
+        eventlet.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ("script", "limit"),
+    [
+        (send_endless_event, "event"),
+        (send_endless_head, "head"),
+        (send_endless_body, "body"),
+        (send_endless_interim_responses, "interim_responses"),
+        (send_endless_late_responses, "late_responses"),
+    ],
+)
+def test_counter_and_log_say_which_limit_a_response_went_over(
+    script: Script,
+    limit: str,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(logging.getLogger("dockreach"), "propagate", True)
+    endpoint = EndpointStandIn(script)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    with caplog.at_level(logging.INFO, "dockreach"):
+        caller.send("/once/a" if limit != "event" else "/draft/a")
+        response = caller.read_response()
+    assert status_of(response) == 502
+    number = Event.ATTEMPT_ENDED.value
+    (line,) = [vars(row) for row in caplog.records if vars(row)["event"] == number]
+    assert (line["fate"], line["limit"]) == ("lost", limit)
+    assert entry.settings.metrics_address is not None
+    page = fetch_page(entry.settings.metrics_address, "/metrics").decode()
+    counts = dict(re.findall(r'response_limits_total\{.*limit="(\w+)".*\} ([\d.]+)', page))
+    assert [name for name, count in counts.items() if float(count)] == [limit]
+    with pytest.raises(OSError, match="reset|pipe"):
+        endpoint.dialogs[0].sock.sendall(b"x" * 10_000_000)
