--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -601,3 +601,51 @@
     eventlet.sleep(0.2)
     with pytest.raises(ConnectionResetError):
         sock.recv(65536)
+
+
+def test_a_request_under_way_when_the_grace_time_ends_is_refused(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    endpoint = EndpointStandIn(stay_silent)
+    entry = start_entry(endpoint, settings=entry_settings(grace_s=1.2))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.1)
+    began_at = time.monotonic()
+    stopping = eventlet.spawn(entry.stop)
+    response = caller.read_response()
+    assert status_of(response) == 502
+    assert header_of(response, b"retry-after") is None
+    stopping.wait()
+    assert time.monotonic() - began_at < 1.2
+    (line,) = lines(log, 710)
+    assert (line["rid"], line["cause"]) == ("r-1", "grace_over")
+
+
+def test_a_request_that_waits_when_the_grace_time_ends_did_not_run() -> None:
+    entry = start_entry(settings=entry_settings(grace_s=1.0))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.1)
+    stopping = eventlet.spawn(entry.stop)
+    response = caller.read_response()
+    assert status_of(response) == 503
+    assert header_of(response, b"retry-after") is not None
+    stopping.wait()
+
+
+def test_a_stream_under_way_when_the_grace_time_ends_is_reset() -> None:
+    """Without a length, a response that ends early would look complete."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        dialog.wait_until_closed()
+
+    entry = start_entry(EndpointStandIn(stream), settings=entry_settings(grace_s=1.0))
+    caller = Caller(entry)
+    caller.send("/draft/a", rid="r-1")
+    assert b"id: 1" in caller.read_available()
+    entry.stop()
+    with pytest.raises(ConnectionResetError):
+        receive(caller.sock, 0.5)
