Answer pipelined requests before a stopping entry closes their connection

Callers that had sent several requests at once lost those behind the one in flight when the entry stopped: they had been read, and got neither an answer nor a refusal. A connection whose response had begun before the stop was closed without having said so.

Cause: a stop made the next response say `Connection: close`, whatever had been received behind it, and closed each connection after its response.

Change: in a stop, a response says `close` if no whole request was received behind it; a connection is closed after a response that said so, and otherwise as an idle one.

Evidence: three tests of test_serving.py failed before ("assert [200] == [200, 200, 200]", "assert [200] == [200, 503]", "IndexError: list index out of range") and pass now.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -61,6 +61,8 @@
         self.is_idle = True
         self.is_closing = False
         """Whether the next response announces that the connection will be closed."""
+        self.is_draining = False
+        """Whether a response does so behind which no whole request has been received."""
         self.head_sent = False
         self.is_complete = False
         self.sent_bytes = 0
@@ -236,13 +238,27 @@
             CallerGoneError: The caller closed the connection.
         """
         headers = list(head.headers)
-        if self.is_closing:
+        if self.is_closing or (self.is_draining and not self._has_pipelined_request()):
             headers.append((b"Connection", b"close"))
         self.head_sent = True
         self._send(
             h11.Response(status_code=head.status, reason=head.reason, headers=headers)
         )
 
+    def _has_pipelined_request(self) -> bool:
+        """Return whether a whole request was received behind the current one."""
+        received, _ = self._http.trailing_data
+        if not received:
+            return False
+        parser = _new_http_server(self._limits)
+        parser.receive_data(received)
+        try:
+            while isinstance(event := parser.next_event(), h11.Request | h11.Data):
+                pass
+        except h11.RemoteProtocolError:
+            return False
+        return isinstance(event, h11.EndOfMessage)
+
     def send_data(self, data: bytes) -> None:
         """Send a part of the response's body.
 
@@ -285,10 +301,9 @@
     def prepare_next_request(self) -> bool:
         """Prepare for another request; return whether the connection allows one."""
         done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not done or self.is_closing:
-            return False
-        self._http.start_next_cycle()
-        return True
+        if done:
+            self._http.start_next_cycle()
+        return done
 
     def abort(self) -> None:
         """Reset the connection, so that a partial response cannot look complete."""
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -182,7 +182,7 @@
                 return CloseCause.BAD_REQUEST
             if raw is None:
                 return CloseCause.IDLE if conn.has_idled else CloseCause.CALLER
-            conn.is_closing = self._entry.stopping_since is not None
+            conn.is_draining = self._entry.stopping_since is not None
             try:
                 self._serve_watched(conn, raw)
             except BadRequestError as exc:
@@ -263,7 +263,7 @@
             grace_s: Time from then until the process is killed, in seconds.
         """
         for conn in self._connections:
-            conn.is_closing = True
+            conn.is_draining = True
         while clock.now() < since + grace_s - EXIT_MARGIN_S:
             if clock.now() >= since + SERVE_WHILE_STOPPING_S:
                 self._close_idle()
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -12,7 +12,7 @@
 import pytest
 from eventlet.green import socket
 
-from dockreach.direct import caller_connection
+from dockreach.direct import caller_connection, serving
 from dockreach.direct.caller_connection import CallerConnection
 from dockreach.direct.entry import Entry
 from dockreach.direct.event_stream import EventSplitter
@@ -561,3 +561,67 @@
     eventlet.sleep(0.2)
     with pytest.raises(ConnectionResetError):
         sock.recv(65536)
+
+
+def read_responses(caller: Caller) -> list[bytes]:
+    """Read plain responses with the body "fine", or none, until the connection ends."""
+    return [b"HTTP" + part for part in caller.read_all().split(b"HTTP")[1:]]
+
+
+def test_requests_that_were_pipelined_before_a_stop_are_served() -> None:
+    """A response that says `close` would leave the requests behind it unanswered."""
+    endpoint = EndpointStandIn(respond_slowly, respond_ok)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    for number in range(3):
+        caller.send("/once/a", rid=f"r-{number}")
+    # The beginning of a request is no reason to wait for its end.
+    caller.sock.sendall(b"POST /once/a HTTP/1.1\r\n")
+    eventlet.sleep(0.1)
+    stopping = eventlet.spawn(entry.stop)
+    responses = read_responses(caller)
+    assert [status_of(row) for row in responses] == [200, 200, 200]
+    assert [header_of(row, b"connection") for row in responses] == [None, None, b"close"]
+    assert [header_of(row, b"request-id") for row in responses] == [b"r-0", b"r-1", b"r-2"]
+    stopping.wait()
+
+
+def test_requests_pipelined_behind_one_that_ends_late_in_a_stop_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(serving, "SERVE_WHILE_STOPPING_S", 0.2)
+    endpoint = EndpointStandIn(respond_slowly)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    for number in range(2):
+        caller.send("/once/a", rid=f"r-{number}")
+    eventlet.sleep(0.1)
+    stopping = eventlet.spawn(entry.stop)
+    responses = read_responses(caller)
+    assert [status_of(row) for row in responses] == [200, 503]
+    assert header_of(responses[1], b"retry-after") is not None
+    assert header_of(responses[1], b"connection") == b"close"
+    assert len(endpoint.requests) == 1
+    stopping.wait()
+
+
+def test_a_connection_whose_response_began_before_a_stop_serves_the_next_request() -> None:
+    """Its head did not say that the connection will be closed."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        eventlet.sleep(0.3)
+        dialog.chunk(b"")
+
+    entry = start_entry(EndpointStandIn(stream, respond_ok))
+    caller = Caller(entry)
+    caller.send("/draft/a", rid="r-1")
+    eventlet.sleep(0.1)
+    stopping = eventlet.spawn(entry.stop)
+    assert header_of(caller.read_response(), b"connection") is None
+    eventlet.sleep(0.1)
+    caller.send("/once/a", rid="r-2")
+    response = caller.read_response()
+    assert (status_of(response), header_of(response, b"connection")) == (200, b"close")
+    stopping.wait()
