Collect a response's body in one buffer

An entry held 22 times the size of a body that came in chunks of two bytes.

Cause: EndpointConnection.read_body kept each piece as an object.

Change: the pieces are appended to one buffer.

Evidence: the new test failed before ('assert 5768000 < (4 * 262144)' bytes at the peak) and passes now, with the 14 of test_endpoint_connection.py.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -167,16 +167,14 @@
         Raises:
             ResponseError: The body was truncated, or is too large.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while (data := self.read_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > max_bytes:
+            body += data
+            if len(body) > max_bytes:
                 raise self._limit_error(
                     ResponseLimit.BODY, f"response over {max_bytes} bytes"
                 )
-        return b"".join(parts)
+        return bytes(body)
 
     def drain_body(self) -> bool:
         """Read a body that is not used, so that the connection can be reused.
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import tracemalloc
 from collections.abc import Callable, Iterator
 from itertools import chain, repeat
 from typing import Any
@@ -216,3 +217,19 @@
         assert conn.read_data() is None
         assert conn.make_reusable()
         conn.send(b"GET", b"/", [(b"Host", b"h")], None)
+
+
+def test_a_body_in_tiny_chunks_holds_little_more_memory_than_its_size(
+    connect: Callable[..., Any],
+) -> None:
+    size = 1 << 18
+    conn, _ = connect(CHUNKED_HEAD, then=b"2\r\nxy\r\n" * 1000)
+    conn.read_head()
+    tracemalloc.start()
+    try:
+        with pytest.raises(ResponseError, match="over"):
+            conn.read_body(size)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 4 * size
