--- a/tests/direct/test_forwarder.py
+++ b/tests/direct/test_forwarder.py
@@ -141,6 +141,46 @@
     assert len(endpoint.dialogs) == 2
 
 
+def test_bytes_without_end_after_a_response_close_the_connection_to_the_endpoint() -> None:
+    def respond_and_flood(dialog: Dialog) -> None:
+        dialog.respond(b"fine")
+        send_flood(dialog)
+
+    endpoint = EndpointStandIn(respond_and_flood, respond_ok)
+    caller = Caller(start_entry(endpoint))
+    for number in range(2):
+        caller.send("/once/a", rid=f"r-{number}")
+        assert body_of(caller.read_response()) == b"fine"
+        eventlet.sleep(0.05)
+    assert len(endpoint.dialogs) == 2
+    with pytest.raises(OSError, match="reset|pipe"):
+        endpoint.dialogs[0].send(b"x" * 10_000_000)
+
+
+@pytest.mark.parametrize("path", ["/once/a", "/safe/a", "/draft/a", "/brief/a"])
+@pytest.mark.parametrize("piece", [b"x", b": wait\n"])
+def test_a_response_that_trickles_ends_with_the_requests_deadline(
+    path: str, piece: bytes
+) -> None:
+    def trickle(dialog: Dialog) -> None:
+        kind = b"text/event-stream" if path in ("/draft/a", "/brief/a") else b"text/plain"
+        dialog.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: "
+            + dialog.rid
+            + b"\r\nContent-Type: "
+            + kind
+            + b"\r\n\r\n"
+        )
+        while True:
+            dialog.send(piece)
+            eventlet.sleep(0.05)
+
+    endpoints = [EndpointStandIn(trickle) for _ in range(2)]
+    caller = Caller(start_entry(*endpoints))
+    caller.send(path, deadline_ms=500)
+    assert status_of(caller.read_response()) == 504
+
+
 def test_a_late_response_to_another_request_is_skipped() -> None:
     def respond_late_and_then_own(dialog: Dialog) -> None:
         dialog.send(
