--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -166,6 +166,11 @@
             self.renew()
         self._steps += 1
 
+    @property
+    def bytes_left(self) -> int:
+        """Bytes that may be read before the loop is given back."""
+        return MAX_TURN_BYTES - self._bytes
+
     def add_bytes(self, count: int) -> None:
         """Count bytes that were read."""
         self._bytes += count
@@ -204,7 +209,7 @@
     has_timed_out = False
     while True:
         try:
-            data: bytes = raw_sock.recv(RECV_BYTES)
+            data: bytes = raw_sock.recv(min(RECV_BYTES, share.bytes_left))
         except BlockingIOError:
             if has_timed_out:
                 raise TimeoutError(f"no data for {timeout_s:.1f} s") from None
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import tracemalloc
 from collections.abc import Callable, Iterator
 from itertools import chain, repeat
 from typing import Any
@@ -23,7 +24,7 @@
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 UNFRAMED_HEAD = HEAD + b"\r\n"
 
-MAX_BYTES_PER_TURN = 16384
+MAX_BYTES_PER_TURN = 8192
 MAX_READS_PER_TURN = 256
 MAX_READS = 100_000
 """Reads after which an endless response ends, so that a test that fails ends too."""
@@ -95,8 +96,8 @@
 
 @pytest.mark.parametrize(
     "endless",
-    [b"\xa5" * RECV_BYTES, b"\xa5", b": comment\n"],
-    ids=["full reads", "single bytes", "comments"],
+    [b"\xa5" * RECV_BYTES, b"\xa5" * (RECV_BYTES - 1), b"\xa5", b": comment\n"],
+    ids=["full reads", "nearly full reads", "single bytes", "comments"],
 )
 def test_a_body_without_end_does_not_hold_up_other_greenlets(
     connect: Callable[..., Any], endless: bytes
@@ -216,3 +217,19 @@
         assert conn.read_data() is None
         assert conn.make_reusable()
         conn.send(b"GET", b"/", [(b"Host", b"h")], None)
+
+
+def test_a_body_in_tiny_chunks_holds_little_more_memory_than_its_size(
+    connect: Callable[..., Any],
+) -> None:
+    size = 1 << 18
+    conn, _ = connect(CHUNKED_HEAD, then=b"2\r\nxy\r\n" * 1000)
+    conn.read_head()
+    tracemalloc.start()
+    try:
+        with pytest.raises(ResponseError, match="over"):
+            conn.read_body(size)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 4 * size
