Take no connection after a stop has finished its requests

Cause: the listener stayed open until the process had exited. What was accepted after the last look at the connections, or came into the backlog, was read or lay there until then.

Change: when no connection is left, the listener is closed, which resets what was not accepted, and the stop looks once more for a connection that had just been accepted.

Evidence, test_a_stopped_entry_takes_no_request_that_its_exit_would_leave_unanswered: before, "DID NOT RAISE ConnectionRefusedError"; with the change the 56 tests of test_serving and test_entry pass.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -94,6 +94,7 @@
         self.settings = settings
         clock.patch_hub_clock()
         self._listener = listener
+        self._acceptor: Any = None
         self.started_at = clock.now()
         self.revision: ConfigRevision | None = None
         self.stopping_since: float | None = None
@@ -193,8 +194,8 @@
         self.gossip.start()
         settings = self.settings
         pages = EntryPages(self)
-        listener = self._listener or listen(settings.callers_address)
-        eventlet.spawn(self._accept_callers, listener)
+        self._listener = self._listener or listen(settings.callers_address)
+        self._acceptor = eventlet.spawn(self._accept_callers, self._listener)
         self._listen(settings.health_address, partial(serve_page, page=pages.health))
         self._listen(settings.gossip_address, partial(serve_page, page=pages.view))
         if settings.metrics_address is not None:
@@ -566,6 +567,12 @@
         self.ctx.streams.report_running()
         self._recount_in_flight(now)
 
+    def _stop_accepting(self) -> None:
+        """Close the listener, which resets connections that were not accepted yet."""
+        if self._acceptor is not None and self._listener is not None:
+            self._acceptor.kill()
+            self._listener.close()
+
     def stop(self) -> bool:
         """Accept no new callers, and finish the requests in flight.
 
@@ -579,7 +586,7 @@
         self._coordinator_selector.is_leaving = True
         log(Event.STOPPING, connections=len(self.callers))
         self.gossip.send_now()
-        self.callers.drain(self.stopping_since, self.settings.grace_s)
+        self.callers.drain(self.stopping_since, self.settings.grace_s, self._stop_accepting)
         log(Event.STOPPED, cut=len(self.callers))
         return True
 
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -255,20 +255,31 @@
         conn.is_closing = True
         conn.send_response(RawHead(exc.status, b"Bad Request", []), b"")
 
-    def drain(self, since: float, grace_s: float) -> None:
+    def drain(
+        self,
+        since: float,
+        grace_s: float,
+        stop_accepting: Callable[[], None] = lambda: None,
+    ) -> None:
         """Finish the requests in flight, then return.
 
         Args:
             since: Monotonic time at which the stop began, in seconds.
             grace_s: Time from then until the process is killed, in seconds.
+            stop_accepting: Called before the last requests are finished.
         """
+        is_accepting = True
         for conn in self._connections:
             conn.is_draining = True
         while clock.now() < since + grace_s - EXIT_MARGIN_S:
             if clock.now() >= since + SERVE_WHILE_STOPPING_S:
                 self._close_idle()
                 if not self._connections and not self._lingering:
-                    return
+                    if not is_accepting:
+                        return
+                    # A connection that was accepted just before is not registered yet.
+                    stop_accepting()
+                    is_accepting = False
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
         for conn in self._connections:
             self._log_abandoned(conn, AbandonCause.GRACE_OVER, Party.ENTRY)
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -665,3 +665,11 @@
     response = caller.read_response()
     assert (status_of(response), header_of(response, b"connection")) == (200, b"close")
     stopping.wait()
+
+
+def test_a_stopped_entry_takes_no_request_that_its_exit_would_leave_unanswered() -> None:
+    entry = start_entry(EndpointStandIn(respond_ok), settings=entry_settings(grace_s=20.0))
+    assert entry.stop()
+    # The process exits now: nothing else may run, such as the greenlet that accepts.
+    with plain_socket.socket() as sock, pytest.raises(ConnectionRefusedError):
+        sock.connect((LOCAL, entry.settings.callers_address.port))
