Send a request to a second endpoint beside a silent one, and read both

Callers saw: a response that was lost or cut off although its endpoint was only silent for a moment: the request was sent elsewhere after its connection had been closed, and the other endpoint refused, broke, or was silent too.

Cause: to be silent was taken for to be broken. The retry replaced the first upstream request.

Change: after the same times as before, a second upstream request with a slot of its own is sent beside the first. The first one whose response goes on wins, and the other is closed. Before it was sent, and when it is refused, breaks or fails, only the first one is read. So that no two endpoints work on a stream that has begun for long, the first one is closed 0.3 s after the second was sent, unless that was refused. A silence alone is no failure of the endpoint; one that is replaced counts as before. Attempts and the retry budget count the second when it is sent. Event 709 says what became of it; counters hedges and hedges_won, fate superseded.

Evidence: tests/direct/test_silent_endpoints.py. On the code before, 15 of its tests failed (a second endpoint that refuses, resets, fails or is silent; the second response passed on while the first is silent; both closed when the caller leaves; the overlap), such as test_a_failing_second_endpoint_does_not_end_the_response_of_a_silent_first[/safe/a-...-refuse]. After: all pass.

--- a/dockreach/direct/attempt.py
+++ b/dockreach/direct/attempt.py
@@ -29,6 +29,9 @@
     LOST = "lost"
     """No complete response arrived; the request may have run."""
 
+    SUPERSEDED = "superseded"
+    """It was sent beside a silent one, which then went on."""
+
 
 NOT_RUN_OUTCOMES = frozenset(
     (AttemptOutcome.NOT_SENT, AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_RUN)
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -32,6 +32,8 @@
         cut: Responses that were aborted after their head was sent.
         callers_gone: Connections that callers closed before the response was complete.
         retries: Upstream attempts after a failed one, resumed streams included.
+        hedges: Upstream attempts that were sent beside a silent one.
+        hedges_won: Those with which the request went on.
         resumes: Not used, and always 0.
         late_answers: Late responses to earlier requests, which are skipped.
         invalid_loads: Responses whose header with the endpoint's load is not valid.
@@ -44,6 +46,8 @@
     cut: int = 0
     callers_gone: int = 0
     retries: int = 0
+    hedges: int = 0
+    hedges_won: int = 0
     resumes: int = 0
     late_answers: int = 0
     invalid_loads: int = 0
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -4,7 +4,7 @@
 
 import math
 from contextlib import ExitStack
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import eventlet
 
@@ -16,7 +16,7 @@
 from .crash_reporter import UnansweredRequest
 from .dispatching import VERSION_GONE_REFUSAL
 from .endpoints import EndpointRow
-from .hedging import LASTING_BARRIERS, HedgeBarrier
+from .hedging import LASTING_BARRIERS, OVERLAP_S, HedgeBarrier, Race
 from .http1 import ConnectError, RawHead, ResponseError, SilentError
 from .jobs import Job, queue_timeout_s
 from .outcomes import DeliveryProgress
@@ -61,6 +61,8 @@
 MIN_FAILURE_STATUS = 400
 """Lowest status that counts as a failed response."""
 
+HEDGE_SENT = "sent"
+
 DEFAULT_RETRY_AFTER_S = 0.5
 """Retry time that a refused caller gets where no better one is known, in seconds."""
 
@@ -296,22 +298,155 @@
         return None
 
     def _attempt(self, row: EndpointRow) -> Attempt:
-        """Send the request to one endpoint and pass on its response if it is usable."""
+        """Send the request to an endpoint and pass on its response if it is usable.
+
+        Returns:
+            How the last attempt ended, if others were made while it was silent.
+        """
         upstream = self._open_upstream(row, self._job)
         self._current = upstream
         try:
             self._send(upstream)
-            attempt = self._relay(upstream)
-        except ConnectError as exc:
+        except (ConnectError, ResponseError) as exc:
+            return self._end_failed(upstream, exc)
+        while True:
+            try:
+                item = upstream.next_item(self._silent_at(upstream))
+            except SilentError:
+                upstream = self._hedge(upstream)
+                self._current = upstream
+                continue
+            except ResponseError as exc:
+                return self._end_failed(upstream, exc)
+            attempt = self._deliver(item, upstream)
+            if attempt is not None:
+                self._end(upstream, attempt)
+                return attempt
+
+    def _end_failed(
+        self, upstream: UpstreamRequest, exc: ConnectError | ResponseError
+    ) -> Attempt:
+        """Record that no connection could be opened, or that it broke."""
+        row = upstream.row
+        if isinstance(exc, ConnectError):
             row.mark_unreachable(self._ctx.now())
             attempt = Attempt(AttemptOutcome.NOT_SENT, row.id, str(exc))
-        except ResponseError as exc:
-            attempt = self._record_broken(upstream, exc)
-        except SilentError:
-            attempt = self._record_timeout(upstream)
+        else:
+            row.record_failure(self._ctx.now())
+            row.mark_connection_broken(self._ctx.now())
+            self._report_unanswered(upstream, is_connection_broken=True)
+            attempt = Attempt(AttemptOutcome.LOST, row.id, str(exc))
         self._end(upstream, attempt)
         return attempt
 
+    def _hedge(self, first: UpstreamRequest) -> UpstreamRequest:
+        """Send the request to a second endpoint while a silent one is still read.
+
+        Returns:
+            The upstream request to go on with.
+        """
+        barrier = self._hedge_barrier()
+        if barrier is not None:
+            self._log_silence(first, barrier.value)
+            is_lasting = barrier in LASTING_BARRIERS
+            first.silence_noted_at = math.inf if is_lasting else self._ctx.now()
+            return first
+        now = self._ctx.now()
+        job = self._job.for_second_request(
+            now + queue_timeout_s(self._route, self._deadline - now)
+        )
+        job.tried_endpoints.add(first.row.id)
+        # Two endpoints must not continue the same stream for long.
+        overlap_s = OVERLAP_S if self._last_event_id else math.inf
+        race = Race(first, partial(self._start_second, first, job), overlap_s)
+        race.run()
+        return self._settle(first, race.second)
+
+    def _start_second(self, first: UpstreamRequest, job: Job) -> UpstreamRequest | None:
+        """Wait for a slot and send the request there.
+
+        Returns:
+            The upstream request; ``None`` if it was not sent.
+        """
+        second: UpstreamRequest | None = None
+        state = HedgeBarrier.NOT_NEEDED.value
+        try:
+            found = self._acquire_second_slot(job)
+            if isinstance(found, Refusal):
+                state = found.reason.value
+                return None
+            second = self._open_upstream(found, job)
+            if not self._ctx.try_acquire_retry(job.service):
+                state = HedgeBarrier.RETRY_BUDGET.value
+                return None
+            self._send(second)
+            state = HEDGE_SENT
+        except (ConnectError, ResponseError) as exc:
+            state = HedgeBarrier.BROKEN.value
+            if second is not None:
+                self._end_failed(second, exc)
+            return None
+        finally:
+            self._log_silence(first, state)
+            if second in self._open and state != HEDGE_SENT:
+                self._discard(second)
+        self._ctx.counters.hedges += 1
+        return second
+
+    def _acquire_second_slot(self, job: Job) -> EndpointRow | Refusal:
+        """Wait for the slot of an endpoint that the request was not sent to."""
+        found = self._acquire_slot(job)
+        if isinstance(found, Refusal) or found.id not in job.tried_endpoints:
+            return found
+        self._ctx.scheduler.release_slot(job)
+        return Refusal(Verdict.NOT_RUN, Reason.NO_ENDPOINT)
+
+    def _settle(
+        self, first: UpstreamRequest, second: UpstreamRequest | None
+    ) -> UpstreamRequest:
+        """Close the loser of a race, and return the one to go on with."""
+        first.silence_noted_at = self._ctx.now()
+        if second is None:
+            return first
+        if self._is_for_caller(first.result):
+            self._discard(second)
+            return first
+        if second.result is not None and not self._is_for_caller(second.result):
+            self._end_with_result(second)
+            return first
+        if first.result is not None:
+            self._end_with_result(first)
+        else:
+            self._end(first, self._record_timeout(first))
+        self._ctx.counters.hedges_won += 1
+        return second
+
+    def _is_for_caller(self, result: Item | ResponseError | None) -> bool:
+        """Return whether what was read from an endpoint can be passed on."""
+        if isinstance(result, PlainResponse):
+            return result.head.status not in SERVER_ERRORS and not self._caller.head_sent
+        return isinstance(result, EventBatch | StreamEnd)
+
+    def _end_with_result(self, upstream: UpstreamRequest) -> None:
+        """End an upstream request whose result cannot be passed on."""
+        try:
+            attempt = self._deliver(upstream.next_item(), upstream)
+        except ResponseError as exc:
+            self._end_failed(upstream, exc)
+            return
+        if attempt is not None:
+            self._end(upstream, attempt)
+
+    def _discard(self, upstream: UpstreamRequest) -> None:
+        """Close a second upstream request that is not needed."""
+        if upstream.is_sent:
+            self._report_unanswered(upstream, is_connection_broken=False)
+            attempt = Attempt(AttemptOutcome.SUPERSEDED, upstream.row.id, "not needed")
+            self._end(upstream, attempt)
+            return
+        self._open.remove(upstream)
+        upstream.close(self._max_idle)
+
     def _open_upstream(self, row: EndpointRow, job: Job) -> UpstreamRequest:
         placement = self._make_placement(row, job)
         upstream = UpstreamRequest(self._ctx, self._req, job, row, placement)
@@ -337,14 +472,6 @@
         )
         upstream.send(headers)
 
-    def _record_broken(self, upstream: UpstreamRequest, exc: ResponseError) -> Attempt:
-        """Record that the connection of an upstream request broke."""
-        row = upstream.row
-        row.record_failure(self._ctx.now())
-        row.mark_connection_broken(self._ctx.now())
-        self._report_unanswered(upstream, is_connection_broken=True)
-        return Attempt(AttemptOutcome.LOST, row.id, str(exc))
-
     def _record_timeout(self, upstream: UpstreamRequest) -> Attempt:
         """Record that an upstream request is given up since it was silent."""
         row = upstream.row
@@ -368,6 +495,7 @@
         if attempt.response is not None:
             self._last_error_response = attempt.response
         self.attempts.append(attempt)
+        self._job.record_events(upstream.job.events, upstream.job.events_at)
         self._job.tried_endpoints.add(upstream.row.id)
         if attempt.outcome is AttemptOutcome.DELIVERED:
             if not self.progress.is_failure:
@@ -457,45 +585,15 @@
             return HedgeBarrier.QUARANTINE
         if not self._ctx.has_retry_left(job.service):
             return HedgeBarrier.RETRY_BUDGET
-        others = self._ctx.endpoints.accepting(
-            job.service, job.allowed_halls, job.software_version
-        )
-        if not any(self._is_free(row) for row in others):
+        version = job.software_version
+        if self._origin is not None:
+            version = self._origin.software_version
+        others = self._ctx.endpoints.accepting(job.service, job.allowed_halls, version)
+        tried = {*job.tried_endpoints, *(upstream.row.id for upstream in self._open)}
+        if all(row.id in tried for row in others):
             return HedgeBarrier.NO_ENDPOINT
         return None
 
-    def _is_free(self, row: EndpointRow) -> bool:
-        """Return whether the request may be sent to an endpoint now beside the current."""
-        current = self._current.row.id if self._current is not None else ""
-        return (
-            row.id not in {*self._job.tried_endpoints, current}
-            and row.free_slots > 0
-            and row.circuit_open_until <= self._ctx.now()
-        )
-
-    def _relay(self, upstream: UpstreamRequest) -> Attempt:
-        """Pass on the response of an endpoint as it arrives.
-
-        Raises:
-            ResponseError: The response was truncated.
-            SilentError: The endpoint is silent, and another one can respond.
-        """
-        while True:
-            try:
-                item = upstream.next_item(self._silent_at(upstream))
-            except SilentError:
-                barrier = self._hedge_barrier()
-                self._log_silence(upstream, barrier)
-                if barrier is None:
-                    raise
-                upstream.silence_noted_at = (
-                    math.inf if barrier in LASTING_BARRIERS else self._ctx.now()
-                )
-                continue
-            attempt = self._deliver(item, upstream)
-            if attempt is not None:
-                return attempt
-
     @singledispatchmethod
     def _deliver(self, item: Item, upstream: UpstreamRequest) -> Attempt | None:
         """Pass on an item of a response if it is usable.
@@ -608,14 +706,14 @@
         for part, _ in self._req.prefix:
             row.record_prefix(part, now)
 
-    def _log_silence(self, upstream: UpstreamRequest, barrier: HedgeBarrier | None) -> None:
+    def _log_silence(self, upstream: UpstreamRequest, second: str) -> None:
         log(
             Event.ENDPOINT_SILENT,
             rid=self._req.rid,
             endpoint=upstream.row.id,
             silent_ms=round((self._ctx.now() - upstream.progressed_at) * 1000),
             events=self.progress.events,
-            second="sent" if barrier is None else barrier.value,
+            second=second,
         )
 
     def _log_attempt(self, upstream: UpstreamRequest, attempt: Attempt) -> None:
--- a/dockreach/direct/hedging.py
+++ b/dockreach/direct/hedging.py
@@ -3,6 +3,19 @@
 from __future__ import annotations
 
 import enum
+import math
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet.queue import Empty, LightQueue
+
+from .. import clock
+from .upstream_request import UpstreamRequest
+
+OVERLAP_S = 0.3
+"""How long two endpoints may continue the same stream, in seconds. Engines stop a request
+some time after its connection was closed."""
 
 
 class HedgeBarrier(enum.StrEnum):
@@ -17,8 +30,103 @@
     QUARANTINE = "quarantine"
     RETRY_BUDGET = "retry_budget"
     NO_ENDPOINT = "no_endpoint"
-    """No other endpoint is free."""
+    """No other endpoint serves."""
+
+    NOT_NEEDED = "not_needed"
+    """The silent one went on, or the request ended, before the second one was sent."""
+
+    BROKEN = "broken"
+    """No connection could be opened, or it broke at once."""
 
 
 LASTING_BARRIERS = frozenset((HedgeBarrier.RETRY_MODE, HedgeBarrier.ATTEMPTS))
 """Barriers that stay for the rest of the request."""
+
+
+class Race:
+    """Reads a silent upstream request while a second one is started and read beside it.
+
+    Args:
+        first: The silent one.
+        start_second: Waits for a slot, sends the request there, and returns that upstream
+            request, or `None` if there is none; called in a greenlet.
+        overlap_s: How long the first one is read after the second was sent, in seconds.
+
+    Attributes:
+        second: The second one, once it was sent.
+    """
+
+    def __init__(
+        self,
+        first: UpstreamRequest,
+        start_second: Callable[[], UpstreamRequest | None],
+        overlap_s: float,
+    ) -> None:
+        self._first = first
+        self._start_second = start_second
+        self._overlap_s = overlap_s
+        self.second: UpstreamRequest | None = None
+        self._is_second_over = False
+        self._error: Exception | None = None
+        self._changes = LightQueue()
+
+    def run(self) -> None:
+        """Read until one has a result, no second is to be had, or the overlap is over."""
+        greenlets = [
+            eventlet.spawn(self._run, self._first.read_ahead),
+            eventlet.spawn(self._run, self._run_second),
+        ]
+        try:
+            while not self._is_decided():
+                self._await_change()
+        finally:
+            _kill_all(greenlets)
+        if self._error is not None:
+            raise self._error
+
+    def _run(self, function: Callable[[], None]) -> None:
+        """Run in a greenlet; an error goes to the one that waits for the race."""
+        try:
+            function()
+        except Exception as exc:  # noqa: BLE001
+            self._error = exc
+        self._changes.put(None)
+
+    def _run_second(self) -> None:
+        self.second = self._start_second()
+        if self.second is None:
+            self._is_second_over = True
+            return
+        self._changes.put(None)
+        self.second.read_ahead()
+
+    def _is_decided(self) -> bool:
+        second = self.second
+        return (
+            self._error is not None
+            or self._is_second_over
+            or self._first.result is not None
+            or (second is not None and second.result is not None)
+            or clock.now() >= self._overlap_until
+        )
+
+    @property
+    def _overlap_until(self) -> float:
+        return math.inf if self.second is None else self.second.sent_at + self._overlap_s
+
+    def _await_change(self) -> None:
+        until = self._overlap_until
+        timeout_s = None if math.isinf(until) else max(until - clock.now(), 0.0)
+        try:
+            self._changes.get(timeout=timeout_s)
+        except Empty:
+            return
+
+
+def _kill_all(greenlets: list[Any]) -> None:
+    """Kill greenlets, also if this is interrupted."""
+    while greenlets:
+        try:
+            greenlets.pop().kill()
+        finally:
+            _kill_all(greenlets)
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from ..verdict import Refusal
@@ -173,6 +173,32 @@
             for_peer=True,
         )
 
+    def for_second_request(self, queue_deadline: float) -> Job:
+        """Return a job for a second upstream request beside the one that holds the slot.
+
+        Its refusal is none of the caller, so that it is not remembered as one.
+
+        Args:
+            queue_deadline: Time until which it may wait for a slot.
+        """
+        tried = set(self.tried_endpoints)
+        if self.endpoint is not None:
+            tried.add(self.endpoint.id)
+        return replace(
+            self,
+            queue_deadline=queue_deadline,
+            tried_endpoints=tried,
+            endpoint=None,
+            prefill_tokens=0,
+            prefill_ahead=0,
+            number=0,
+            granted_by="",
+            blocked_until={},
+            slot_at=-math.inf,
+            retry_key=b"",
+            is_promised=False,
+        )
+
     def acquire_slot(
         self, row: EndpointRow, *, prefill_ahead: int, found_free_slot: bool
     ) -> None:
--- a/dockreach/direct/upstream_request.py
+++ b/dockreach/direct/upstream_request.py
@@ -96,6 +96,7 @@
         event_count: Events that were received.
         has_proven_parts: Whether it was recorded that its prompt's parts are harmless.
         pace: Measures the interval between its events.
+        result: What was read ahead: the next item, or why there is none.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.event_count = 0
         self.has_proven_parts = False
         self.pace = EventGapMeter(row)
+        self.result: Item | ResponseError | None = None
         self._conn: EndpointConnection | None = None
         self._keep_alive_s: float | None = 0.0
         self._head: ResponseHead | None = None
@@ -177,6 +179,19 @@
             SilentError: There is no complete item yet.
             ResponseError: The connection broke, or the response is not valid.
         """
+        result, self.result = self.result, None
+        if isinstance(result, ResponseError):
+            raise result
+        return result or self._read_item(until)
+
+    def read_ahead(self) -> None:
+        """Read the next item, which `next_item` will return; may be killed meanwhile."""
+        try:
+            self.result = self._read_item(math.inf)
+        except ResponseError as exc:
+            self.result = exc
+
+    def _read_item(self, until: float) -> Item:
         self._connection.read_until = until
         if self._head is None:
             self._head = self._read_own_head()
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
+import time
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
 import eventlet
 import pytest
 
+from dockreach.direct.endpoint_selection import EXTRA_REQUESTS
+from dockreach.direct.endpoints import FIRST_CIRCUIT_OPEN_S
 from dockreach.direct.entry import Entry
+from dockreach.direct.hedging import OVERLAP_S
 from dockreach.direct.retry_budget import RetryPolicy
 
 from .standins import (
@@ -19,7 +24,10 @@
     Script,
     body_of,
     entry_settings,
+    fill_pool,
+    header_of,
     published,
+    respond_fine,
     start_entry,
     status_of,
 )
@@ -138,6 +146,38 @@
     return script
 
 
+def send_rest(dialog: Dialog) -> None:
+    """Send the events that the caller does not have."""
+    last = int(header_of(dialog.request, b"last-event-id") or 0)
+    dialog.start_stream()
+    for number in range(last + 1, 4):
+        dialog.chunk(event(number))
+    dialog.chunk(b"")
+
+
+def refuse(dialog: Dialog) -> None:
+    dialog.respond(b"", status=b"503 Full", extra=b"Not-Executed: 1\r\n")
+
+
+def respond_with_error(dialog: Dialog) -> None:
+    dialog.respond(b"broken", status=b"500 Oops")
+
+
+def never_respond(dialog: Dialog) -> None:
+    dialog.wait_until_closed()
+
+
+def in_turn(*scripts: Script) -> list[EndpointStandIn]:
+    """Return two endpoints; the first request to any runs the first script, and so on."""
+    left = list(scripts)
+
+    def run_next(dialog: Dialog) -> None:
+        script = left.pop(0)
+        script(dialog)
+
+    return [EndpointStandIn(run_next) for _ in range(2)]
+
+
 STREAM_PAUSES = [
     pause_after_first_event,
     pause_inside_event,
@@ -210,9 +250,218 @@
             published(f"e-{i}", row.address, slots=1) for i, row in enumerate(endpoints)
         ]
         entry.replace_endpoints(listed, 2)
-        holder = Caller(entry)
-        holder.send("/draft/a", rid="r-holds", deadline_ms=DEADLINE_MS)
-        eventlet.sleep(0.05)
-        return request(entry, path)
+        greenlet = eventlet.spawn(request, entry, path)
+        eventlet.sleep(0.1)
+        holders = [Caller(entry) for _ in range(2 * (1 + EXTRA_REQUESTS))]
+        for holder in holders:
+            holder.send("/draft/a", rid="r-holds", deadline_ms=DEADLINE_MS)
+        answer: Answer = greenlet.wait()
+        return answer
 
     assert at_each_silence(run) == always(answer)
+
+
+@pytest.mark.parametrize("failure", [refuse, Dialog.reset, respond_with_error])
+@pytest.mark.parametrize(
+    ("path", "pause", "answer"),
+    [
+        ("/brief/a", pause_after_first_event, WHOLE_STREAM),
+        ("/brief/a", pause_before_head, WHOLE_STREAM),
+        ("/safe/a", pause_before_plain_response, FINE),
+    ],
+)
+def test_a_failing_second_endpoint_does_not_end_the_response_of_a_silent_first(
+    path: str, pause: Callable[[float], Script], answer: Answer, failure: Script
+) -> None:
+    def run(silence_s: float) -> Answer:
+        return request(start_entry(*in_turn(pause(silence_s), failure)), path)
+
+    assert at_each_silence(run) == always(answer)
+
+
+def test_a_silent_second_endpoint_does_not_end_the_response_of_a_silent_first() -> None:
+    def run(silence_s: float) -> Answer:
+        scripts = pause_before_plain_response(silence_s), never_respond
+        return request(start_entry(*in_turn(*scripts)), "/safe/a")
+
+    assert at_each_silence(run) == always(FINE)
+
+
+@pytest.mark.parametrize("silence_s", [0.45, 0.6, 1.0, 3.0])
+@pytest.mark.parametrize("second_pauses_s", [0.0, 0.1, 0.25, 0.5])
+def test_no_event_is_missing_or_repeated_if_both_endpoints_go_on(
+    silence_s: float, second_pauses_s: float
+) -> None:
+    def send_rest_late(dialog: Dialog) -> None:
+        eventlet.sleep(second_pauses_s)
+        send_rest(dialog)
+
+    endpoints = in_turn(pause_after_first_event(silence_s), send_rest_late)
+    assert request(start_entry(*endpoints), "/brief/a") == WHOLE_STREAM
+
+
+@pytest.mark.parametrize("second", [respond_fine, pause_before_plain_response(0.3)])
+def test_a_plain_response_of_a_second_endpoint_is_passed_on_at_once(second: Script) -> None:
+    entry = start_entry(*in_turn(pause_before_plain_response(4.0), second))
+    began = time.monotonic()
+    assert request(entry, "/safe/a") == FINE
+    assert time.monotonic() - began < 2.0
+    counters = entry.ctx.counters
+    assert (counters.hedges, counters.hedges_won) == (1, 1)
+
+
+def test_a_first_endpoint_that_breaks_does_not_end_the_response_of_the_second() -> None:
+    def break_late(dialog: Dialog) -> None:
+        eventlet.sleep(1.0)
+        dialog.reset()
+
+    endpoints = in_turn(break_late, pause_before_plain_response(1.5))
+    assert request(start_entry(*endpoints), "/safe/a") == FINE
+
+
+def dialogs_of(endpoints: list[EndpointStandIn]) -> list[Dialog]:
+    return [dialog for endpoint in endpoints for dialog in endpoint.dialogs]
+
+
+@pytest.mark.parametrize("path", ["/brief/a", "/safe/a"])
+def test_both_endpoints_stop_when_the_caller_leaves(path: str) -> None:
+    endpoints = in_turn(never_respond, never_respond)
+    entry = start_entry(*endpoints)
+    caller = Caller(entry)
+    caller.send(path, body=b"prompt")
+    eventlet.sleep(1.4)
+    dialogs = dialogs_of(endpoints)
+    assert [dialog.is_closed_by_peer for dialog in dialogs] == [False, False]
+    caller.close()
+    eventlet.sleep(0.3)
+    assert [dialog.is_closed_by_peer for dialog in dialogs] == [True, True]
+    assert [row.in_flight_here for row in entry.endpoints] == [0, 0]
+
+
+def test_both_endpoints_stop_at_the_deadline() -> None:
+    endpoints = in_turn(never_respond, never_respond)
+    entry = start_entry(*endpoints)
+    caller = Caller(entry)
+    caller.send("/safe/a", deadline_ms=1500)
+    assert status_of(caller.read_response()) == 504
+    eventlet.sleep(0.2)
+    assert [dialog.is_closed_by_peer for dialog in dialogs_of(endpoints)] == [True, True]
+    assert [row.in_flight_here for row in entry.endpoints] == [0, 0]
+
+
+def test_a_caller_that_leaves_while_the_second_waits_for_a_slot_leaks_none(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    def hold_or_pause(dialog: Dialog) -> None:
+        dialog.wait_until_closed()
+
+    endpoints = [EndpointStandIn(hold_or_pause) for _ in range(2)]
+    entry = start_entry(*endpoints)
+    listed = [published(f"e-{i}", row.address, slots=1) for i, row in enumerate(endpoints)]
+    entry.replace_endpoints(listed, 2)
+    callers = [Caller(entry) for _ in range(2 * (1 + EXTRA_REQUESTS))]
+    for number, caller in enumerate(callers):
+        caller.send("/safe/a", rid=f"r-{number}", deadline_ms=DEADLINE_MS)
+    eventlet.sleep(1.0)
+    for caller in callers:
+        caller.close()
+    eventlet.sleep(0.3)
+    assert [row.in_flight_here for row in entry.endpoints] == [0, 0]
+    assert entry.dispatcher.waiting() == {}
+    assert "Traceback" not in capfd.readouterr().err
+
+
+def test_two_endpoints_do_not_continue_one_stream_for_long() -> None:
+    closed_at: list[float] = []
+    sent_at: list[float] = []
+
+    def be_silent(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(event(1))
+        dialog.wait_until_closed()
+        closed_at.append(time.monotonic())
+
+    def continue_late(dialog: Dialog) -> None:
+        sent_at.append(time.monotonic())
+        eventlet.sleep(1.0)
+        send_rest(dialog)
+
+    entry = start_entry(*in_turn(be_silent, continue_late))
+    assert request(entry, "/brief/a") == WHOLE_STREAM
+    assert 0.0 <= closed_at[0] - sent_at[0] < OVERLAP_S + 0.1
+
+
+def test_a_stream_silent_for_good_on_a_reused_connection_is_resumed_soon() -> None:
+    endpoints = [EndpointStandIn(respond_fine, send_rest) for _ in range(2)]
+    entry = start_entry(*endpoints)
+    for endpoint in endpoints:
+        fill_pool(entry, endpoint)
+        endpoint.stall_open_connections()
+    began = time.monotonic()
+    assert request(entry, "/brief/a") == WHOLE_STREAM
+    assert time.monotonic() - began < 2.0
+
+
+def test_a_sound_endpoint_that_was_silent_gets_requests_again_soon() -> None:
+    def pause_once(dialog: Dialog) -> None:
+        if dialog.rid == b"r-1":
+            eventlet.sleep(1.0)
+        dialog.respond(b"fine")
+
+    endpoint = EndpointStandIn(pause_once)
+    entry = start_entry(endpoint)
+    assert request(entry, "/safe/a") == FINE
+    row = next(iter(entry.endpoints))
+    assert (row.consecutive_failures, row.circuit_open_until) == (0, 0.0)
+
+
+def test_a_replaced_sound_endpoint_gets_requests_again_after_the_first_back_off() -> None:
+    endpoints = in_turn(
+        pause_before_plain_response(1.0), *[pause_before_plain_response(0.2)] * 9
+    )
+    entry = start_entry(*endpoints)
+    assert request(entry, "/safe/a") == FINE
+    eventlet.sleep(FIRST_CIRCUIT_OPEN_S + 0.1)
+    greenlets = [
+        eventlet.spawn(request, entry, "/safe/a", f"r-{number}") for number in range(2, 10)
+    ]
+    assert [greenlet.wait() for greenlet in greenlets] == [FINE] * 8
+    assert all(len(endpoint.requests) > 1 for endpoint in endpoints)
+
+
+def test_a_silent_stream_is_not_continued_at_another_software_version() -> None:
+    endpoints = in_turn(pause_after_first_event(1.0), send_rest)
+    entry = start_entry(*endpoints)
+    listed = [
+        published(f"e-{i}", row.address, software_version=f"v{i}")
+        for i, row in enumerate(endpoints)
+    ]
+    entry.replace_endpoints(listed, 2)
+    assert request(entry, "/brief/a") == WHOLE_STREAM
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 1
+
+
+def test_endpoints_do_not_continue_a_stream_of_an_earlier_request_for_long() -> None:
+    """The caller took the stream up itself, so that no event was passed on yet."""
+    endpoints = in_turn(never_respond, pause_before_head(2.0))
+    entry = start_entry(*endpoints)
+    caller = Caller(entry)
+    caller.send("/brief/a", extra="Last-Event-Id: 1\r\n", deadline_ms=DEADLINE_MS)
+    eventlet.sleep(1.0 + OVERLAP_S + 0.3)
+    closed = [dialog.is_closed_by_peer for dialog in dialogs_of(endpoints)]
+    assert sorted(closed) == [False, True]
+
+
+@pytest.mark.parametrize(
+    ("path", "second"), [("/brief/a", "no_endpoint"), ("/draft/a", "retry_mode")]
+)
+def test_a_silence_is_logged_with_the_reason_why_no_second_endpoint_was_asked(
+    path: str, second: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "dockreach")
+    entry = start_entry(EndpointStandIn(pause_after_first_event(0.6)))
+    assert request(entry, path) == WHOLE_STREAM
+    lines = [vars(record) for record in caplog.records if vars(record).get("event") == 709]
+    assert [(line["second"], line["endpoint"]) for line in lines] == [(second, "e-0")]
+    assert lines[0]["events"] == 1
+    assert 400 <= lines[0]["silent_ms"] < 600
