--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -354,8 +354,8 @@
     ),
     Edit(
         "a request that is quarantined while it waits is not run",
-        "direct/forwarder.py",
-        "            if self._is_quarantined:\n",
+        "direct/slot_acquirer.py",
+        "            if self.is_quarantined and not is_allowed_probe:\n",
         "            if False:\n",
     ),
     Edit(
@@ -464,7 +464,7 @@
     ),
     Edit(
         "a stream goes on at the software version that began it",
-        "direct/forwarder.py",
+        "direct/slot_acquirer.py",
         "            job.software_version = self._origin.software_version\n",
         "            pass\n",
     ),
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -13,9 +13,8 @@
 from ..verdict import Reason, Refusal, Verdict
 from .attempt import NOT_RUN_OUTCOMES, Attempt, AttemptOutcome, Placement
 from .context import Context
-from .crash_reporter import UnansweredRequest
-from .dispatching import VERSION_GONE_REFUSAL
 from .endpoints import EndpointRow
+from .harm_reporter import HarmReporter
 from .hedging import LASTING_BARRIERS, OVERLAP_S, HedgeBarrier, Race
 from .http1 import ConnectError, RawHead, ResponseError, SilentError
 from .jobs import Job, queue_timeout_s
@@ -24,8 +23,8 @@
 from .requests import InboundRequest
 from .response_sink import ResponseSink
 from .routing_config import RetryMode
+from .slot_acquirer import DEFAULT_RETRY_AFTER_S, SlotAcquirer
 from .slot_messages import SampleKind
-from .stream_versions import StreamOrigin, UnknownVersion
 from .upstream_request import (
     EventBatch,
     Item,
@@ -63,9 +62,6 @@
 
 HEDGE_SENT = "sent"
 
-DEFAULT_RETRY_AFTER_S = 0.5
-"""Retry time that a refused caller gets where no better one is known, in seconds."""
-
 
 class _DeadlineError(DockreachError):
     """The caller's deadline or the route's timeout has passed."""
@@ -105,10 +101,11 @@
         self._req = req
         self._caller = caller
         self._organisation = organisation
-        self._suspects = suspects
-        self._fingerprint, *parts = suspects
-        self._part_fingerprints = tuple(parts)
-        self._is_probe = is_probe
+        self._fingerprint = suspects[0]
+        self._slots = SlotAcquirer(ctx, req, suspects, is_probe=is_probe)
+        self._harm = HarmReporter(
+            ctx, req, suspects, organisation=organisation, is_probe=is_probe
+        )
         self._deadline = job.deadline
         self._max_idle = max_idle
         self._attempts_sent = 0
@@ -119,7 +116,6 @@
         self._current: UpstreamRequest | None = None
         self.attempts: list[Attempt] = []
         self.progress = DeliveryProgress()
-        self._origin: StreamOrigin | None = None
 
     @property
     def last_data_at(self) -> float:
@@ -155,8 +151,7 @@
             return Refusal(verdict, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
         finally:
             self._abandon_open()
-            if self._origin is not None:
-                self._ctx.streams.end(self._origin)
+            self._slots.end_stream()
 
     def _abandon_open(self) -> None:
         """Close the upstream requests that have not ended."""
@@ -164,19 +159,19 @@
             for upstream in self._open:
                 stack.callback(upstream.close, self._max_idle)
                 if upstream.is_sent:
-                    self._report_unanswered(upstream, is_connection_broken=False)
+                    self._harm.report_unanswered(upstream, is_connection_broken=False)
 
     def _attempt_all(self) -> Refusal | None:
         job = self._job
         failed_connects = 0
         while True:
-            found = self._acquire_slot(job)
+            found = self._slots.acquire(job)
             if isinstance(found, Refusal):
                 return self._finish_unserved(found)
             attempt = self._attempt(found)
             if attempt.outcome is AttemptOutcome.DELIVERED:
                 if not self.progress.is_failure:
-                    self._ctx.crashes.record_completion(self._fingerprint)
+                    self._harm.record_completion()
                 return None
             if attempt.outcome is AttemptOutcome.NOT_SENT:
                 failed_connects += 1
@@ -189,66 +184,6 @@
             if not self._may_retry(attempt):
                 return self._finish_unserved(self._refusal_after(attempt))
 
-    def _acquire_slot(self, job: Job) -> EndpointRow | Refusal:
-        """Wait for the slot of an endpoint that may run the request."""
-        while True:
-            refusal = self._require_software_version(job)
-            # A refusal is falsy, so compare with `None` instead of testing its truth.
-            if refusal is not None:
-                return refusal
-            if job.needs_gone_version(self._ctx.endpoints, self._ctx.now()):
-                return VERSION_GONE_REFUSAL
-            found = self._ctx.scheduler.acquire_slot(job)
-            if isinstance(found, Refusal):
-                return found
-            if self._is_quarantined:
-                # While it waited, engines crashed that ran copies of it for other entries;
-                # or one crashed during its previous attempt.
-                self._ctx.scheduler.release_slot(job)
-                return self._ctx.crashes.quarantine.refusal(*self._suspects)
-            if job.fits(found) and not self._must_know_version(job):
-                return found
-            # While it waited, the endpoint's record has changed, or a second software
-            # version has appeared.
-            if not job.fits(found):
-                job.tried_endpoints.add(found.id)
-            self._ctx.scheduler.release_slot(job)
-
-    def _require_software_version(self, job: Job) -> Refusal | None:
-        """Require the software version that began the stream, if it goes on.
-
-        Returns:
-            A refusal if the version is not known while several serve.
-        """
-        if not self._must_know_version(job):
-            return None
-        version: str | None | UnknownVersion = UnknownVersion("its endpoint has restarted")
-        if self._origin is None:
-            version = self._ctx.streams.find(self._req.stream_rid, job.service)
-        if isinstance(version, UnknownVersion):
-            return Refusal(
-                Verdict.NOT_RUN,
-                Reason.SOFTWARE_VERSION,
-                version.reason,
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
-            )
-        job.software_version = version
-        return None
-
-    def _must_know_version(self, job: Job) -> bool:
-        """Return whether the stream goes on, but not at a known software version.
-
-        While one version serves, the stream may go on anywhere.
-        """
-        if self._origin is not None:
-            job.software_version = self._origin.software_version
-        goes_on = self._origin is not None or bool(self._req.last_event_id)
-        return (
-            goes_on
-            and job.software_version is None
-            and self._ctx.streams.is_mixed(job.service)
-        )
-
     def _make_placement(self, row: EndpointRow, job: Job) -> Placement:
         return Placement(
             endpoint=row.id,
@@ -334,7 +269,7 @@
         else:
             row.record_failure(self._ctx.now())
             row.mark_connection_broken(self._ctx.now())
-            self._report_unanswered(upstream, is_connection_broken=True)
+            self._harm.report_unanswered(upstream, is_connection_broken=True)
             attempt = Attempt(AttemptOutcome.LOST, row.id, str(exc))
         self._end(upstream, attempt)
         return attempt
@@ -395,7 +330,7 @@
 
     def _acquire_second_slot(self, job: Job) -> EndpointRow | Refusal:
         """Wait for the slot of an endpoint that the request was not sent to."""
-        found = self._acquire_slot(job)
+        found = self._slots.acquire(job)
         if isinstance(found, Refusal) or found.id not in job.tried_endpoints:
             return found
         self._ctx.scheduler.release_slot(job)
@@ -440,7 +375,7 @@
     def _discard(self, upstream: UpstreamRequest) -> None:
         """Close a second upstream request that is not needed."""
         if upstream.is_sent:
-            self._report_unanswered(upstream, is_connection_broken=False)
+            self._harm.report_unanswered(upstream, is_connection_broken=False)
             attempt = Attempt(AttemptOutcome.SUPERSEDED, upstream.row.id, "not needed")
             self._end(upstream, attempt)
             return
@@ -476,7 +411,7 @@
         """Record that an upstream request is given up since it was silent."""
         row = upstream.row
         row.record_failure(self._ctx.now())
-        self._report_unanswered(upstream, is_connection_broken=False)
+        self._harm.report_unanswered(upstream, is_connection_broken=False)
         if upstream.is_connection_reused:
             # Idle connections stall together, for example when a middlebox loses its
             # state: without this, each of them would cost one more request.
@@ -495,60 +430,15 @@
         if attempt.response is not None:
             self._last_error_response = attempt.response
         self.attempts.append(attempt)
+        self._slots.has_attempted = True
         self._job.record_events(upstream.job.events, upstream.job.events_at)
         self._job.tried_endpoints.add(upstream.row.id)
         if attempt.outcome is AttemptOutcome.DELIVERED:
             if not self.progress.is_failure:
-                self._record_harmless_parts(upstream)
+                self._harm.record_harmless_parts(upstream)
         else:
             self._log_attempt(upstream, attempt)
 
-    @property
-    def _is_quarantined(self) -> bool:
-        if self._is_probe and not self.attempts:
-            return False
-        return self._ctx.crashes.quarantine.is_quarantined(*self._suspects)
-
-    def _report_unanswered(
-        self, upstream: UpstreamRequest, *, is_connection_broken: bool
-    ) -> None:
-        """Have the crash reporter check if the engine crashed in an upstream request.
-
-        A stream that has run for a while without harm is not reported.
-
-        Args:
-            upstream: The upstream request.
-            is_connection_broken: Whether the connection to the engine broke.
-        """
-        now = self._ctx.now()
-        if upstream.has_run_without_harm(now):
-            return
-        crashes = self._ctx.crashes
-        unanswered = UnansweredRequest(
-            self._req.path,
-            self._fingerprint,
-            self._organisation,
-            upstream.row,
-            upstream.sent_at,
-            now,
-            parts=self._req.shared_parts,
-            part_fingerprints=self._part_fingerprints,
-            is_probe=self._is_probe,
-        )
-        if is_connection_broken:
-            crashes.record_lost(unanswered)
-        else:
-            crashes.record_abandoned(unanswered)
-
-    def _record_harmless_parts(self, upstream: UpstreamRequest) -> None:
-        """Record, once in an attempt, that the prompt's parts crash no engine."""
-        if not upstream.has_proven_parts and self._part_fingerprints:
-            upstream.has_proven_parts = True
-            began_at = upstream.sent_at
-            if upstream.first_event_at is not None:
-                began_at = upstream.first_event_at
-            self._ctx.crashes.record_harmless_parts(self._part_fingerprints, began_at)
-
     @property
     def _has_another_attempt(self) -> bool:
         """Whether the request may be sent again if the attempt that begins now fails."""
@@ -581,13 +471,11 @@
             return HedgeBarrier.RETRY_MODE
         if self._attempts_sent >= route.max_attempts:
             return HedgeBarrier.ATTEMPTS
-        if self._ctx.crashes.quarantine.is_quarantined(*self._suspects):
+        if self._slots.is_quarantined:
             return HedgeBarrier.QUARANTINE
         if not self._ctx.has_retry_left(job.service):
             return HedgeBarrier.RETRY_BUDGET
-        version = job.software_version
-        if self._origin is not None:
-            version = self._origin.software_version
+        version = self._slots.version_of(job)
         others = self._ctx.endpoints.accepting(job.service, job.allowed_halls, version)
         tried = {*job.tried_endpoints, *(upstream.row.id for upstream in self._open)}
         if all(row.id in tried for row in others):
@@ -610,10 +498,10 @@
         if item.is_first:
             self._record_success(upstream.row)
             self._record_prefill_end(upstream, now)
-            self._record_origin(upstream)
+            self._slots.record_origin(upstream)
         upstream.pace.count(len(events), now)
         if upstream.has_run_without_harm(now):
-            self._record_harmless_parts(upstream)
+            self._harm.record_harmless_parts(upstream)
         upstream.job.record_events(upstream.job.events + len(events), now)
         self.progress.record(len(events), now)
         self._start_stream(item.head)
@@ -666,19 +554,6 @@
         detail = "another endpoint uses the address"
         return Attempt(AttemptOutcome.MISDIRECTED, row.id, detail)
 
-    def _record_origin(self, upstream: UpstreamRequest) -> None:
-        """Record which software version began a stream that may be continued."""
-        if self._origin is not None or self._route.retry_mode is not RetryMode.RESUME:
-            return
-        published = upstream.row.published
-        version = upstream.job.software_version
-        self._origin = self._ctx.streams.begin(
-            self._req.stream_rid or self._req.rid,
-            published,
-            sent_at=upstream.sent_at,
-            software_version=published.software_version if version is None else version,
-        )
-
     def _record_success(self, row: EndpointRow) -> None:
         row.record_success(self._ctx.now())
         self._ctx.crashes.record_alive(row)
