--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -4,7 +4,7 @@
 
 import math
 from contextlib import ExitStack
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import eventlet
 
@@ -13,10 +13,9 @@
 from ..verdict import Reason, Refusal, Verdict
 from .attempt import NOT_RUN_OUTCOMES, Attempt, AttemptOutcome, Placement
 from .context import Context
-from .crash_reporter import UnansweredRequest
-from .dispatching import VERSION_GONE_REFUSAL
 from .endpoints import EndpointRow
-from .hedging import LASTING_BARRIERS, HedgeBarrier
+from .harm_reporter import HarmReporter
+from .hedging import LASTING_BARRIERS, OVERLAP_S, HedgeBarrier, Race
 from .http1 import ConnectError, RawHead, ResponseError, ResponseLimitError, SilentError
 from .jobs import Job, queue_timeout_s
 from .outcomes import DeliveryProgress
@@ -24,8 +23,8 @@
 from .requests import InboundRequest
 from .response_sink import ResponseSink
 from .routing_config import RetryMode
+from .slot_acquirer import DEFAULT_RETRY_AFTER_S, SlotAcquirer
 from .slot_messages import SampleKind
-from .stream_versions import StreamOrigin, UnknownVersion
 from .upstream_request import (
     EventBatch,
     Item,
@@ -61,8 +60,7 @@
 MIN_FAILURE_STATUS = 400
 """Lowest status that counts as a failed response."""
 
-DEFAULT_RETRY_AFTER_S = 0.5
-"""Retry time that a refused caller gets where no better one is known, in seconds."""
+HEDGE_SENT = "sent"
 
 
 class _DeadlineError(DockreachError):
@@ -103,10 +101,11 @@
         self._req = req
         self._caller = caller
         self._organisation = organisation
-        self._suspects = suspects
-        self._fingerprint, *parts = suspects
-        self._part_fingerprints = tuple(parts)
-        self._is_probe = is_probe
+        self._fingerprint = suspects[0]
+        self._slots = SlotAcquirer(ctx, req, suspects, is_probe=is_probe)
+        self._harm = HarmReporter(
+            ctx, req, suspects, organisation=organisation, is_probe=is_probe
+        )
         self._deadline = job.deadline
         self._max_idle = max_idle
         self._attempts_sent = 0
@@ -117,7 +116,6 @@
         self._current: UpstreamRequest | None = None
         self.attempts: list[Attempt] = []
         self.progress = DeliveryProgress()
-        self._origin: StreamOrigin | None = None
 
     @property
     def last_data_at(self) -> float:
@@ -153,8 +151,7 @@
             return Refusal(verdict, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
         finally:
             self._abandon_open()
-            if self._origin is not None:
-                self._ctx.streams.end(self._origin)
+            self._slots.end_stream()
 
     def _abandon_open(self) -> None:
         """Close the upstream requests that have not ended."""
@@ -162,19 +159,19 @@
             for upstream in self._open:
                 stack.callback(upstream.close, self._max_idle)
                 if upstream.is_sent:
-                    self._report_unanswered(upstream, is_connection_broken=False)
+                    self._harm.report_unanswered(upstream, is_connection_broken=False)
 
     def _attempt_all(self) -> Refusal | None:
         job = self._job
         failed_connects = 0
         while True:
-            found = self._acquire_slot(job)
+            found = self._slots.acquire(job)
             if isinstance(found, Refusal):
                 return self._finish_unserved(found)
             attempt = self._attempt(found)
             if attempt.outcome is AttemptOutcome.DELIVERED:
                 if not self.progress.is_failure:
-                    self._ctx.crashes.record_completion(self._fingerprint)
+                    self._harm.record_completion()
                 return None
             if attempt.outcome is AttemptOutcome.NOT_SENT:
                 failed_connects += 1
@@ -187,66 +184,6 @@
             if not self._may_retry(attempt):
                 return self._finish_unserved(self._refusal_after(attempt))
 
-    def _acquire_slot(self, job: Job) -> EndpointRow | Refusal:
-        """Wait for the slot of an endpoint that may run the request."""
-        while True:
-            refusal = self._require_software_version(job)
-            # A refusal is falsy, so compare with `None` instead of testing its truth.
-            if refusal is not None:
-                return refusal
-            if job.needs_gone_version(self._ctx.endpoints, self._ctx.now()):
-                return VERSION_GONE_REFUSAL
-            found = self._ctx.scheduler.acquire_slot(job)
-            if isinstance(found, Refusal):
-                return found
-            if self._is_quarantined:
-                # While it waited, engines crashed that ran copies of it for other entries;
-                # or one crashed during its previous attempt.
-                self._ctx.scheduler.release_slot(job)
-                return self._ctx.crashes.quarantine.refusal(*self._suspects)
-            if job.fits(found) and not self._must_know_version(job):
-                return found
-            # While it waited, the endpoint's record has changed, or a second software
-            # version has appeared.
-            if not job.fits(found):
-                job.tried_endpoints.add(found.id)
-            self._ctx.scheduler.release_slot(job)
-
-    def _require_software_version(self, job: Job) -> Refusal | None:
-        """Require the software version that began the stream, if it goes on.
-
-        Returns:
-            A refusal if the version is not known while several serve.
-        """
-        if not self._must_know_version(job):
-            return None
-        version: str | None | UnknownVersion = UnknownVersion("its endpoint has restarted")
-        if self._origin is None:
-            version = self._ctx.streams.find(self._req.stream_rid, job.service)
-        if isinstance(version, UnknownVersion):
-            return Refusal(
-                Verdict.NOT_RUN,
-                Reason.SOFTWARE_VERSION,
-                version.reason,
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
-            )
-        job.software_version = version
-        return None
-
-    def _must_know_version(self, job: Job) -> bool:
-        """Return whether the stream goes on, but not at a known software version.
-
-        While one version serves, the stream may go on anywhere.
-        """
-        if self._origin is not None:
-            job.software_version = self._origin.software_version
-        goes_on = self._origin is not None or bool(self._req.last_event_id)
-        return (
-            goes_on
-            and job.software_version is None
-            and self._ctx.streams.is_mixed(job.service)
-        )
-
     def _make_placement(self, row: EndpointRow, job: Job) -> Placement:
         return Placement(
             endpoint=row.id,
@@ -296,22 +233,158 @@
         return None
 
     def _attempt(self, row: EndpointRow) -> Attempt:
-        """Send the request to one endpoint and pass on its response if it is usable."""
+        """Send the request to an endpoint and pass on its response if it is usable.
+
+        Returns:
+            How the last attempt ended, if others were made while it was silent.
+        """
         upstream = self._open_upstream(row, self._job)
         self._current = upstream
         try:
             self._send(upstream)
-            attempt = self._relay(upstream)
-        except ConnectError as exc:
+        except (ConnectError, ResponseError) as exc:
+            return self._end_failed(upstream, exc)
+        while True:
+            try:
+                item = upstream.next_item(self._silent_at(upstream))
+            except SilentError:
+                upstream = self._hedge(upstream)
+                self._current = upstream
+                continue
+            except ResponseError as exc:
+                return self._end_failed(upstream, exc)
+            attempt = self._deliver(item, upstream)
+            if attempt is not None:
+                self._end(upstream, attempt)
+                return attempt
+
+    def _end_failed(
+        self, upstream: UpstreamRequest, exc: ConnectError | ResponseError
+    ) -> Attempt:
+        """Record that no connection could be opened, or that it broke."""
+        row = upstream.row
+        if isinstance(exc, ConnectError):
             row.mark_unreachable(self._ctx.now())
             attempt = Attempt(AttemptOutcome.NOT_SENT, row.id, str(exc))
-        except ResponseError as exc:
-            attempt = self._record_broken(upstream, exc)
-        except SilentError:
-            attempt = self._record_timeout(upstream)
+        else:
+            row.record_failure(self._ctx.now())
+            row.mark_connection_broken(self._ctx.now())
+            self._harm.report_unanswered(upstream, is_connection_broken=True)
+            limit = exc.limit if isinstance(exc, ResponseLimitError) else None
+            if limit is not None:
+                self._ctx.counters.response_limits[limit] += 1
+            attempt = Attempt(AttemptOutcome.LOST, row.id, str(exc), limit=limit)
         self._end(upstream, attempt)
         return attempt
 
+    def _hedge(self, first: UpstreamRequest) -> UpstreamRequest:
+        """Send the request to a second endpoint while a silent one is still read.
+
+        Returns:
+            The upstream request to go on with.
+        """
+        barrier = self._hedge_barrier()
+        if barrier is not None:
+            self._log_silence(first, barrier.value)
+            is_lasting = barrier in LASTING_BARRIERS
+            first.silence_noted_at = math.inf if is_lasting else self._ctx.now()
+            return first
+        now = self._ctx.now()
+        job = self._job.for_second_request(
+            now + queue_timeout_s(self._route, self._deadline - now)
+        )
+        job.tried_endpoints.add(first.row.id)
+        # Two endpoints must not continue the same stream for long.
+        overlap_s = OVERLAP_S if self._last_event_id else math.inf
+        race = Race(first, partial(self._start_second, first, job), overlap_s)
+        race.run()
+        return self._settle(first, race.second)
+
+    def _start_second(self, first: UpstreamRequest, job: Job) -> UpstreamRequest | None:
+        """Wait for a slot and send the request there.
+
+        Returns:
+            The upstream request; ``None`` if it was not sent.
+        """
+        second: UpstreamRequest | None = None
+        state = HedgeBarrier.NOT_NEEDED.value
+        try:
+            found = self._acquire_second_slot(job)
+            if isinstance(found, Refusal):
+                state = found.reason.value
+                return None
+            second = self._open_upstream(found, job)
+            if not self._ctx.try_acquire_retry(job.service):
+                state = HedgeBarrier.RETRY_BUDGET.value
+                return None
+            self._send(second)
+            state = HEDGE_SENT
+        except (ConnectError, ResponseError) as exc:
+            state = HedgeBarrier.BROKEN.value
+            if second is not None:
+                self._end_failed(second, exc)
+            return None
+        finally:
+            self._log_silence(first, state)
+            if second in self._open and state != HEDGE_SENT:
+                self._discard(second)
+        self._ctx.counters.hedges += 1
+        return second
+
+    def _acquire_second_slot(self, job: Job) -> EndpointRow | Refusal:
+        """Wait for the slot of an endpoint that the request was not sent to."""
+        found = self._slots.acquire(job)
+        if isinstance(found, Refusal) or found.id not in job.tried_endpoints:
+            return found
+        self._ctx.scheduler.release_slot(job)
+        return Refusal(Verdict.NOT_RUN, Reason.NO_ENDPOINT)
+
+    def _settle(
+        self, first: UpstreamRequest, second: UpstreamRequest | None
+    ) -> UpstreamRequest:
+        """Close the loser of a race, and return the one to go on with."""
+        first.silence_noted_at = self._ctx.now()
+        if second is None:
+            return first
+        if self._is_for_caller(first.result):
+            self._discard(second)
+            return first
+        if second.result is not None and not self._is_for_caller(second.result):
+            self._end_with_result(second)
+            return first
+        if first.result is not None:
+            self._end_with_result(first)
+        else:
+            self._end(first, self._record_timeout(first))
+        self._ctx.counters.hedges_won += 1
+        return second
+
+    def _is_for_caller(self, result: Item | ResponseError | None) -> bool:
+        """Return whether what was read from an endpoint can be passed on."""
+        if isinstance(result, PlainResponse):
+            return result.head.status not in SERVER_ERRORS and not self._caller.head_sent
+        return isinstance(result, EventBatch | StreamEnd)
+
+    def _end_with_result(self, upstream: UpstreamRequest) -> None:
+        """End an upstream request whose result cannot be passed on."""
+        try:
+            attempt = self._deliver(upstream.next_item(), upstream)
+        except ResponseError as exc:
+            self._end_failed(upstream, exc)
+            return
+        if attempt is not None:
+            self._end(upstream, attempt)
+
+    def _discard(self, upstream: UpstreamRequest) -> None:
+        """Close a second upstream request that is not needed."""
+        if upstream.is_sent:
+            self._harm.report_unanswered(upstream, is_connection_broken=False)
+            attempt = Attempt(AttemptOutcome.SUPERSEDED, upstream.row.id, "not needed")
+            self._end(upstream, attempt)
+            return
+        self._open.remove(upstream)
+        upstream.close(self._max_idle)
+
     def _open_upstream(self, row: EndpointRow, job: Job) -> UpstreamRequest:
         placement = self._make_placement(row, job)
         upstream = UpstreamRequest(self._ctx, self._req, job, row, placement)
@@ -337,22 +410,11 @@
         )
         upstream.send(headers)
 
-    def _record_broken(self, upstream: UpstreamRequest, exc: ResponseError) -> Attempt:
-        """Record that the connection of an upstream request broke."""
-        row = upstream.row
-        row.record_failure(self._ctx.now())
-        row.mark_connection_broken(self._ctx.now())
-        self._report_unanswered(upstream, is_connection_broken=True)
-        limit = exc.limit if isinstance(exc, ResponseLimitError) else None
-        if limit is not None:
-            self._ctx.counters.response_limits[limit] += 1
-        return Attempt(AttemptOutcome.LOST, row.id, str(exc), limit=limit)
-
     def _record_timeout(self, upstream: UpstreamRequest) -> Attempt:
         """Record that an upstream request is given up since it was silent."""
         row = upstream.row
         row.record_failure(self._ctx.now())
-        self._report_unanswered(upstream, is_connection_broken=False)
+        self._harm.report_unanswered(upstream, is_connection_broken=False)
         if upstream.is_connection_reused:
             # Idle connections stall together, for example when a middlebox loses its
             # state: without this, each of them would cost one more request.
@@ -371,59 +433,15 @@
         if attempt.response is not None:
             self._last_error_response = attempt.response
         self.attempts.append(attempt)
+        self._slots.has_attempted = True
+        self._job.record_events(upstream.job.events, upstream.job.events_at)
         self._job.tried_endpoints.add(upstream.row.id)
         if attempt.outcome is AttemptOutcome.DELIVERED:
             if not self.progress.is_failure:
-                self._record_harmless_parts(upstream)
+                self._harm.record_harmless_parts(upstream)
         else:
             self._log_attempt(upstream, attempt)
 
-    @property
-    def _is_quarantined(self) -> bool:
-        if self._is_probe and not self.attempts:
-            return False
-        return self._ctx.crashes.quarantine.is_quarantined(*self._suspects)
-
-    def _report_unanswered(
-        self, upstream: UpstreamRequest, *, is_connection_broken: bool
-    ) -> None:
-        """Have the crash reporter check if the engine crashed in an upstream request.
-
-        A stream that has run for a while without harm is not reported.
-
-        Args:
-            upstream: The upstream request.
-            is_connection_broken: Whether the connection to the engine broke.
-        """
-        now = self._ctx.now()
-        if upstream.has_run_without_harm(now):
-            return
-        crashes = self._ctx.crashes
-        unanswered = UnansweredRequest(
-            self._req.path,
-            self._fingerprint,
-            self._organisation,
-            upstream.row,
-            upstream.sent_at,
-            now,
-            parts=self._req.shared_parts,
-            part_fingerprints=self._part_fingerprints,
-            is_probe=self._is_probe,
-        )
-        if is_connection_broken:
-            crashes.record_lost(unanswered)
-        else:
-            crashes.record_abandoned(unanswered)
-
-    def _record_harmless_parts(self, upstream: UpstreamRequest) -> None:
-        """Record, once in an attempt, that the prompt's parts crash no engine."""
-        if not upstream.has_proven_parts and self._part_fingerprints:
-            upstream.has_proven_parts = True
-            began_at = upstream.sent_at
-            if upstream.first_event_at is not None:
-                began_at = upstream.first_event_at
-            self._ctx.crashes.record_harmless_parts(self._part_fingerprints, began_at)
-
     @property
     def _has_another_attempt(self) -> bool:
         """Whether the request may be sent again if the attempt that begins now fails."""
@@ -456,49 +474,17 @@
             return HedgeBarrier.RETRY_MODE
         if self._attempts_sent >= route.max_attempts:
             return HedgeBarrier.ATTEMPTS
-        if self._ctx.crashes.quarantine.is_quarantined(*self._suspects):
+        if self._slots.is_quarantined:
             return HedgeBarrier.QUARANTINE
         if not self._ctx.has_retry_left(job.service):
             return HedgeBarrier.RETRY_BUDGET
-        others = self._ctx.endpoints.accepting(
-            job.service, job.allowed_halls, job.software_version
-        )
-        if not any(self._is_free(row) for row in others):
+        version = self._slots.version_of(job)
+        others = self._ctx.endpoints.accepting(job.service, job.allowed_halls, version)
+        tried = {*job.tried_endpoints, *(upstream.row.id for upstream in self._open)}
+        if all(row.id in tried for row in others):
             return HedgeBarrier.NO_ENDPOINT
         return None
 
-    def _is_free(self, row: EndpointRow) -> bool:
-        """Return whether the request may be sent to an endpoint now beside the current."""
-        current = self._current.row.id if self._current is not None else ""
-        return (
-            row.id not in {*self._job.tried_endpoints, current}
-            and row.free_slots > 0
-            and row.circuit_open_until <= self._ctx.now()
-        )
-
-    def _relay(self, upstream: UpstreamRequest) -> Attempt:
-        """Pass on the response of an endpoint as it arrives.
-
-        Raises:
-            ResponseError: The response was truncated.
-            SilentError: The endpoint is silent, and another one can respond.
-        """
-        while True:
-            try:
-                item = upstream.next_item(self._silent_at(upstream))
-            except SilentError:
-                barrier = self._hedge_barrier()
-                self._log_silence(upstream, barrier)
-                if barrier is None:
-                    raise
-                upstream.silence_noted_at = (
-                    math.inf if barrier in LASTING_BARRIERS else self._ctx.now()
-                )
-                continue
-            attempt = self._deliver(item, upstream)
-            if attempt is not None:
-                return attempt
-
     @singledispatchmethod
     def _deliver(self, item: Item, upstream: UpstreamRequest) -> Attempt | None:
         """Pass on an item of a response if it is usable.
@@ -515,10 +501,10 @@
         if item.is_first:
             self._record_success(upstream.row)
             self._record_prefill_end(upstream, now)
-            self._record_origin(upstream)
+            self._slots.record_origin(upstream)
         upstream.pace.count(len(events), now)
         if upstream.has_run_without_harm(now):
-            self._record_harmless_parts(upstream)
+            self._harm.record_harmless_parts(upstream)
         upstream.job.record_events(upstream.job.events + len(events), now)
         self.progress.record(len(events), now)
         self._start_stream(item.head)
@@ -573,19 +559,6 @@
         detail = "another endpoint uses the address"
         return Attempt(AttemptOutcome.MISDIRECTED, row.id, detail)
 
-    def _record_origin(self, upstream: UpstreamRequest) -> None:
-        """Record which software version began a stream that may be continued."""
-        if self._origin is not None or self._route.retry_mode is not RetryMode.RESUME:
-            return
-        published = upstream.row.published
-        version = upstream.job.software_version
-        self._origin = self._ctx.streams.begin(
-            self._req.stream_rid or self._req.rid,
-            published,
-            sent_at=upstream.sent_at,
-            software_version=published.software_version if version is None else version,
-        )
-
     def _record_success(self, row: EndpointRow) -> None:
         row.record_success(self._ctx.now())
         self._ctx.crashes.record_alive(row)
@@ -613,14 +586,14 @@
         for part, _ in self._req.prefix:
             row.record_prefix(part, now)
 
-    def _log_silence(self, upstream: UpstreamRequest, barrier: HedgeBarrier | None) -> None:
+    def _log_silence(self, upstream: UpstreamRequest, second: str) -> None:
         log(
             Event.ENDPOINT_SILENT,
             rid=self._req.rid,
             endpoint=upstream.row.id,
             silent_ms=round((self._ctx.now() - upstream.progressed_at) * 1000),
             events=self.progress.events,
-            second="sent" if barrier is None else barrier.value,
+            second=second,
         )
 
     def _log_attempt(self, upstream: UpstreamRequest, attempt: Attempt) -> None:
