Refuse what is under way when a stopping entry exits

Callers whose requests were still under way when the grace time of a stop ended had their connection closed without an answer, also those whose request had never been sent to an endpoint. A response without a length was closed in order, and looked complete.

Cause: the drain returned at the end of the grace time, and the process exited with its requests.

Change: the drain then ends all requests at once: 502 if one may have run, 503 with a retry time if it did not, a reset if a response had begun; what arrives later is refused. Callers have 0.2 s to read the refusals, within the margin before the process is killed.

Evidence: four tests "grace_time_ends" in test_serving.py failed before ("assert 504 == 502": the refusal came by the request's deadline, long after the drain had returned; "no data for 0.5 s" in place of a reset) and pass now.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -579,8 +579,8 @@
         self._coordinator_selector.is_leaving = True
         log(Event.STOPPING, connections=len(self.callers))
         self.gossip.send_now()
-        self.callers.drain(self.stopping_since, self.settings.grace_s)
-        log(Event.STOPPED, cut=len(self.callers))
+        cut = self.callers.drain(self.stopping_since, self.settings.grace_s)
+        log(Event.STOPPED, cut=cut)
         return True
 
 
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -5,7 +5,7 @@
 import math
 import traceback
 
-from ..errors import CallerGoneError
+from ..errors import CallerGoneError, EntryStoppingError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .context import Context
@@ -62,6 +62,8 @@
             self._observe_duration("left")
             self._record_end(Event.CALLER_LEFT, Outcome.LEFT, detail=str(exc))
             raise
+        except EntryStoppingError:
+            refusal = _refusal_of_ended(Reason.STOPPING, may_have_run=self._may_have_run)
         except Exception as exc:  # noqa: BLE001
             refusal = self._handle_fault(exc)
         self._observe_duration("answered" if refusal is None else refusal.verdict.value)
@@ -78,8 +80,11 @@
         log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc(), rid=rid)
         if self._caller.is_complete:
             return None
-        may_have_run = self._forwarder is not None and self._forwarder.may_have_run
-        return refusal_after_fault(may_have_run=may_have_run)
+        return refusal_after_fault(may_have_run=self._may_have_run)
+
+    @property
+    def _may_have_run(self) -> bool:
+        return self._forwarder is not None and self._forwarder.may_have_run
 
     def _observe_duration(self, ended: str) -> None:
         """Record the time to the end of the response, by route and by how it ended."""
@@ -298,11 +303,14 @@
     Args:
         may_have_run: Whether it may have been sent to an endpoint.
     """
+    return _refusal_of_ended(Reason.INTERNAL_ERROR, may_have_run=may_have_run)
+
+
+def _refusal_of_ended(reason: Reason, *, may_have_run: bool) -> Refusal:
+    """Return the true refusal of a request that the entry itself ends."""
     if may_have_run:
-        return Refusal(Verdict.MAY_HAVE_RUN, Reason.INTERNAL_ERROR)
-    return Refusal(
-        Verdict.NOT_RUN, Reason.INTERNAL_ERROR, retry_after_s=DEFAULT_RETRY_AFTER_S
-    )
+        return Refusal(Verdict.MAY_HAVE_RUN, reason)
+    return Refusal(Verdict.NOT_RUN, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
 
 def _permitted_regions(
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -12,7 +12,7 @@
 from eventlet.greenio import GreenSocket
 
 from .. import clock
-from ..errors import CallerGoneError, DockreachError
+from ..errors import CallerGoneError, EntryStoppingError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
 from .caller_connection import CallerConnection
@@ -38,11 +38,10 @@
 load balancer checks each second, and removes an entry after two failed checks."""
 
 EXIT_MARGIN_S = 0.7
-"""The entry exits by itself this long before it would be killed, in seconds."""
+"""Requests are ended this long before the process would be killed, in seconds."""
 
-
-class _StoppingError(DockreachError):
-    """An idle connection is closed, since the entry stops."""
+LAST_DELIVERY_S = 0.2
+"""Time in which callers may read the refusals of these requests, in seconds."""
 
 
 class ServingEntry(Protocol):
@@ -89,6 +88,8 @@
     def __init__(self, entry: ServingEntry) -> None:
         self._entry = entry
         self._connections: dict[CallerConnection, Any] = {}
+        self._servers: dict[CallerConnection, Any] = {}
+        self._is_exiting = False
         self._lingering = 0
 
     def __len__(self) -> int:
@@ -110,7 +111,7 @@
             self._entry.ctx.counters.callers_gone += 1
             if not conn.is_accounted:
                 self._log_abandoned(conn, AbandonCause.LEFT_UNSERVED, Party.CALLER)
-        except _StoppingError:
+        except EntryStoppingError:
             cause = CloseCause.STOPPING
         except Exception as exc:  # noqa: BLE001
             # An unexpected error ends one connection and not the entry.
@@ -203,9 +204,11 @@
             raise CallerGoneError("caller closed its connection before it was served")
         server = eventlet.spawn(self._serve_catching_errors, conn, raw)
         watcher = eventlet.spawn(self._stop_on_disconnect, conn, server)
+        self._servers[conn] = server
         try:
             error: Exception | None = server.wait()
         finally:
+            del self._servers[conn]
             watcher.kill()
         if error is not None:
             raise error
@@ -244,6 +247,8 @@
 
     def _is_too_late_to_serve(self) -> bool:
         """Return whether a request that is accepted now might not end before the exit."""
+        if self._is_exiting:
+            return True
         since = self._entry.stopping_since
         return since is not None and clock.now() > since + SERVE_WHILE_STOPPING_S
 
@@ -255,12 +260,15 @@
         conn.is_closing = True
         conn.send_response(RawHead(exc.status, b"Bad Request", []), b"")
 
-    def drain(self, since: float, grace_s: float) -> None:
+    def drain(self, since: float, grace_s: float) -> int:
         """Finish the requests in flight, then return.
 
         Args:
             since: Monotonic time at which the stop began, in seconds.
             grace_s: Time from then until the process is killed, in seconds.
+
+        Returns:
+            Number of requests that were ended, since the time was over.
         """
         for conn in self._connections:
             conn.is_draining = True
@@ -268,10 +276,28 @@
             if clock.now() >= since + SERVE_WHILE_STOPPING_S:
                 self._close_idle()
                 if not self._connections and not self._lingering:
-                    return
+                    return 0
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
-        for conn in self._connections:
+        return self._end_requests()
+
+    def _end_requests(self) -> int:
+        """Refuse or reset all requests that are under way; return how many there were."""
+        self._is_exiting = True
+        # Lets requests begin that were read just now.
+        eventlet.sleep(0)
+        servers = dict(self._servers)
+        for conn, server in servers.items():
             self._log_abandoned(conn, AbandonCause.GRACE_OVER, Party.ENTRY)
+            conn.is_closing = True
+            # All end in one round of the event loop, so that no slot that one of them frees
+            # lets another be sent on.
+            eventlet.spawn_n(server.kill, EntryStoppingError("the grace time is over"))
+        deadline = clock.now() + LAST_DELIVERY_S
+        while clock.now() < deadline and (
+            self._lingering or not servers.keys().isdisjoint(self._connections)
+        ):
+            eventlet.sleep(DRAIN_POLL_INTERVAL_S)
+        return len(servers)
 
     def _close_idle(self) -> None:
         """Close connections on which no request is in flight.
@@ -280,4 +306,4 @@
         """
         for conn, server in list(self._connections.items()):
             if conn.is_idle and not conn.has_input:
-                eventlet.kill(server, _StoppingError("the entry is stopping"))
+                eventlet.kill(server, EntryStoppingError("the entry is stopping"))
--- a/dockreach/errors.py
+++ b/dockreach/errors.py
@@ -46,5 +46,9 @@
     """The caller closed its connection before its response was complete."""
 
 
+class EntryStoppingError(DockreachError):
+    """The entry stops, and ends a connection or a request."""
+
+
 class WireError(DockreachError):
     """A peer sent bytes that are not a valid batch of messages."""
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -31,6 +31,7 @@
     fill_pool,
     header_of,
     listen_locally,
+    published,
     reset,
     revision,
     start_entry,
@@ -625,3 +626,72 @@
     response = caller.read_response()
     assert (status_of(response), header_of(response, b"connection")) == (200, b"close")
     stopping.wait()
+
+
+def test_a_request_under_way_when_the_grace_time_ends_is_refused(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    endpoint = EndpointStandIn(stay_silent)
+    entry = start_entry(endpoint, settings=entry_settings(grace_s=1.2))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    eventlet.sleep(0.1)
+    began_at = time.monotonic()
+    stopping = eventlet.spawn(entry.stop)
+    response = caller.read_response()
+    assert status_of(response) == 502
+    assert header_of(response, b"retry-after") is None
+    stopping.wait()
+    assert time.monotonic() - began_at < 1.2
+    (line,) = lines(log, 710)
+    assert (line["rid"], line["cause"]) == ("r-1", "grace_over")
+
+
+def test_a_request_that_waits_when_the_grace_time_ends_did_not_run() -> None:
+    endpoint = EndpointStandIn(stay_silent)
+    entry = start_entry(endpoint, settings=entry_settings(grace_s=1.0))
+    entry.apply_endpoint(published("e-0", endpoint.address, slots=1))
+    callers = [Caller(entry) for _ in range(6)]
+    for number, caller in enumerate(callers):
+        caller.send("/once/a", rid=f"r-{number}")
+        eventlet.sleep(0.05)
+    sent = len(endpoint.requests)
+    began_at = time.monotonic()
+    stopping = eventlet.spawn(entry.stop)
+    responses = [caller.read_response() for caller in callers]
+    assert [status_of(row) for row in responses] == [502] * sent + [503] * (6 - sent)
+    assert time.monotonic() - began_at < 0.6
+    assert header_of(responses[-1], b"retry-after") is not None
+    assert len(endpoint.requests) == sent < 6
+    stopping.wait()
+
+
+def test_a_request_that_arrives_as_the_grace_time_ends_is_refused() -> None:
+    endpoint = EndpointStandIn(stay_silent)
+    entry = start_entry(endpoint, settings=entry_settings(grace_s=1.0))
+    busy, late = Caller(entry), Caller(entry)
+    busy.send("/once/a", rid="r-1")
+    eventlet.sleep(0.1)
+    stopping = eventlet.spawn(entry.stop)
+    assert status_of(busy.read_response()) == 502
+    late.send("/once/a", rid="r-2")
+    assert status_of(late.read_response()) == 503
+    assert len(endpoint.requests) == 1
+    stopping.wait()
+
+
+def test_a_stream_under_way_when_the_grace_time_ends_is_reset() -> None:
+    """Without a length, a response that ends early would look complete."""
+
+    def stream(dialog: Dialog) -> None:
+        dialog.start_stream()
+        dialog.chunk(b"id: 1\ndata: x\n\n")
+        dialog.wait_until_closed()
+
+    entry = start_entry(EndpointStandIn(stream), settings=entry_settings(grace_s=1.0))
+    caller = Caller(entry)
+    caller.send("/draft/a", rid="r-1")
+    assert b"id: 1" in caller.read_available()
+    entry.stop()
+    with pytest.raises(ConnectionResetError):
+        receive(caller.sock, 0.5)
