Refuse a request whose response has a head that HTTP does not allow

A caller whose endpoint answered with a head that h11 refuses to send had its connection reset, with nothing sent.

Cause: head_sent was set before h11 had accepted the head, so that the refusal seemed impossible.

Change: the head is built, and thereby checked, first; the request ends in 502. An offer to upgrade the connection was checked too: it is answered in HTTP/1.1, before and after.

Evidence: test_a_response_that_http_does_not_allow_becomes_a_refusal failed before ("IndexError: list index out of range", the connection ended without a status line; logged was LocalProtocolError("Illegal header name b'Odd Name'")) and passes now.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -240,10 +240,12 @@
         headers = list(head.headers)
         if self.is_closing or (self.is_draining and not self._has_pipelined_request()):
             headers.append((b"Connection", b"close"))
-        self.head_sent = True
-        self._send(
-            h11.Response(status_code=head.status, reason=head.reason, headers=headers)
+        # Raises for a head that HTTP does not allow, which can still be replaced.
+        response = h11.Response(
+            status_code=head.status, reason=head.reason, headers=headers
         )
+        self.head_sent = True
+        self._send(response)
 
     def _has_pipelined_request(self) -> bool:
         """Return whether a whole request was received behind the current one."""
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -18,6 +18,7 @@
 from dockreach.direct.event_stream import EventSplitter
 from dockreach.direct.http1 import RECV_BYTES, RawHead, receive
 from dockreach.direct.request_handler import RequestHandler
+from dockreach.direct.requests import ResponseHead
 from dockreach.direct.routing_config import CallerLimits
 from dockreach_platform.headers import PlatformAdapter
 
@@ -695,3 +696,30 @@
     entry.stop()
     with pytest.raises(ConnectionResetError):
         receive(caller.sock, 0.5)
+
+
+def test_a_response_that_http_does_not_allow_becomes_a_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read_response = PlatformAdapter.read_response
+
+    def read_odd_response(adapter: PlatformAdapter, raw: RawHead) -> ResponseHead:
+        head = read_response(adapter, raw)
+        head.headers = [*head.headers, (b"Odd Name", b"x")]
+        return head
+
+    monkeypatch.setattr(PlatformAdapter, "read_response", read_odd_response)
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1")
+    response = caller.read_response()
+    assert (status_of(response), header_of(response, b"request-id")) == (502, b"r-1")
+
+
+def test_an_offer_to_upgrade_is_answered_in_http_1() -> None:
+    entry = start_entry(EndpointStandIn(respond_ok))
+    caller = Caller(entry)
+    for number in range(2):
+        offer = "Connection: upgrade\r\nUpgrade: h2c\r\n"
+        caller.send("/once/a", rid=f"r-{number}", extra=offer)
+        assert status_of(caller.read_response()) == 200
