Refuse CONNECT instead of breaking off its response

A caller that sent CONNECT to a path of a route got the head of a response, and then a reset; an endpoint had run the request.

Cause: after a success to CONNECT the connection is no longer HTTP, so that h11 refuses the rest of the response.

Change: 501, before anything is sent on.

Evidence: test_a_tunnel_is_refused_and_reaches_no_endpoint failed before ("assert 200 == 501"; logged was LocalProtocolError "can't handle event type EndOfMessage when role=SERVER and state=SWITCHED_PROTOCOL") and passes now.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -162,6 +162,8 @@
                 self._method = head.method
                 self.headers = head.headers.raw_items()
                 self._check_framing(head)
+                if head.method == b"CONNECT":
+                    raise BadRequestError(501, "CONNECT is not supported")
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -723,3 +723,13 @@
         offer = "Connection: upgrade\r\nUpgrade: h2c\r\n"
         caller.send("/once/a", rid=f"r-{number}", extra=offer)
         assert status_of(caller.read_response()) == 200
+
+
+def test_a_tunnel_is_refused_and_reaches_no_endpoint() -> None:
+    """A success would end HTTP on the connection within the response."""
+    endpoint = EndpointStandIn(respond_ok)
+    entry = start_entry(endpoint)
+    caller = Caller(entry)
+    caller.send("/once/a", rid="r-1", method="CONNECT")
+    assert status_of(caller.read_response()) == 501
+    assert endpoint.requests == []
