--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -163,6 +163,8 @@
                 self._method = head.method
                 self.headers = head.headers.raw_items()
                 self._check_framing(head)
+                if head.method == b"CONNECT":
+                    raise BadRequestError(501, "CONNECT is not supported")
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
@@ -241,10 +243,12 @@
         headers = list(head.headers)
         if self.is_closing or (self.is_draining and not self._has_pipelined_request()):
             headers.append((b"Connection", b"close"))
-        self.head_sent = True
-        self._send(
-            h11.Response(status_code=head.status, reason=head.reason, headers=headers)
+        # Raises for a head that HTTP does not allow, which can still be replaced.
+        response = h11.Response(
+            status_code=head.status, reason=head.reason, headers=headers
         )
+        self.head_sent = True
+        self._send(response)
 
     def _has_pipelined_request(self) -> bool:
         """Return whether a whole request was received behind the current one."""
