Do not take a connection that the kernel gave up for a silent one

A response without a length whose connection timed out in the kernel was passed on as complete (200 with a part of the body) on a route that may be retried.

Cause: ETIMEDOUT is a TimeoutError in Python, and reads with a time limit took each TimeoutError for silence. The kernel reports the error once; the next read found the end of the connection.

Only a TimeoutError without an errno is silence now.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -290,6 +290,9 @@
         try:
             return receive(self._sock, left_s, share=self._share)
         except TimeoutError as exc:
+            if exc.errno is not None:
+                # The kernel has given the connection up.
+                raise
             raise SilentError(f"{self.address}: {exc}") from exc
 
     def abort(self) -> None:
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -13,6 +13,7 @@
 import pytest
 from eventlet.green import socket
 
+from dockreach import clock
 from dockreach.direct.endpoint_connection import (
     MAX_LATE_RESPONSES,
     MAX_SKIPPED_BYTES,
@@ -20,6 +21,8 @@
 )
 from dockreach.direct.http1 import RECV_BYTES, ResponseError
 
+from .standins import address_of
+
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 UNFRAMED_HEAD = HEAD + b"\r\n"
@@ -233,3 +236,34 @@
     finally:
         tracemalloc.stop()
     assert peak_bytes < 4 * size
+
+
+def unread_listener() -> Any:  # noqa: ANN401
+    """Return a listening socket whose connections have a small receive buffer."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(5)
+    return listener
+
+
+PARTIAL_RESPONSE = b"HTTP/1.1 200 OK\r\n\r\npartial"
+
+
+def test_a_connection_that_the_kernel_gave_up_is_broken_and_not_silent() -> None:
+    listener = unread_listener()
+    kept = []
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        kept.append(sock)
+        sock.sendall(PARTIAL_RESPONSE)
+
+    eventlet.spawn(serve)
+    conn = EndpointConnection(address_of(listener), 1.0)
+    conn.send(b"POST", b"/", [(b"Host", b"h")], b"x" * 60_000)
+    conn.read_until = clock.now() + 10
+    assert conn.read_head().status == 200
+    assert conn.read_data() == b"partial"
+    with pytest.raises(ResponseError):
+        conn.read_data()
