Do not take a reset that the writer noticed for the end of a response

Cause: the kernel reports a reset to one call only. If the greenlet that writes the request gets it, the one that reads finds the end of the connection.

A response that ends with its connection counts as broken off if the request could not be written. The test failed before with 'DID NOT RAISE ResponseError'.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -96,6 +96,7 @@
         """Monotonic time until which reads wait for data, in seconds; then they raise
         `SilentError`, and may be repeated."""
         self._is_aborted = False
+        self._is_write_broken = False
         self._late_responses = 0
         self._skipped_bytes = 0
         self._share = LoopShare()
@@ -151,6 +152,7 @@
         except OSError:
             # The reader finds the broken connection, or a response that was sent early.
             self._is_written = False
+            self._is_write_broken = True
 
     def set_read_timeout(self, seconds: float | None) -> None:
         """Set the read timeout; ``None`` waits forever."""
@@ -278,6 +280,9 @@
 
     def _receive(self) -> bytes:
         data = self._receive_until()
+        if not data and self._is_write_broken and not self.is_framed:
+            # The kernel tells of a reset once, and the writer may have been told.
+            raise ResponseError(f"{self.address}: connection broke while sending")
         if self._is_aborted:
             # A response without a length would otherwise seem to be complete here.
             raise ResponseError(f"{self.address}: the endpoint's incarnation has ended")
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -21,7 +21,7 @@
 )
 from dockreach.direct.http1 import RECV_BYTES, ResponseError
 
-from .standins import address_of
+from .standins import address_of, reset
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -267,3 +267,23 @@
     assert conn.read_data() == b"partial"
     with pytest.raises(ResponseError):
         conn.read_data()
+
+
+def test_a_reset_that_the_writer_noticed_is_not_the_end_of_the_response() -> None:
+    listener = unread_listener()
+
+    def serve() -> None:
+        while True:
+            sock, _ = listener.accept()
+            sock.sendall(PARTIAL_RESPONSE)
+            eventlet.spawn_after(0.05, reset, sock)
+
+    eventlet.spawn(serve)
+    for _ in range(10):
+        conn = EndpointConnection(address_of(listener), 1.0)
+        conn.send(b"POST", b"/", [(b"Host", b"h")], b"x" * 8_000_000)
+        assert conn.read_head().status == 200
+        assert conn.read_data() == b"partial"
+        with pytest.raises(ResponseError):
+            conn.read_data()
+        conn.close()
