Do not wait for room to send a datagram to other entries

A scheduling round that runs in a caller's greenlet waited while the socket's send buffer was full, and a second one got 'Second simultaneous write', an unexpected error that ended its request.

Datagrams are sent without waiting, as lost ones are replaced by the next anyway. The test failed before with a timeout.

--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -86,7 +86,8 @@
             log(Event.DIGEST_TOO_LARGE, bytes=len(data))
             return
         try:
-            self._sock.sendto(data, (address.ip, address.port))
+            # Does not wait for room: this runs in scheduling rounds of callers' greenlets.
+            self._sock.fd.sendto(data, (address.ip, address.port))
             self.sent += 1
         except OSError:
             # The network is congested or down: the next message replaces this one.
