Close an endpoint's connection also if that is interrupted

Ending the greenlet that writes a long request gives the event loop back. If the caller left in that moment, the socket stayed open and its endpoint went on. Found in the review, where a forced interruption left the descriptor open; there is no test of it in the suite.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -336,9 +336,12 @@
 
     def close(self) -> None:
         """Close the connection, which also stops its request at the endpoint."""
-        if self._writer is not None:
-            self._writer.kill()
-        self._sock.close()
+        try:
+            if self._writer is not None:
+                # Gives the event loop back, so that this may be interrupted.
+                self._writer.kill()
+        finally:
+            self._sock.close()
 
 
 def _is_framed(head: h11.Response, method: bytes) -> bool:
