Do not end a silent response because a second endpoint could not be asked

An unexpected error while a second endpoint was sought ended the first, sound response: a stream was reset after its first event, a plain request got 502.

The two cases of test_a_fault_while_a_second_endpoint_is_sought_does_not_end_the_first_response failed before.

--- a/dockreach/direct/hedging.py
+++ b/dockreach/direct/hedging.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,8 @@
 from eventlet.queue import Empty, LightQueue
 
 from .. import clock
+from ..events import Event, log
+from .http1 import ResponseError
 from .upstream_request import UpstreamRequest
 
 OVERLAP_S = 0.3
@@ -73,8 +76,8 @@
     def run(self) -> None:
         """Read until one has a result, no second is to be had, or the overlap is over."""
         greenlets = [
-            eventlet.spawn(self._run, self._first.read_ahead),
-            eventlet.spawn(self._run, self._run_second),
+            eventlet.spawn(self._run_first),
+            eventlet.spawn(self._run_second),
         ]
         try:
             while not self._is_decided():
@@ -84,21 +87,29 @@
         if self._error is not None:
             raise self._error
 
-    def _run(self, function: Callable[[], None]) -> None:
-        """Run in a greenlet; an error goes to the one that waits for the race."""
+    def _run_first(self) -> None:
+        """Read the first one; an unexpected error goes to the one that waits."""
         try:
-            function()
+            self._first.read_ahead()
         except Exception as exc:  # noqa: BLE001
             self._error = exc
         self._changes.put(None)
 
     def _run_second(self) -> None:
-        self.second = self._start_second()
-        if self.second is None:
-            self._is_second_over = True
-            return
+        """Start and read the second one; an unexpected error only ends that."""
+        try:
+            self.second = self._start_second()
+            self._is_second_over = self.second is None
+            self._changes.put(None)
+            if self.second is not None:
+                self.second.read_ahead()
+        except Exception as exc:  # noqa: BLE001
+            log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc())
+            if self.second is None:
+                self._is_second_over = True
+            else:
+                self.second.result = ResponseError(f"internal error: {exc!r}")
         self._changes.put(None)
-        self.second.read_ahead()
 
     def _is_decided(self) -> bool:
         second = self.second
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -12,10 +12,12 @@
 import pytest
 
 from dockreach.direct.endpoint_selection import EXTRA_REQUESTS
-from dockreach.direct.endpoints import FIRST_CIRCUIT_OPEN_S
+from dockreach.direct.endpoints import FIRST_CIRCUIT_OPEN_S, EndpointRow
 from dockreach.direct.entry import Entry
 from dockreach.direct.hedging import OVERLAP_S
+from dockreach.direct.jobs import Job
 from dockreach.direct.retry_budget import RetryPolicy
+from dockreach.verdict import Refusal
 
 from .standins import (
     Caller,
@@ -183,15 +185,15 @@
     dialog.wait_until_closed()
 
 
-def in_turn(*scripts: Script) -> list[EndpointStandIn]:
-    """Return two endpoints; the first request to any runs the first script, and so on."""
+def in_turn(*scripts: Script, count: int = 2) -> list[EndpointStandIn]:
+    """Return endpoints; the first request to any runs the first script, and so on."""
     left = list(scripts)
 
     def run_next(dialog: Dialog) -> None:
         script = left.pop(0)
         script(dialog)
 
-    return [EndpointStandIn(run_next) for _ in range(2)]
+    return [EndpointStandIn(run_next) for _ in range(count)]
 
 
 STREAM_PAUSES = [
@@ -402,7 +404,7 @@
         eventlet.sleep(1.0)
         send_rest(dialog)
 
-    entry = start_entry(*in_turn(be_silent, continue_late))
+    entry = start_entry(*in_turn(be_silent, continue_late, count=3))
     assert request(entry, "/brief/a") == WHOLE_STREAM
     assert 0.0 <= closed_at[0] - sent_at[0] < OVERLAP_S + 0.1
 
@@ -459,7 +461,7 @@
 
 def test_endpoints_do_not_continue_a_stream_of_an_earlier_request_for_long() -> None:
     """The caller took the stream up itself, so that no event was passed on yet."""
-    endpoints = in_turn(never_respond, pause_before_head(2.0))
+    endpoints = in_turn(never_respond, pause_before_head(2.0), count=3)
     entry = start_entry(*endpoints)
     caller = Caller(entry)
     caller.send("/brief/a", extra="Last-Event-Id: 1\r\n", deadline_ms=DEADLINE_MS)
@@ -481,3 +483,67 @@
     assert [(line["second"], line["endpoint"]) for line in lines] == [(second, "e-0")]
     assert lines[0]["events"] == 1
     assert 400 <= lines[0]["silent_ms"] < 600
+
+
+def refuse_late(dialog: Dialog) -> None:
+    eventlet.sleep(0.5)
+    refuse(dialog)
+
+
+def test_a_second_endpoint_that_refuses_late_does_not_use_up_the_attempts() -> None:
+    endpoints = in_turn(pause_after_first_event(2.0), refuse_late, send_rest, count=3)
+    assert request(start_entry(*endpoints), "/brief/a") == WHOLE_STREAM
+
+
+def test_the_last_other_endpoint_that_refuses_late_does_not_end_a_silent_stream() -> None:
+    endpoints = in_turn(pause_after_first_event(1.5), refuse_late)
+    assert request(start_entry(*endpoints), "/brief/a") == WHOLE_STREAM
+
+
+@pytest.mark.parametrize("path", ["/brief/a", "/safe/a"])
+def test_a_fault_while_a_second_endpoint_is_sought_does_not_end_the_first_response(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    is_stream = path == "/brief/a"
+    script = pause_after_first_event if is_stream else pause_before_plain_response
+    entry = start_entry(*[EndpointStandIn(script(1.2)) for _ in range(2)])
+    acquire, jobs = entry.ctx.scheduler.acquire_slot, []
+
+    def fail_after_the_first(job: Job) -> EndpointRow | Refusal:
+        jobs.append(job)
+        if len(jobs) > 1:
+            raise RuntimeError("fault")
+        return acquire(job)
+
+    monkeypatch.setattr(entry.ctx.scheduler, "acquire_slot", fail_after_the_first)
+    assert request(entry, path) == (WHOLE_STREAM if is_stream else FINE)
+    assert len(jobs) > 1
+
+
+def test_a_plain_body_that_comes_in_pieces_is_not_silent() -> None:
+    def send_in_pieces(dialog: Dialog) -> None:
+        dialog.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: " + dialog.rid + b"\r\n"
+            b"Content-Length: 4\r\n\r\n"
+        )
+        for piece in (b"f", b"i", b"n", b"e"):
+            eventlet.sleep(0.35)
+            dialog.send(piece)
+
+    endpoints = [EndpointStandIn(send_in_pieces) for _ in range(2)]
+    assert request(start_entry(*endpoints), "/safe/a") == FINE
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 1
+
+
+def test_a_second_endpoint_is_given_up_soon_if_no_third_could_replace_it() -> None:
+    sent_at: list[float] = []
+    closed_at: list[float] = []
+
+    def never_answer(dialog: Dialog) -> None:
+        sent_at.append(time.monotonic())
+        dialog.wait_until_closed()
+        closed_at.append(time.monotonic())
+
+    entry = start_entry(*in_turn(pause_after_first_event(2.0), never_answer))
+    assert request(entry, "/brief/a") == WHOLE_STREAM
+    assert 0.0 <= closed_at[0] - sent_at[0] < OVERLAP_S + 0.1
