Give a silent stream up only while another endpoint could take it over

A stream that was continued at a second endpoint because the first was silent was reset when the second one refused it later than 0.3 s: the refusal had used up the last attempt, and the first connection was closed by then, as two endpoints must not continue a stream for long.

A refusal no longer counts as an attempt once a response has begun, since the request has not run there; and where no third endpoint or retry is left, the second is given up in place of the first. A plain body that comes in pieces no longer counts as silent.

Two tests of the overlap now have a third endpoint, since with two the first is kept; a new one checks that the second is closed then.

--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -248,6 +248,9 @@
             try:
                 item = upstream.next_item(self._silent_at(upstream))
             except SilentError:
+                if self._ctx.now() < self._silent_at(upstream):
+                    # A part of a plain body has arrived meanwhile.
+                    continue
                 upstream = self._hedge(upstream)
                 self._current = upstream
                 continue
@@ -354,6 +357,10 @@
             return first
         if first.result is not None:
             self._end_with_result(first)
+        elif second.result is None and not self._could_go_on_elsewhere():
+            # The first may go on, and nothing could replace the second if it refuses.
+            self._discard(second)
+            return first
         else:
             self._end(first, self._record_timeout(first))
         self._ctx.counters.hedges_won += 1
@@ -427,8 +434,7 @@
         self._open.remove(upstream)
         upstream.close(self._max_idle)
         if upstream.is_sent:
-            # A misdirected attempt is not counted: its endpoint was gone before that.
-            self._attempts_sent -= attempt.outcome is AttemptOutcome.MISDIRECTED
+            self._attempts_sent -= self._is_free(attempt)
             self._possible_runs -= attempt.outcome in NOT_RUN_OUTCOMES
         if attempt.response is not None:
             self._last_error_response = attempt.response
@@ -478,12 +484,20 @@
             return HedgeBarrier.QUARANTINE
         if not self._ctx.has_retry_left(job.service):
             return HedgeBarrier.RETRY_BUDGET
+        return None if self._has_untried_endpoint() else HedgeBarrier.NO_ENDPOINT
+
+    def _has_untried_endpoint(self) -> bool:
+        """Return whether an endpoint serves that the request was not sent to."""
+        job = self._job
         version = self._slots.version_of(job)
         others = self._ctx.endpoints.accepting(job.service, job.allowed_halls, version)
         tried = {*job.tried_endpoints, *(upstream.row.id for upstream in self._open)}
-        if all(row.id in tried for row in others):
-            return HedgeBarrier.NO_ENDPOINT
-        return None
+        return any(row.id not in tried for row in others)
+
+    def _could_go_on_elsewhere(self) -> bool:
+        """Return whether the request could be sent once more if an endpoint refuses it."""
+        has_budget = self._ctx.has_retry_left(self._job.service)
+        return has_budget and self._has_untried_endpoint()
 
     @singledispatchmethod
     def _deliver(self, item: Item, upstream: UpstreamRequest) -> Attempt | None:
@@ -559,6 +573,16 @@
         detail = "another endpoint uses the address"
         return Attempt(AttemptOutcome.MISDIRECTED, row.id, detail)
 
+    def _is_free(self, attempt: Attempt) -> bool:
+        """Return whether an attempt does not count against those that the route allows.
+
+        The endpoint of a misdirected one was gone before, and a response that has begun
+        cannot be refused any more because another endpoint is full.
+        """
+        if attempt.outcome is AttemptOutcome.NOT_RUN:
+            return self._caller.head_sent
+        return attempt.outcome is AttemptOutcome.MISDIRECTED
+
     def _record_success(self, row: EndpointRow) -> None:
         row.record_success(self._ctx.now())
         self._ctx.crashes.record_alive(row)
--- a/dockreach/direct/upstream_request.py
+++ b/dockreach/direct/upstream_request.py
@@ -93,8 +93,8 @@
     Attributes:
         sent_at: Monotonic time at which it was sent, in seconds; minus infinity before.
         last_data_at: Monotonic time of the last data of the response, in seconds.
-        progressed_at: Monotonic time at which it was sent, or at which the head or the last
-            complete event was received, in seconds.
+        progressed_at: Monotonic time at which it was sent, or at which the head, the last
+            part of a plain body or the last complete event was received, in seconds.
         silence_noted_at: Monotonic time at which its silence was last dealt with, in
             seconds; infinite if nothing can be done about it.
         first_event_at: Monotonic time of the first event, in seconds.
@@ -259,7 +259,7 @@
     def _read_body(self) -> bytes:
         conn = self._connection
         while (data := conn.read_data()) is not None:
-            self.last_data_at = self._ctx.now()
+            self.last_data_at = self.progressed_at = self._ctx.now()
             self._body.append(data)
             self._body_bytes += len(data)
             if self._body_bytes > MAX_BUFFERED_BYTES:
