End the entries of each test of silent endpoints

Most of these tests start five entries, which went on in the process and would slow down the tests after them. Seen: a run of tests/direct with them on a busy machine had three failures, whose names are not known, and its last test had not ended after eight minutes, when the run was ended. That these entries were the cause is likely and not proved.

--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -5,8 +5,8 @@
 import dataclasses
 import logging
 import time
-from collections.abc import Callable
-from typing import NamedTuple, TypeVar
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple, TypeVar
 
 import eventlet
 import pytest
@@ -41,6 +41,22 @@
 """Silences up to just under the deadline, in seconds."""
 
 
+@pytest.fixture(autouse=True)
+def _end_greenlets(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """End the entries of each test, which are so many that they would slow down others."""
+    spawn = eventlet.spawn
+    greenlets: list[Any] = []
+
+    def spawn_recorded(*args: Any, **options: Any) -> Any:  # noqa: ANN401
+        greenlets.append(spawn(*args, **options))
+        return greenlets[-1]
+
+    monkeypatch.setattr(eventlet, "spawn", spawn_recorded)
+    yield
+    for greenlet in greenlets:
+        greenlet.kill()
+
+
 class Answer(NamedTuple):
     """What a caller got; status 0 if its connection was reset."""
 
