Hold a plain body in one buffer on the way of a request, too

A body of 256 KiB in chunks of two bytes held 16.5 MB while it was read for a caller. The buffer that bounded this was in EndpointConnection.read_body, which requests have not used since one upstream request was split out of the forwarder.

--- a/dockreach/direct/upstream_request.py
+++ b/dockreach/direct/upstream_request.py
@@ -132,8 +132,7 @@
         self._raw_head = RawHead(0, b"", [])
         self._is_skipping = False
         self._splitter = EventSplitter()
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     @property
     def is_sent(self) -> bool:
@@ -260,14 +259,13 @@
         conn = self._connection
         while (data := conn.read_data()) is not None:
             self.last_data_at = self.progressed_at = self._ctx.now()
-            self._body.append(data)
-            self._body_bytes += len(data)
-            if self._body_bytes > MAX_BUFFERED_BYTES:
+            self._body += data
+            if len(self._body) > MAX_BUFFERED_BYTES:
                 raise ResponseLimitError(
                     ResponseLimit.BODY,
                     f"{conn.address}: response over {MAX_BUFFERED_BYTES} bytes",
                 )
-        return b"".join(self._body)
+        return bytes(self._body)
 
     def _next_of_stream(self, head: ResponseHead) -> EventBatch | StreamEnd:
         conn = self._connection
