--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -11,7 +11,6 @@
 import eventlet
 import pytest
 
-from dockreach.direct.connection_admission import ConnectionAdmission
 from dockreach.direct.endpoint_selection import EXTRA_REQUESTS
 from dockreach.direct.endpoints import FIRST_CIRCUIT_OPEN_S, EndpointRow
 from dockreach.direct.entry import Entry
@@ -60,12 +59,6 @@
         greenlet.kill()
 
 
-@pytest.fixture(autouse=True)
-def _admit_all(monkeypatch: pytest.MonkeyPatch) -> None:
-    """All entries of a test share one event loop, whose load is not that of one entry."""
-    monkeypatch.setattr(ConnectionAdmission, "admit", lambda _: True)
-
-
 class Answer(NamedTuple):
     """What a caller got; status 0 if its connection was reset."""
 
--- a/tests/direct/versioned_engines.py
+++ b/tests/direct/versioned_engines.py
@@ -101,7 +101,9 @@
     caller.send("/brief/a", rid=rid, body=b"prompt")
     data = b""
     while not (versions := versions_in(data)):
-        data += caller.read_available()
+        received = caller.read_available()
+        assert received, "the connection was closed before the first event"
+        data += received
     return caller, versions[0]
 
 
