--- a/tests/direct/test_crash_reporter.py
+++ b/tests/direct/test_crash_reporter.py
@@ -189,7 +189,9 @@
     fleet = CrashingFleet(entries=1, engines=3)
     caller = Caller(fleet.entries[0])
     caller.send("/safe/a", body=CRASHING_BODY)
-    eventlet.sleep(CRASH_DELAY_S / 4)
+    with eventlet.Timeout(2):
+        while not any(row.connections for row in fleet.entries[0].endpoints):
+            eventlet.sleep(0)
     fleet.entries[0].ctx.crashes.merge(reports)
     assert status_of(caller.read_response()) == 502
     assert len(fleet.crashed) == 1
