--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -17,13 +17,13 @@
 from .harm_reporter import HarmReporter
 from .hedging import LASTING_BARRIERS, OVERLAP_S, HedgeBarrier, Race
 from .http1 import ConnectError, RawHead, ResponseError, ResponseLimitError, SilentError
-from .jobs import Job, queue_timeout_s
+from .jobs import DEFAULT_RETRY_AFTER_S, Job, queue_timeout_s
 from .outcomes import DeliveryProgress
 from .pool import MAX_IDLE_WITHOUT_RETRY_S
 from .requests import InboundRequest
 from .response_sink import ResponseSink
 from .routing_config import RetryMode
-from .slot_acquirer import DEFAULT_RETRY_AFTER_S, SlotAcquirer
+from .slot_acquirer import SlotAcquirer
 from .slot_messages import SampleKind
 from .upstream_request import (
     EventBatch,
--- a/dockreach/direct/jobs.py
+++ b/dockreach/direct/jobs.py
@@ -22,6 +22,9 @@
 MIN_RETRY_AFTER_S = 0.3
 """Lower bound of Retry-After for requests that got no slot in time, in seconds."""
 
+DEFAULT_RETRY_AFTER_S = 0.5
+"""Retry time that a refused caller gets where no better one is known, in seconds."""
+
 MAX_QUEUE_FRACTION = 0.5
 """Largest fraction of the time left until the caller's deadline that a request may spend
 waiting for a slot."""
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -12,7 +12,7 @@
 from .crash_reporter import Source
 from .fingerprint import fingerprint_of, part_fingerprints
 from .forwarder import Forwarder
-from .jobs import Job, queue_timeout_s
+from .jobs import DEFAULT_RETRY_AFTER_S, Job, queue_timeout_s
 from .outcomes import Outcome, classify_response
 from .pool import idle_share
 from .quarantine import SERIALIZED_REFUSAL, Admission
@@ -22,7 +22,6 @@
 from .response_sink import ResponseSink
 from .retry_schedule import HONOURED_FRACTION
 from .routing_config import ConfigRevision, Organisation, Route
-from .slot_acquirer import DEFAULT_RETRY_AFTER_S
 
 
 class RequestHandler:
--- a/dockreach/direct/slot_acquirer.py
+++ b/dockreach/direct/slot_acquirer.py
@@ -6,15 +6,12 @@
 from .context import Context
 from .dispatching import VERSION_GONE_REFUSAL
 from .endpoints import EndpointRow
-from .jobs import Job
+from .jobs import DEFAULT_RETRY_AFTER_S, Job
 from .requests import InboundRequest
 from .routing_config import RetryMode
 from .stream_versions import StreamOrigin, UnknownVersion
 from .upstream_request import UpstreamRequest
 
-DEFAULT_RETRY_AFTER_S = 0.5
-"""Retry time that a refused caller gets where no better one is known, in seconds."""
-
 
 class SlotAcquirer:
     """Acquires slots for one request.
