Take one listed version for the only one only where nothing else can have served

Callers whose streams broke off when all entries were killed took them up again, got 200, and the rest came from another software version, if the one that began the stream had left the list before the entries were back.

Cause: "no second version seen" counted as "one version". An entry that has just started has seen nothing but the present list, with all entries gone no digest corrects it, and it then recorded the version of the take-up as the one that began the stream, also for others.

From when on an entry knows all versions is now a type of its own (version_coverage), unknown by default: from following the list, from an entry that followed it for longer, or from the store's history if that is complete. A take-up goes on anywhere only if one version served for the timeout of its route; otherwise other entries are asked for the stream, and it is refused as not run if nobody knows it. A list that was not confirmed for a while ends the knowledge. What an entry concludes for a take-up is not told to others. The last line names what told the version (version_known_from), and a counter counts take-ups by it.

--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -22,6 +22,7 @@
 from .scheduling import Scheduler
 from .stream_versions import StreamVersions
 from .token_quota import QuotaTable
+from .version_coverage import VersionSource
 
 
 @dataclass(slots=True)
@@ -72,6 +73,7 @@
     invalid_loads: int = 0
     response_limits: Counter[ResponseLimit] = field(default_factory=Counter)
     statuses_replaced: Counter[int] = field(default_factory=Counter)
+    take_ups: Counter[VersionSource] = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -49,9 +49,12 @@
         tracks_streams: Whether the sender answers questions about streams.
         software_versions: Services of which endpoints of several software versions serve,
             or served lately: the time since each version was last listed, in seconds.
+            Those of all other services are added while `versions_known_s` is told.
         endpoints_answered_s: For how long up to its last response for the endpoint list the
             platform answered each call of the sender, in whole seconds; 0 if that is not
             known, `feeds.FAILING` while calls fail.
+        versions_known_s: For how long the sender has known all software versions that
+            served, in whole seconds, while an entry has started recently; else 0.
     """
 
     name: str
@@ -79,6 +82,7 @@
     tracks_streams: bool = False
     software_versions: dict[str, dict[str, float]] = {}
     endpoints_answered_s: int = 0
+    versions_known_s: int = 0
 
 
 class CrashUpdate(msgspec.Struct, array_like=True, tag=4):
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -5,12 +5,13 @@
 import math
 import secrets
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 from functools import partial, singledispatchmethod
 from typing import Any
 
 import eventlet
+from eventlet.event import Event as Signal
 
 from .. import clock
 from ..errors import RevisionError
@@ -56,6 +57,7 @@
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
 from .token_quota import QuotaTable
+from .version_coverage import ServedVersion, VersionSource
 from .view import View
 from .view_sync import KnownRevisions, ViewSync
 
@@ -100,6 +102,7 @@
         self.stopping_since: float | None = None
         self._endpoints_revision = 0
         self._has_endpoints = False
+        self._endpoints_read_at = -math.inf
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
         self._digest_number = 0
@@ -182,8 +185,14 @@
                 settings.hall,
                 self.gossip.send,
                 clock.now,
+                self._endpoints_confirmed_at,
+                lambda: self.settings.apply_deadline_s,
             ),
         )
+        if not settings.has_predecessor:
+            self.endpoints.software_versions.coverage.extend(
+                -math.inf, VersionSource.FIRST_START
+            )
         self._endpoint_sync = EndpointSync(self.ctx, self.peers, self.feeds.endpoints)
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
@@ -312,6 +321,46 @@
         self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
         self.record_endpoints_revision(endpoints_revision)
 
+    def expect_endpoint_history(self) -> None:
+        """Expect the platform's history of endpoints, or word that there is none.
+
+        Until then, the settings are not believed that nothing served before the start.
+        """
+        self.endpoints.software_versions.coverage.revoke_first_start()
+        self.ctx.streams.history = Signal()
+
+    def apply_endpoint_history(self, served: Collection[ServedVersion] | None) -> None:
+        """Apply the versions of all endpoints that were ever listed.
+
+        Args:
+            served: The versions; ``None`` if the platform has forgotten a part of them.
+        """
+        if served is not None:
+            self.endpoints.software_versions.add_history(served, clock.now())
+        log(
+            Event.ENDPOINT_HISTORY,
+            is_complete=served is not None,
+            versions=", ".join(sorted({item.version for item in served or ()})),
+        )
+        self.ctx.streams.finish_history()
+
+    def _endpoints_confirmed_at(self) -> float:
+        """Return when this entry's list of endpoints was last known to be complete.
+
+        Returns:
+            The monotonic time in seconds; minus infinity if there is no list yet.
+        """
+        if not self._has_endpoints:
+            return -math.inf
+        now = clock.now()
+        own = self.feeds.endpoints.last_response_at
+        relayed = [
+            row.received_at - row.digest.endpoints_age_s
+            for row in self.peers.fresh(now)
+            if row.digest.endpoints_revision <= self._endpoints_revision
+        ]
+        return max([self._endpoints_read_at, -math.inf if own is None else own, *relayed])
+
     def _known_revisions(self) -> KnownRevisions:
         revision = self.revision.number if self.revision else 0
         now = clock.now()
@@ -375,6 +424,7 @@
 
     def record_endpoints_revision(self, endpoints_revision: int) -> None:
         """Record the platform's revision up to which endpoints were read."""
+        self._endpoints_read_at = clock.now()
         if endpoints_revision > self._endpoints_revision:
             self._endpoints_revision = endpoints_revision
             self.gossip.send_soon()
@@ -386,6 +436,9 @@
 
     def _make_digest(self) -> Digest:
         now = clock.now()
+        versions = self.endpoints.software_versions
+        # An entry that has just started does not know which versions served before.
+        is_needed = self.peers.has_recently_started
         self._digest_number += 1
         in_flight = {
             row.id: row.in_flight_here for row in self.endpoints if row.in_flight_here
@@ -413,8 +466,9 @@
             usage_bucket=self.ctx.quotas.current_bucket(now),
             accepts_partial=True,
             tracks_streams=True,
-            software_versions=self.endpoints.software_versions.report(now),
+            software_versions=versions.report(now, with_single=is_needed),
             endpoints_answered_s=self.feeds.endpoints.answered_s,
+            versions_known_s=self.ctx.streams.versions_known_s() if is_needed else 0,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
@@ -478,7 +532,9 @@
         previous = change.previous
         self.ctx.crashes.merge(digest.crash_reports)
         self.ctx.notices.merge(digest.notices, digest.name)
-        self.endpoints.software_versions.merge(digest.software_versions, now)
+        self.endpoints.software_versions.merge(
+            digest.software_versions, now, known_s=digest.versions_known_s
+        )
         if previous is None or previous.digest.incarnation != digest.incarnation:
             self._send_startup_report(digest.address)
         if previous is None:
@@ -523,8 +579,7 @@
 
         Software versions that served before it started go with the next digest.
         """
-        if self.endpoints.software_versions.mixed_services(clock.now()):
-            self.gossip.send_soon()
+        self.gossip.send_soon()
         report = self.ctx.crashes.startup_report()
         if report is not None:
             self.gossip.send(report, peer)
@@ -564,6 +619,7 @@
         self.ctx.notices.expire(now)
         self.ctx.pool.expire()
         self.endpoints.refresh_software_versions(now)
+        self.ctx.streams.confirm_list()
         self.ctx.streams.report_running()
         self._recount_in_flight(now)
 
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -25,6 +25,7 @@
 from .slot_client import SlotClient
 from .slot_server import SlotServer
 from .status_pages import NOT_FOUND, Page
+from .version_coverage import VersionSource
 
 MAX_QUARANTINED_SHOWN = 16
 """Quarantined requests on the metrics page, the latest ones: each is a time series of its
@@ -102,6 +103,13 @@
                 entry.ctx.counters.response_limits[limit],
                 {"limit": limit.value},
             )
+        for source in VersionSource:
+            yield Sample(
+                "dockreach_direct_take_ups_total",
+                "Streams that callers took up, by what tells their software version",
+                entry.ctx.counters.take_ups[source],
+                {"known_from": source.value},
+            )
         for status, count in entry.ctx.counters.statuses_replaced.items():
             yield Sample(
                 "dockreach_direct_statuses_replaced_total",
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -38,6 +38,7 @@
     StreamEnd,
     UpstreamRequest,
 )
+from .version_coverage import VersionSource
 
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.5
 """Silence before the first event of a stream, in objectives, after which a resumable one is
@@ -138,6 +139,14 @@
         """Where the request was placed last."""
         return None if self._current is None else self._current.placement
 
+    @property
+    def version_source(self) -> VersionSource | None:
+        """From what it is known at which software version the stream has to go on.
+
+        It is ``None`` if the caller has no events yet.
+        """
+        return self._slots.version_source
+
     @property
     def response_end(self) -> str:
         """How the end of the last response was known; empty if it has not ended."""
--- a/dockreach/direct/request_summary.py
+++ b/dockreach/direct/request_summary.py
@@ -190,6 +190,12 @@
     def _resumption_fields(self) -> dict[str, Any]:
         """Return the log fields of a request that continues a stream."""
         req = self._req
+        source = self._forwarder.version_source if self._forwarder else None
+        fields = {} if source is None else {"version_known_from": source.value}
         if not req.last_event_id:
-            return {}
-        return {"stream_rid": req.stream_rid, "resumed_after": req.last_event_id}
+            return fields
+        return {
+            **fields,
+            "stream_rid": req.stream_rid,
+            "resumed_after": req.last_event_id,
+        }
--- a/dockreach/direct/slot_acquirer.py
+++ b/dockreach/direct/slot_acquirer.py
@@ -9,8 +9,9 @@
 from .jobs import DEFAULT_RETRY_AFTER_S, Job
 from .requests import InboundRequest
 from .routing_config import RetryMode
-from .stream_versions import StreamOrigin, UnknownVersion
+from .stream_versions import KnownVersion, StreamOrigin, UnknownVersion
 from .upstream_request import UpstreamRequest
+from .version_coverage import VersionSource
 
 
 class SlotAcquirer:
@@ -24,6 +25,8 @@
 
     Attributes:
         has_attempted: Whether an upstream request has ended; a probe is sent once.
+        version_source: From what it is known at which software version the stream has to go
+            on; ``None`` while it has not begun.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         self._is_probe = is_probe
         self._origin: StreamOrigin | None = None
         self.has_attempted = False
+        self.version_source: VersionSource | None = None
 
     def acquire(self, job: Job) -> EndpointRow | Refusal:
         """Wait for the slot of an endpoint that may run the request."""
@@ -82,35 +86,53 @@
         """Require the software version that began the stream, if it goes on.
 
         Returns:
-            A refusal if the version is not known while several serve.
+            A refusal if the version is not known, and several may have served.
         """
+        if not self._goes_on:
+            return None
+        if self._origin is not None:
+            job.software_version = self._origin.software_version
+            self._set_source(VersionSource.MEMORY)
         if not self._must_know_version(job):
+            self._set_source(self._ctx.endpoints.software_versions.coverage.source)
             return None
-        version: str | None | UnknownVersion = UnknownVersion("its endpoint has restarted")
+        found: KnownVersion | UnknownVersion = UnknownVersion("its endpoint has restarted")
         if self._origin is None:
-            version = self._ctx.streams.find(self._req.stream_rid, job.service)
-        if isinstance(version, UnknownVersion):
+            found = self._ctx.streams.find(
+                self._req.stream_rid, job.service, job.route.timeout_s
+            )
+        self._set_source(found.source)
+        if isinstance(found, UnknownVersion):
             return Refusal(
                 Verdict.NOT_RUN,
                 Reason.SOFTWARE_VERSION,
-                version.reason,
+                found.reason,
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
             )
-        job.software_version = version
+        job.software_version = found.version
         return None
 
+    def _set_source(self, source: VersionSource) -> None:
+        """Record from what it is known where the stream has to go on, the first time."""
+        if self.version_source is None:
+            self.version_source = source
+            if self._req.last_event_id:
+                self._ctx.counters.take_ups[source] += 1
+
+    @property
+    def _goes_on(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return self._origin is not None or bool(self._req.last_event_id)
+
     def _must_know_version(self, job: Job) -> bool:
         """Return whether the stream goes on, but not at a known software version.
 
-        While one version serves, the stream may go on anywhere.
+        It may go on anywhere if only one version served since it can have begun.
         """
-        if self._origin is not None:
-            job.software_version = self._origin.software_version
-        goes_on = self._origin is not None or bool(self._req.last_event_id)
         return (
-            goes_on
+            self._goes_on
             and job.software_version is None
-            and self._ctx.streams.is_mixed(job.service)
+            and not self._ctx.streams.is_only_version(job.service, job.route.timeout_s)
         )
 
     def record_origin(self, upstream: UpstreamRequest) -> None:
@@ -120,11 +142,13 @@
             return
         published = upstream.row.published
         version = upstream.job.software_version
+        is_take_up = bool(self._req.last_event_id)
         self._origin = self._ctx.streams.begin(
             self._req.stream_rid or self._req.rid,
             published,
             sent_at=upstream.sent_at,
             software_version=published.software_version if version is None else version,
+            is_concluded=is_take_up and version is None,
         )
 
     def end_stream(self) -> None:
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 
+from .version_coverage import ServedVersion, VersionCoverage, VersionSource
+
 VERSION_MEMORY_S = 60.0
 """How long a version counts after its last endpoint has gone, in seconds: longer than a
 stream and the attempts to continue it last."""
@@ -24,9 +27,16 @@
     """Remembers the software versions of each service's endpoints.
 
     A version is ``None`` where a peer relayed an endpoint's record without it.
+
+    Attributes:
+        coverage: From when on all of them are known.
+        confirmed_at: Monotonic time at which the list of endpoints was last known to be
+            complete, in seconds.
     """
 
     def __init__(self) -> None:
+        self.coverage = VersionCoverage()
+        self.confirmed_at = -math.inf
         self._listed: dict[str, dict[str | None, float]] = {}
         self._reported: dict[str, dict[str | None, float]] = {}
 
@@ -34,12 +44,74 @@
         """Record that an endpoint with a version is listed here."""
         _remember(self._listed, service, version, now)
 
-    def merge(self, ages: Mapping[str, Mapping[str, float]], now: float) -> None:
-        """Merge the versions that another entry remembers."""
+    def merge(
+        self, ages: Mapping[str, Mapping[str, float]], now: float, *, known_s: int = 0
+    ) -> None:
+        """Merge the versions that another entry remembers.
+
+        Args:
+            ages: Time since each version was last listed, in seconds.
+            now: Monotonic time, in seconds.
+            known_s: For how long these have been all versions of all services, in seconds;
+                0 if they may be a part.
+        """
         for service, versions in ages.items():
             for version, age_s in versions.items():
                 if 0.0 <= age_s <= VERSION_MEMORY_S:
                     _remember(self._reported, service, version, now - age_s)
+        if known_s > 0:
+            self.coverage.extend(now - known_s, VersionSource.ENTRY)
+
+    def confirm(self, at: float, max_gap_s: float) -> None:
+        """Record that the list of endpoints was complete at a time.
+
+        Args:
+            at: That time, monotonic, in seconds.
+            max_gap_s: Longest time without a complete list in which no version can have
+                served unnoticed, in seconds.
+        """
+        if at <= self.confirmed_at:
+            return
+        if self.confirmed_at == -math.inf:
+            self.coverage.extend(at, VersionSource.MEMORY)
+        elif at - self.confirmed_at > max_gap_s:
+            self.coverage.restart(at)
+        self.confirmed_at = at
+
+    def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
+        """Record all versions that ever served, as the platform's store tells.
+
+        It does not tell when. They count as if they had served until now.
+        """
+        for item in served:
+            _remember(self._reported, item.service, item.version, now)
+        self.coverage.extend(-math.inf, VersionSource.HISTORY)
+
+    def known_s(self, now: float, max_gap_s: float) -> int:
+        """Return for how long all versions have been known, in whole seconds.
+
+        It is 0 if they are not known now, and at most `VERSION_MEMORY_S`.
+
+        Args:
+            now: Monotonic time, in seconds.
+            max_gap_s: As for `confirm`.
+        """
+        if now - self.confirmed_at > max_gap_s:
+            return 0
+        return int(min(self.coverage.age_s(now), VERSION_MEMORY_S))
+
+    def is_only_one(self, service: str, since: float, now: float, max_gap_s: float) -> bool:
+        """Return whether only one version served a service since a time, for certain.
+
+        Args:
+            service: The service.
+            since: That time, monotonic, in seconds.
+            now: Monotonic time, in seconds.
+            max_gap_s: As for `confirm`.
+        """
+        is_current = now - self.confirmed_at <= max_gap_s
+        is_covered = is_current and self.coverage.covers(since)
+        return is_covered and not self.has_several(service, now)
 
     def recent(self, service: str, now: float) -> set[str | None]:
         """Return the versions that serve a service, or served it lately."""
@@ -65,9 +137,18 @@
         services = self._listed.keys() | self._reported.keys()
         return sorted(name for name in services if self.has_several(name, now))
 
-    def report(self, now: float) -> VersionAges:
-        """Return the versions of the services that have several, for other entries."""
-        return {service: self._ages(service, now) for service in self.mixed_services(now)}
+    def report(self, now: float, *, with_single: bool = False) -> VersionAges:
+        """Return the versions of the services that have several, for other entries.
+
+        Args:
+            now: Monotonic time, in seconds.
+            with_single: Whether to add the services that have one version.
+        """
+        services = self.mixed_services(now)
+        if with_single:
+            services = sorted(self._listed.keys() | self._reported.keys())
+        ages = {service: self._ages(service, now) for service in services}
+        return {service: versions for service, versions in ages.items() if versions}
 
     def _ages(self, service: str, now: float) -> dict[str, float]:
         ages: dict[str, float] = {}
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -3,8 +3,8 @@
 A caller takes a broken stream up at any entry, and the one that began it may have crashed.
 While endpoints of several versions serve, each entry tells a few others of every stream
 before it passes on its first event: rendezvous hashing of the stream's key selects these
-holders, which the entry that the caller turns to asks first. While one version serves,
-nothing is sent.
+holders, which the entry that the caller turns to asks first. While one version serves, and
+the entry knows that no other one served since the stream can have begun, nothing is sent.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
 from .peers import PeerTable
 from .software_versions import SoftwareVersions
 from .stream_messages import BegunStream, StreamQuestion, StreamReport, stream_key
+from .version_coverage import VersionSource
 
 HOLDERS = 3
 """Entries that are told of a stream, besides the one that began it."""
@@ -52,6 +53,22 @@
 ANSWER_TIMEOUT_S = 0.15
 """Time after the last question until the version counts as unknown, in seconds."""
 
+HISTORY_TIMEOUT_S = 0.25
+"""How long a stream waits for the store's history of endpoints, in seconds: some dozens of
+its usual response times."""
+
+
+class KnownVersion(NamedTuple):
+    """The software version at which a stream has to go on.
+
+    Attributes:
+        version: The version; ``None`` for any, as only one served since it can have begun.
+        source: From what that is known.
+    """
+
+    version: str | None
+    source: VersionSource
+
 
 class UnknownVersion(NamedTuple):
     """Stands for the software version of a stream that no entry knows; falsy.
@@ -62,6 +79,11 @@
 
     reason: str
 
+    @property
+    def source(self) -> VersionSource:
+        """From what it is known."""
+        return VersionSource.NOTHING
+
     def __bool__(self) -> bool:
         """Return ``False``, so that it is never mistaken for a version."""
         return False
@@ -79,6 +101,8 @@
         endpoint: Id of the endpoint that sent its first event here; empty if another entry
             reported it.
         sent_at: Monotonic time at which the request was sent to that endpoint, in seconds.
+        is_concluded: Whether it was taken up here, and its version was concluded from the
+            list of endpoints. Other entries are not told of it.
     """
 
     key: bytes
@@ -86,6 +110,12 @@
     software_version: str | None = None
     endpoint: str = ""
     sent_at: float = -math.inf
+    is_concluded: bool = False
+
+    @property
+    def source(self) -> VersionSource:
+        """From what its version is known."""
+        return VersionSource.MEMORY if self.endpoint else VersionSource.ENTRY
 
 
 @dataclass(slots=True)
@@ -119,6 +149,14 @@
         hall: The data hall of this entry.
         send: Sends a message to another entry; it may be lost.
         clock: Returns the monotonic time, in seconds.
+        list_confirmed_at: Returns when the platform last confirmed the list of endpoints,
+            in monotonic seconds.
+        max_gap_s: Returns for how long the list may be unconfirmed before versions may have
+            served unnoticed, in seconds.
+
+    Attributes:
+        history: Set once the store's history of endpoints was read, or will not be;
+            ``None`` if nobody reads it.
     """
 
     def __init__(
@@ -128,7 +166,12 @@
         hall: str,
         send: Callable[[StreamReport | StreamQuestion, Address], None],
         clock: Callable[[], float],
+        list_confirmed_at: Callable[[], float],
+        max_gap_s: Callable[[], float],
     ) -> None:
+        self.history: Any = None
+        self._list_confirmed_at = list_confirmed_at
+        self._max_gap_s = max_gap_s
         self._versions = versions
         self._peers = peers
         self._hall = hall
@@ -152,6 +195,7 @@
         *,
         sent_at: float,
         software_version: str | None,
+        is_concluded: bool = False,
     ) -> StreamOrigin:
         """Record a stream whose first event is about to be passed on, and report it.
 
@@ -160,6 +204,7 @@
             published: Record of the endpoint that sent the event.
             sent_at: Monotonic time at which the request was sent there, in seconds.
             software_version: The version that began it.
+            is_concluded: Whether it was taken up, and only one version served.
         """
         origin = StreamOrigin(
             stream_key(stream_rid),
@@ -167,6 +212,7 @@
             software_version,
             published.id,
             sent_at,
+            is_concluded,
         )
         self._running[origin.key] = origin
         self._known[origin.key] = origin
@@ -179,37 +225,77 @@
         if self._running.get(origin.key) is origin:
             del self._running[origin.key]
 
-    def is_mixed(self, service: str) -> bool:
-        """Return whether a service has endpoints of several versions, or lately had."""
-        return self._versions.has_several(service, self._clock())
+    def confirm_list(self) -> None:
+        """Note up to when the list of endpoints is complete."""
+        self._versions.confirm(self._list_confirmed_at(), self._max_gap_s())
+
+    def versions_known_s(self) -> int:
+        """Return for how long all software versions have been known, in whole seconds."""
+        self.confirm_list()
+        return self._versions.known_s(self._clock(), self._max_gap_s())
+
+    def finish_history(self) -> None:
+        """Wake the streams that wait for the store's history of endpoints."""
+        if self.history is not None and not self.history.ready():
+            self.history.send(None)
 
-    def find(self, stream_rid: str, service: str) -> str | None | UnknownVersion:
+    def is_only_version(self, service: str, max_age_s: float) -> bool:
+        """Return whether only one version served since a stream began, for certain.
+
+        Args:
+            service: The stream's service.
+            max_age_s: How long ago the stream may have begun, in seconds.
+        """
+        self.confirm_list()
+        now, max_gap_s = self._clock(), self._max_gap_s()
+        since = now - max_age_s - max_gap_s
+        return self._versions.is_only_one(service, since, now, max_gap_s)
+
+    def find(
+        self, stream_rid: str, service: str, max_age_s: float
+    ) -> KnownVersion | UnknownVersion:
         """Return the software version at which a stream has to go on.
 
-        Waits for the answers of other entries if several versions serve and this one does
-        not know the stream.
+        Waits for the answers of other entries if this one does not know the stream, unless
+        only one version can have begun it.
 
         Args:
             stream_rid: Id of the attempt that brought its first event; empty if the caller
                 did not name it.
             service: The stream's service.
-
-        Returns:
-            The version; ``None`` for any, while only one serves.
+            max_age_s: How long ago it may have begun, in seconds.
         """
-        if not self.is_mixed(service):
-            return None
+        found = self._find_only(service, max_age_s)
+        if found is not None:
+            return found
+        if stream_rid:
+            key = stream_key(stream_rid)
+            if key not in self._known:
+                self._ask(key)
+            origin = self._known.get(key)
+            if origin is not None and origin.software_version is not None:
+                return KnownVersion(origin.software_version, origin.source)
+            if origin is not None:
+                return UnknownVersion("the endpoint that began the stream has restarted")
+        self._await_history()
+        found = self._find_only(service, max_age_s)
+        if found is not None:
+            return found
         if not stream_rid:
             return UnknownVersion("the request does not name the attempt that began it")
-        key = stream_key(stream_rid)
-        if key not in self._known:
-            self._ask(key)
-        origin = self._known.get(key)
-        if origin is None:
-            return UnknownVersion("no entry knows the stream")
-        if origin.software_version is None:
-            return UnknownVersion("the endpoint that began the stream has restarted")
-        return origin.software_version
+        return UnknownVersion("no entry knows the stream")
+
+    def _find_only(self, service: str, max_age_s: float) -> KnownVersion | None:
+        """Return the finding if only one version served, for certain."""
+        if not self.is_only_version(service, max_age_s):
+            return None
+        return KnownVersion(None, self._versions.coverage.source)
+
+    def _await_history(self) -> None:
+        """Wait until the store's history of endpoints was read, or will not be."""
+        if self.history is not None and not self.history.ready():
+            with eventlet.Timeout(HISTORY_TIMEOUT_S, False):
+                self.history.wait()
 
     def _ask(self, key: bytes) -> None:
         """Ask other entries for a stream, its likely holders first, and wait."""
@@ -243,13 +329,18 @@
 
     def handle_question(self, question: StreamQuestion) -> None:
         """Answer another entry's question."""
-        known = {key: self._known.get(key) for key in question.keys}
+        known = {key: self._certain(key) for key in question.keys}
         streams = [_begun(origin) for origin in known.values() if origin is not None]
         unknown = [key for key, origin in known.items() if origin is None]
         self._send(
             StreamReport(self._peers.own_address, streams, unknown), question.address
         )
 
+    def _certain(self, key: bytes) -> StreamOrigin | None:
+        """Return what other entries may be told of a stream; ``None`` for nothing."""
+        origin = self._known.get(key)
+        return None if origin is None or origin.is_concluded else origin
+
     def handle_report(self, report: StreamReport) -> None:
         """Take over what another entry knows of some streams."""
         for stream in report.streams:
@@ -265,7 +356,7 @@
                     question.finish()
 
     def _take_over(self, stream: BegunStream) -> None:
-        known = self._known.get(stream.key)
+        known = self._certain(stream.key)
         if known is None:
             known = StreamOrigin(stream.key, software_version=stream.software_version)
         elif known.software_version != stream.software_version:
@@ -311,6 +402,8 @@
         """Tell the holders of some streams what is known of them."""
         by_holder: defaultdict[Address, list[BegunStream]] = defaultdict(list)
         for origin in origins:
+            if origin.is_concluded:
+                continue
             for address in self._holders(origin.key):
                 by_holder[address].append(_begun(origin))
         for address, streams in by_holder.items():
--- a/tests/direct/test_slot_acquirer.py
+++ b/tests/direct/test_slot_acquirer.py
@@ -9,8 +9,11 @@
 
 import pytest
 
+from dockreach.direct.context import Counters
+from dockreach.direct.routing_config import RetryMode
 from dockreach.direct.slot_acquirer import SlotAcquirer
-from dockreach.direct.stream_versions import UnknownVersion
+from dockreach.direct.stream_versions import KnownVersion, UnknownVersion
+from dockreach.direct.version_coverage import VersionSource
 from dockreach.verdict import Reason, Refusal, Verdict
 
 QUARANTINED = Refusal(Verdict.NOT_RUN, Reason.CRASHES_ENGINES)
@@ -22,10 +25,11 @@
     quarantine.refusal.return_value = QUARANTINED
     return SimpleNamespace(
         now=lambda: 0.0,
-        endpoints=object(),
+        endpoints=Mock(**{"software_versions.coverage.source": VersionSource.HISTORY}),
         scheduler=Mock(**{"acquire_slot.side_effect": list(found)}),
         crashes=SimpleNamespace(quarantine=quarantine),
-        streams=Mock(**{"is_mixed.return_value": True}),
+        streams=Mock(**{"is_only_version.return_value": False}),
+        counters=Counters(),
     )
 
 
@@ -33,6 +37,7 @@
     """Return a job that fits some endpoints."""
     return SimpleNamespace(
         service="work",
+        route=SimpleNamespace(timeout_s=4.0, retry_mode=RetryMode.RESUME),
         software_version=None,
         tried_endpoints=set(),
         needs_gone_version=lambda *_: False,
@@ -80,3 +85,19 @@
     assert isinstance(refusal, Refusal)
     assert (refusal.verdict, refusal.reason) == (Verdict.NOT_RUN, Reason.SOFTWARE_VERSION)
     ctx.scheduler.acquire_slot.assert_not_called()
+    assert ctx.counters.take_ups == {VersionSource.NOTHING: 1}
+
+
+@pytest.mark.parametrize("is_only", [True, False])
+def test_what_is_concluded_of_a_take_up_is_told_from_what_is_known(is_only: bool) -> None:
+    row: Any = SimpleNamespace(id="e-0", published=Mock(software_version="v1"))
+    ctx, job = make_context([row]), make_job("e-0")
+    ctx.streams.is_only_version.side_effect = lambda *_: is_only
+    ctx.streams.find.return_value = KnownVersion("v1", VersionSource.ENTRY)
+    slots = SlotAcquirer(ctx, make_request(last_event_id="3"), (b"f",), is_probe=False)
+    assert slots.acquire(job) is row
+    slots.record_origin(Mock(job=job, row=row, sent_at=0.0))
+    assert ctx.streams.begin.call_args.kwargs["is_concluded"] is is_only
+    source = VersionSource.HISTORY if is_only else VersionSource.ENTRY
+    assert slots.version_source is source
+    assert ctx.counters.take_ups == {source: 1}
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -9,6 +10,7 @@
 import eventlet
 import msgspec
 import pytest
+from eventlet.event import Event as Signal
 
 from dockreach import clock
 from dockreach.direct.datagrams import decode, encode
@@ -25,17 +27,22 @@
 from dockreach.direct.stream_versions import (
     ANSWER_TIMEOUT_S,
     ASK_AGAIN_S,
+    HISTORY_TIMEOUT_S,
     HOLDERS,
     HOLDERS_ANSWER_S,
     MAX_STREAMS,
+    KnownVersion,
     StreamOrigin,
     StreamVersions,
     UnknownVersion,
 )
+from dockreach.direct.version_coverage import ServedVersion, VersionSource
 
 from .core_builders import address, digest
 
 SERVICE = "work"
+MAX_AGE_S = 10.0
+MAX_GAP_S = 2.0
 LONGEST_S = HOLDERS_ANSWER_S + ASK_AGAIN_S + ANSWER_TIMEOUT_S + 0.1
 
 
@@ -48,6 +55,7 @@
         loss: Fraction of the messages that are lost.
         dead: Entries that receive nothing.
         held: Messages about streams that each entry received on its own accord.
+        is_listed: Whether the platform answers; if not, `listed_at` tells when it last did.
     """
 
     nodes: dict[Address, StreamVersions] = field(default_factory=dict)
@@ -57,6 +65,8 @@
     dead: set[Address] = field(default_factory=set)
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     now: float = 1000.0
+    is_listed: bool = True
+    listed_at: float = -math.inf
 
     def send(
         self, sender: Address, message: StreamReport | StreamQuestion, to: Address
@@ -85,6 +95,7 @@
     *versions: str | None,
     halls: int = 3,
     earlier: Iterable[int] = (),
+    is_restarted: bool = False,
 ) -> Network:
     """Return a network.
 
@@ -93,6 +104,7 @@
         versions: Software versions that they list.
         halls: Number of data halls.
         earlier: Numbers of entries of an earlier version.
+        is_restarted: Whether other versions may have served before they started.
     """
     net = Network()
     now = clock.now()
@@ -104,12 +116,16 @@
             report = msgspec.structs.replace(report, tracks_streams=other not in earlier)
             peers.merge(report, net.now)
         net.versions[own] = SoftwareVersions()
+        if not is_restarted:
+            net.versions[own].coverage.extend(-math.inf, VersionSource.FIRST_START)
         net.nodes[own] = StreamVersions(
             net.versions[own],
             peers,
             f"hall{number % halls}",
             lambda message, to, own=own: net.send(own, message, to),  # type: ignore[misc]
             lambda: net.now,
+            lambda: net.now if net.is_listed else net.listed_at,
+            lambda: MAX_GAP_S,
         )
     assert now
     net.list_versions(*versions)
@@ -126,8 +142,13 @@
     )
 
 
+def look_up(net: Network, node: int, rid: str) -> KnownVersion | UnknownVersion:
+    return net.nodes[address(node)].find(rid, SERVICE, MAX_AGE_S)
+
+
 def find(net: Network, node: int, rid: str) -> str | None | UnknownVersion:
-    return net.nodes[address(node)].find(rid, SERVICE)
+    found = look_up(net, node, rid)
+    return found.version if isinstance(found, KnownVersion) else found
 
 
 def test_a_stream_is_known_after_the_entry_that_began_it_was_killed() -> None:
@@ -283,3 +304,90 @@
         origin = begin(net, 0, f"r-{number}", "v1")
         net.nodes[address(0)].end(origin)
     assert len(net.nodes[address(0)]) == MAX_STREAMS
+
+
+def test_a_started_entry_does_not_take_one_listed_version_for_the_only_one() -> None:
+    net = network(1, "v2", is_restarted=True)
+    for rid in ("r-1", ""):
+        assert isinstance(look_up(net, 0, rid), UnknownVersion)
+
+
+def test_streams_are_refused_as_unknown_for_no_longer_than_they_last() -> None:
+    net = network(1, "v1", is_restarted=True)
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+    for _ in range(int(MAX_AGE_S + MAX_GAP_S)):
+        net.now += 1.0
+        net.nodes[address(0)].confirm_list()
+    assert look_up(net, 0, "r-1") == KnownVersion(None, VersionSource.MEMORY)
+
+
+@pytest.mark.parametrize("unseen_s", [MAX_GAP_S + 0.1, 20.0])
+def test_a_list_that_was_not_confirmed_for_a_while_proves_no_only_version(
+    unseen_s: float,
+) -> None:
+    net = network(1, "v1")
+    assert find(net, 0, "r-1") is None
+    net.is_listed, net.listed_at = False, net.now
+    net.now += unseen_s
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+    # What was listed in between and is gone again is not known later, either.
+    net.is_listed = True
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+
+
+def test_an_entry_that_was_running_tells_which_versions_served() -> None:
+    net = network(2, "v1", is_restarted=True)
+    versions = net.versions[address(0)]
+    ages = {SERVICE: {"v1": 0.0}}
+    versions.merge(ages, net.now, known_s=int(MAX_AGE_S + MAX_GAP_S))
+    assert look_up(net, 0, "r-1") == KnownVersion(None, VersionSource.ENTRY)
+    versions.merge({SERVICE: {"v0": 3.0}}, net.now)
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+
+
+def test_the_history_of_the_store_tells_which_versions_served() -> None:
+    net = network(1, "v2", is_restarted=True)
+    net.versions[address(0)].add_history([ServedVersion(SERVICE, "v2")], net.now)
+    assert look_up(net, 0, "r-1") == KnownVersion(None, VersionSource.HISTORY)
+    net.versions[address(0)].add_history([ServedVersion(SERVICE, "v1")], net.now)
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+
+
+def test_a_take_up_waits_for_the_history_of_the_store_but_not_for_long() -> None:
+    net = network(1, "v2", is_restarted=True)
+    node = net.nodes[address(0)]
+    node.history = Signal()
+    started = clock.now()
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+    assert clock.now() - started < LONGEST_S + HISTORY_TIMEOUT_S
+
+    def read_history() -> None:
+        net.versions[address(0)].add_history([ServedVersion(SERVICE, "v2")], net.now)
+        node.finish_history()
+
+    eventlet.spawn_after(0.02, read_history)
+    assert find(net, 0, "r-1") is None
+
+
+def test_a_version_concluded_from_the_list_is_no_evidence_at_other_entries() -> None:
+    net = network(4, "v2")
+    origin = net.nodes[address(0)].begin(
+        "r-1", endpoint("v2"), sent_at=net.now, software_version="v2", is_concluded=True
+    )
+    net.list_versions("v1")
+    net.nodes[address(0)].report_running()
+    eventlet.sleep(0)
+    assert isinstance(look_up(net, 1, "r-1"), UnknownVersion)
+    net.nodes[address(0)].end(origin)
+    key = stream_key("r-1")
+    report = StreamReport(address(2), [BegunStream(key, "v1")])
+    net.nodes[address(0)].handle_report(report)
+    assert look_up(net, 0, "r-1") == KnownVersion("v1", VersionSource.ENTRY)
+
+
+def test_it_is_told_from_what_the_version_of_a_stream_is_known() -> None:
+    net = network(3, "v1", "v2")
+    begin(net, 0, "r-1", "v1")
+    assert look_up(net, 0, "r-1").source is VersionSource.MEMORY
+    assert look_up(net, 1, "r-1").source is VersionSource.ENTRY
+    assert look_up(net, 1, "r-2").source is VersionSource.NOTHING
--- /dev/null
+++ b/tests/platform/entry_process.py
@@ -0,0 +1,39 @@
+"""Starts the entry as a process."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import eventlet
+from eventlet.green import socket
+
+from tests.direct.standins import LOCAL
+
+MAIN = Path(__file__).resolve().parents[2] / "platform" / "main.py"
+LOAD_TIMEOUT_S = 3.0
+
+
+def start_entry_process(path: str) -> subprocess.Popen[bytes]:
+    """Start an entry with a settings file."""
+    env = {"PATH": os.environ["PATH"], "DOCKREACH_CONFIG": path}
+    return subprocess.Popen([sys.executable, str(MAIN)], env=env, stdout=subprocess.PIPE)
+
+
+def wait_until_listening(port: int) -> None:
+    """Wait until a process accepts connections at a port.
+
+    Raises:
+        AssertionError: It does not in time.
+    """
+    deadline = time.monotonic() + LOAD_TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            socket.create_connection((LOCAL, port), timeout=1.0).close()
+            return
+        except OSError:
+            eventlet.sleep(0.002)
+    raise AssertionError("the entry did not start to listen in time")
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
 import subprocess
-import sys
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -18,13 +16,11 @@
 
 from tests.direct.standins import LOCAL, Dialog, EndpointStandIn, free_port
 
+from .entry_process import LOAD_TIMEOUT_S, start_entry_process, wait_until_listening
 from .store_standin import ENDPOINT_RECORD, StoreStandIn
 from .test_platform_settings import write_settings
 from .test_startup import fields_with_free_ports
 
-MAIN = Path(__file__).resolve().parents[2] / "platform" / "main.py"
-LOAD_TIMEOUT_S = 3.0
-
 
 @pytest.fixture(name="entry")
 def _entry(tmp_path: Path) -> Iterator[subprocess.Popen[bytes]]:
@@ -34,35 +30,19 @@
         "port_range": [free_port(), free_port()],
         "platform": {"address": f"{LOCAL}:{free_port()}"},
     }
-    process = _start(write_settings(tmp_path, content))
-    _wait_until_listening(_port_of(content))
+    process = start_entry_process(write_settings(tmp_path, content))
+    wait_until_listening(_port_of(content))
     yield process
     process.kill()
     process.communicate()
 
 
-def _start(path: str) -> subprocess.Popen[bytes]:
-    env = {"PATH": os.environ["PATH"], "DOCKREACH_CONFIG": path}
-    return subprocess.Popen([sys.executable, str(MAIN)], env=env, stdout=subprocess.PIPE)
-
-
 def _port_of(content: dict[str, object]) -> int:
     addresses = content["listen_addrs"]
     assert isinstance(addresses, dict)
     return int(addresses["front"].rpartition(":")[2])
 
 
-def _wait_until_listening(port: int) -> None:
-    deadline = time.monotonic() + LOAD_TIMEOUT_S
-    while time.monotonic() < deadline:
-        try:
-            socket.create_connection((LOCAL, port), timeout=1.0).close()
-            return
-        except OSError:
-            eventlet.sleep(0.002)
-    raise AssertionError("the entry did not start to listen in time")
-
-
 def _wait_for_line(process: subprocess.Popen[bytes], name: bytes) -> None:
     assert process.stdout is not None
     for line in process.stdout:
@@ -90,7 +70,7 @@
         "port_range": [free_port(), free_port()],
         "platform": {"address": f"{LOCAL}:{free_port()}"},
     }
-    process = _start(write_settings(tmp_path, content))
+    process = start_entry_process(write_settings(tmp_path, content))
     try:
         sock = _send_request_when_listening(_port_of(content))
         process.send_signal(signal.SIGTERM)
@@ -127,7 +107,7 @@
         self.store.put("servers/e-1", json.dumps(endpoint_fields).encode())
         content = {**fields_with_free_ports(), "platform": {"address": self.store.address}}
         content["port_range"] = [free_port(), free_port()]
-        self.process = _start(write_settings(directory, {**content, **fields}))
+        self.process = start_entry_process(write_settings(directory, {**content, **fields}))
         self.port = _port_of(content)
 
 
@@ -221,7 +201,7 @@
 
 def _send_request_when_listening(port: int) -> Any:  # noqa: ANN401
     """Send a request; an entry that is still starting serves it once it is configured."""
-    _wait_until_listening(port)
+    wait_until_listening(port)
     sock = socket.create_connection((LOCAL, port), timeout=5.0)
     sock.sendall(
         b"POST /once/a HTTP/1.1\r\nHost: tools.example\r\nRequest-Id: r-1\r\n"
