Give the event loop back while datagrams come without a pause

Callers saw: nobody was served, and no timeout fired, as long as datagrams arrived faster than an entry handled them, valid or not.

Cause: the loop that receives them gave the event loop back only when its socket was empty.

Change: the socket has a `LoopShare` as connections have. The loop is given back after 64 datagrams or 64 KiB. The bound of bytes is larger than a connection's, since the datagrams of all entries arrive at one socket, and the kernel drops those that it has no room for.

--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -13,6 +13,7 @@
 from ..events import Event, log
 from .datagrams import MAX_DATAGRAM_BYTES, Message, decode, encode
 from .digest import Address, Digest
+from .http1 import LoopShare
 from .loops import run_forever
 from .partial_digests import DigestVariants, partial_digest
 from .peers import PeerTable
@@ -22,6 +23,11 @@
 
 RECV_BYTES = 65536
 
+MAX_TURN_BYTES = 65536
+"""Bytes of datagrams that are handled before the event loop is given back. More than for a
+connection: the datagrams of all entries arrive at one socket, and those that the kernel has
+no room for are lost."""
+
 
 class Gossip:
     """Exchanges digests with all known entries, and other messages with some or all.
@@ -47,6 +53,7 @@
         self._wake_up: Any = eventlet.event.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((own_address.ip, own_address.port))
+        self._share = LoopShare(MAX_TURN_BYTES)
         self.sent = 0
         self.send_errors = 0
 
@@ -101,8 +108,10 @@
             self._wake_up.wait()
 
     def _receive_next(self) -> None:
+        self._share.begin_step()
         try:
             data, _ = self._sock.recvfrom(RECV_BYTES)
+            self._share.add_bytes(len(data))
             message = decode(data)
         except (OSError, WireError) as exc:
             log(Event.DIGEST_REFUSED, str(exc))
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -25,7 +25,7 @@
 the shortest events takes some microseconds for each."""
 
 MAX_TURN_STEPS = 64
-"""Reads and HTTP events of one connection before the event loop is given back."""
+"""Reads and events of one connection or socket before the event loop is given back."""
 
 LOST_PEER_TIMEOUT_MS = 3000
 """How long sent data may stay unacknowledged before the connection fails, in milliseconds:
@@ -162,19 +162,23 @@
 
 
 class LoopShare:
-    """A connection's share of one turn of the event loop.
+    """A connection's or socket's share of one turn of the event loop.
 
     A greenlet only gives the loop back when it waits. Without this, a peer whose data is
     always there would stop all others, and the timeouts of its own request.
+
+    Args:
+        max_bytes: Bytes that are read before the loop is given back.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_TURN_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._bytes = 0
         self._steps = 0
 
     def begin_step(self) -> None:
         """Give the loop back if the share is used up; call before each read or event."""
-        if self._bytes >= MAX_TURN_BYTES or self._steps >= MAX_TURN_STEPS:
+        if self._bytes >= self._max_bytes or self._steps >= MAX_TURN_STEPS:
             eventlet.sleep(0)
             self.renew()
         self._steps += 1
@@ -182,7 +186,7 @@
     @property
     def bytes_left(self) -> int:
         """Bytes that may be read before the loop is given back."""
-        return MAX_TURN_BYTES - self._bytes
+        return self._max_bytes - self._bytes
 
     def add_bytes(self, count: int) -> None:
         """Count bytes that were read."""
--- a/tests/direct/test_gossip.py
+++ b/tests/direct/test_gossip.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dockreach.direct.datagrams import encode
+from dockreach.direct.gossip import MAX_TURN_BYTES
 from dockreach.direct.http1 import MAX_TURN_STEPS
 from dockreach.direct.loops import run_forever
 
@@ -57,10 +58,8 @@
         return self._data, ("10.0.0.9", 7000)
 
 
-@pytest.mark.parametrize(
-    "data", [b"\xc0", encode(digest(address(1)))], ids=["invalid", "known digest"]
-)
-def test_datagrams_without_end_do_not_hold_up_other_greenlets(data: bytes) -> None:
+def most_received_in_a_turn(data: bytes) -> int:
+    """Return how many of a flood of datagrams an entry receives before others run."""
     entry = start_entry()
     eventlet.sleep(0.1)
     sock = entry.gossip._sock
@@ -82,5 +81,17 @@
         receiver.kill()
         entry.gossip._sock = sock
     turns = [0, *received_at_turns, flooded.received]
-    longest = max(b - a for a, b in zip(turns, turns[1:], strict=False))
-    assert longest <= MAX_TURN_STEPS + 1
+    return max(b - a for a, b in zip(turns, turns[1:], strict=False))
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xc0", encode(digest(address(1)))], ids=["invalid", "known digest"]
+)
+def test_datagrams_without_end_do_not_hold_up_other_greenlets(data: bytes) -> None:
+    assert most_received_in_a_turn(data) <= MAX_TURN_STEPS + 1
+
+
+def test_large_datagrams_hold_up_other_greenlets_no_longer_than_small_ones() -> None:
+    in_flight = {f"endpoint-{number}": 3 for number in range(1200)}
+    data = encode(digest(address(1), in_flight=in_flight))
+    assert most_received_in_a_turn(data) <= MAX_TURN_BYTES // len(data) + 2
