Give the event loop back while a caller's data comes without a pause

Callers saw: nobody else was served while one of them sent a chunked body of many short chunks, or chunks with long extensions: 5.5 MB of one-byte chunks held the event loop for all their time. During a stop, the same bytes sent behind a request were parsed in one go too.

Cause: `receive` made a `LoopShare` for each read of a caller's connection, which had none of its own, so that reads and HTTP events were never counted together.

Change: each caller's connection has a share: 64 reads and events, or 128 KiB, a turn. It covers bodies, the search for a whole pipelined request, pipelined and lingering bytes. The body is collected in one buffer in place of a list of its chunks.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -16,6 +16,7 @@
     RECV_BYTES,
     SLOW_READER_TIMEOUT_MS,
     BadRequestError,
+    LoopShare,
     RawHead,
     RawRequest,
     receive,
@@ -30,6 +31,10 @@
 MAX_PIPELINED_BYTES = 1 << 20
 """Bytes that are buffered of what a caller pipelines; the rest stays in the socket."""
 
+MAX_TURN_BYTES = 1 << 17
+"""Bytes that are read from one caller before the event loop is given back. More than from
+an endpoint: bodies of requests are not split into events."""
+
 HANG_UP_POLL_INTERVAL_S = 0.1
 """Interval at which a connection that is not read is checked for its end, in seconds."""
 
@@ -58,6 +63,7 @@
         self._find_limits = limits
         self._limits = limits()
         self._parser = _new_parser(self._limits)
+        self._share = LoopShare(MAX_TURN_BYTES)
         self.pipelined_bytes = 0
         """Bytes that were received behind the current request."""
         self._method = b""
@@ -124,7 +130,7 @@
         while not self.has_idled:
             left_s = idle_since + self._find_limits().idle_timeout_s - clock.now()
             try:
-                data = receive(self._sock, max(left_s, 0.0))
+                data = receive(self._sock, max(left_s, 0.0), share=self._share)
             except TimeoutError:
                 self.has_idled = left_s <= 0
             except OSError:
@@ -154,9 +160,9 @@
 
     def _read_message(self, deadline: float) -> RawRequest | None:
         head: h11.Request | None = None
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
+            self._share.begin_step()
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 if not self._receive(deadline):
@@ -169,14 +175,13 @@
                 if head.method == b"CONNECT":
                     raise BadRequestError(501, "CONNECT is not supported")
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > self._limits.body_bytes:
+                body += event.data
+                if len(body) > self._limits.body_bytes:
                     raise BadRequestError(413, "body too large")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 self.received_at = clock.now()
                 self.pipelined_bytes = len(self._parser.remainder)
-                return _raw_request(head, b"".join(parts))
+                return _raw_request(head, bytes(body))
             else:
                 return None
 
@@ -184,7 +189,8 @@
         if self._http.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             self._sock.sendall(self._http.send(response))
-        data = receive(self._sock, max(deadline - clock.now(), 0.0))
+        left_s = max(deadline - clock.now(), 0.0)
+        data = receive(self._sock, left_s, share=self._share)
         self._parser.receive_data(data)
         return bool(data)
 
@@ -205,7 +211,7 @@
                 eventlet.sleep(HANG_UP_POLL_INTERVAL_S)
                 continue
             try:
-                data = receive(self._sock)
+                data = receive(self._sock, share=self._share)
             except OSError:
                 return
             if not data:
@@ -265,7 +271,7 @@
         parser.receive_data(self._parser.remainder)
         try:
             while isinstance(event := parser.next_event(), h11.Request | h11.Data):
-                pass
+                self._share.begin_step()
         except h11.RemoteProtocolError:
             return False
         return isinstance(event, h11.EndOfMessage)
@@ -352,7 +358,7 @@
         try:
             self._sock.shutdown(socket.SHUT_WR)
             while dropped < MAX_LINGER_BYTES and (left_s := deadline - clock.now()) > 0:
-                data = receive(self._sock, left_s)
+                data = receive(self._sock, left_s, share=self._share)
                 if not data:
                     return
                 dropped += len(data)
--- a/tests/direct/test_caller_connection.py
+++ b/tests/direct/test_caller_connection.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dockreach.direct.caller_connection import CallerConnection
+from dockreach.direct.caller_connection import MAX_TURN_BYTES, CallerConnection
 from dockreach.direct.http1 import (
     MAX_TURN_STEPS,
     BadRequestError,
@@ -142,26 +142,63 @@
             assert 400 <= raw < 600
 
 
+class TurnCounter:
+    """Counts the turns of the event loop while it is open."""
+
+    def __init__(self) -> None:
+        self.turns = 0
+
+    def __enter__(self) -> TurnCounter:
+        self._counter = eventlet.spawn(self._count)
+        eventlet.sleep(0)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._counter.kill()
+
+    def _count(self) -> None:
+        while True:
+            eventlet.sleep(0)
+            self.turns += 1
+
+
+CHUNKED_HEAD = REQUEST_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
 @pytest.mark.parametrize(
     "chunk", [b"1\r\nx\r\n", b"1;" + b"e" * 900 + b"\r\nx\r\n"], ids=["short", "extension"]
 )
 def test_a_chunked_body_without_pauses_does_not_hold_up_other_greenlets(
     chunk: bytes,
 ) -> None:
-    head = REQUEST_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
-    sent = SentBytes(head + chunk * 2000 + b"0\r\n\r\n", 8192)
+    sent = SentBytes(CHUNKED_HEAD + chunk * 2000 + b"0\r\n\r\n", 8192)
     conn = CallerConnection(sent, CallerLimits)
-    turns = 0
+    with TurnCounter() as counter:
+        raw = conn.read_request()
+    assert raw is not None
+    assert raw.body == b"x" * 2000
+    assert counter.turns >= 2000 / MAX_TURN_STEPS / 2
 
-    def count_turns() -> None:
-        nonlocal turns
-        while True:
-            eventlet.sleep(0)
-            turns += 1
 
-    counter = eventlet.spawn(count_turns)
-    raw = conn.read_request()
-    counter.kill()
+def test_a_long_body_without_pauses_does_not_hold_up_other_greenlets() -> None:
+    size = 2 * MAX_TURN_BYTES
+    head = REQUEST_LINE + b"Content-Length: %d\r\n\r\n" % size
+    conn = CallerConnection(SentBytes(head + b"x" * size, 8192), CallerLimits)
+    with TurnCounter() as counter:
+        raw = conn.read_request()
     assert raw is not None
-    assert raw.body == b"x" * 2000
-    assert turns >= 2000 / MAX_TURN_STEPS / 2
+    assert raw.body == b"x" * size
+    assert counter.turns >= 2
+
+
+def test_a_search_for_a_pipelined_request_does_not_hold_up_other_greenlets() -> None:
+    pipelined = CHUNKED_HEAD + b"1\r\nx\r\n" * 2000
+    conn = CallerConnection(
+        SentBytes(REQUESTS[0][: -len(REQUEST_LINE) - 2] + pipelined, 8192), CallerLimits
+    )
+    conn.read_request()
+    assert conn.has_disconnected()
+    conn.is_draining = True
+    with TurnCounter() as counter:
+        conn.send_response(RawHead(200, b"OK", []), b"")
+    assert counter.turns >= 2000 / MAX_TURN_STEPS / 2
