Apply the header timeout to a caller whose data never pauses

Callers saw: a request that goes on without end was read for as long as its bytes came, e.g. 30 s of processor time for 4 MiB in chunks of one byte; those of others had to share the loop with it.

Cause: the time for a whole request was only checked by a read that has to wait.

Change: past the time at most 1 MiB is still read. Bytes that came in time while the event loop was busy are read as before.

Measured: a new test, in which a body goes on without end behind its timeout, read 4 MiB and on before, and is refused with 408 now.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -35,6 +35,10 @@
 """Bytes that are read from one caller before the event loop is given back. More than from
 an endpoint: bodies of requests are not split into events."""
 
+MAX_LATE_BYTES = 1 << 20
+"""Bytes that are still read of a request after its header timeout: they may have come in
+time, while the event loop was busy."""
+
 HANG_UP_POLL_INTERVAL_S = 0.1
 """Interval at which a connection that is not read is checked for its end, in seconds."""
 
@@ -67,6 +71,7 @@
         self.pipelined_bytes = 0
         """Bytes that were received behind the current request."""
         self._method = b""
+        self._late_bytes = 0
         self.is_idle = True
         self.is_closing = False
         """Whether the next response announces that the connection will be closed."""
@@ -108,6 +113,7 @@
         self.headers = []
         self.received_at = None
         self.is_accounted = False
+        self._late_bytes = 0
         if not self._await_first_byte():
             return None
         self.is_idle = False
@@ -189,8 +195,12 @@
         if self._http.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             self._sock.sendall(self._http.send(response))
-        left_s = max(deadline - clock.now(), 0.0)
-        data = receive(self._sock, left_s, share=self._share)
+        left_s = deadline - clock.now()
+        if left_s <= 0 and self._late_bytes >= MAX_LATE_BYTES:
+            raise TimeoutError
+        data = receive(self._sock, max(left_s, 0.0), share=self._share)
+        if left_s <= 0:
+            self._late_bytes += len(data)
         self._parser.receive_data(data)
         return bool(data)
 
--- a/tests/direct/test_caller_connection.py
+++ b/tests/direct/test_caller_connection.py
@@ -13,7 +13,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dockreach.direct.caller_connection import MAX_TURN_BYTES, CallerConnection
+from dockreach.direct.caller_connection import (
+    MAX_LATE_BYTES,
+    MAX_TURN_BYTES,
+    CallerConnection,
+)
 from dockreach.direct.http1 import (
     MAX_TURN_STEPS,
     BadRequestError,
@@ -202,3 +206,26 @@
     with TurnCounter() as counter:
         conn.send_response(RawHead(200, b"OK", []), b"")
     assert counter.turns >= 2000 / MAX_TURN_STEPS / 2
+
+
+class SentWithoutEnd(SentBytes):
+    """A socket whose peer goes on to send the same bytes behind the first ones."""
+
+    def __init__(self, first: bytes, rest: bytes) -> None:
+        super().__init__(first, 8192)
+        self._rest = rest
+        self.received = 0
+
+    def recv(self, size: int) -> bytes:
+        self.received += size
+        assert self.received < 4 * MAX_LATE_BYTES, "read on and on"
+        return super().recv(size) or (self._rest * (size // len(self._rest) + 1))[:size]
+
+
+def test_a_body_without_end_is_refused_after_the_header_timeout() -> None:
+    limits = CallerLimits(header_timeout_s=0.0)
+    chunk = b"1;" + b"e" * 1017 + b"\r\nx\r\n"
+    conn = CallerConnection(SentWithoutEnd(CHUNKED_HEAD, chunk), lambda: limits)
+    with pytest.raises(BadRequestError) as excinfo:
+        conn.read_request()
+    assert excinfo.value.status == 408
