Wait for late replies of agents in proportion to the response time

Callers saw: on a busy machine a request could be sent to an engine that was known to be 20 times slower than its peer, and took 8 s in place of 0.4 s.

Cause: an entry took the cheapest grant 20 ms after it had asked, even if an agent had not answered yet. An agent whose process waits for a processor answers later than that.

Change: the entry waits for 20 ms, or for 5% of the cheapest grant's price, up to 0.3 s after the request's arrival. What is lost by waiting stays small beside the response time; a fast grant is taken after 20 ms as before.

Measured: a new test on the cores, in which the fast engine's agent answers 0.1 s late, chose the slow engine before and the fast one now; two more hold the bounds of the wait.

--- a/dockreach/commitment.py
+++ b/dockreach/commitment.py
@@ -41,13 +41,30 @@
             continue
         if req.keyed and req.claim is None:
             continue
-        if world.now < req.offers_until and not req.asked_agents <= req.answered_agents:
+        if _awaits_answers(world, req):
             continue
         grant = placement.choose_grant(world, req)
         if grant is not None:
             _accept_grant(world, req, grant)
 
 
+def _awaits_answers(world: EntryWorld, req: RequestRow) -> bool:
+    """Return whether to wait for the other agents that were asked.
+
+    The wait is in proportion to the cost of the grants so far: an agent that answers late
+    may have a far faster engine.
+    """
+    if req.asked_agents <= req.answered_agents:
+        return False
+    policy = world.policy
+    wait_s = policy.offers_wait_fraction * placement.lowest_price(world, req)
+    until = req.arrived_at + min(wait_s, policy.max_offers_wait_s)
+    if world.now >= max(until, req.offers_until):
+        return False
+    world.schedule_check(max(until, req.offers_until), req.rid)
+    return True
+
+
 def _accept_grant(world: EntryWorld, req: RequestRow, grant: Grant) -> None:
     name = _granting_agent(req, grant)
     req.agent = name
--- a/dockreach/entry_tables.py
+++ b/dockreach/entry_tables.py
@@ -185,7 +185,9 @@
         max_ask_all: Largest pool of which all agents are asked at once.
         initial_agents: Agents that are asked first in a larger pool.
         offers_wait_s: How long the choice of a grant waits for the answers of all asked
-            agents.
+            agents at least.
+        offers_wait_fraction: How long it waits in proportion to the cheapest grant.
+        max_offers_wait_s: How long it waits at most; a grant's lease is longer.
         reask_delay_s: Delay before an agent that accepted no new work is asked again.
         no_agent_timeout_s: How long a request waits while no agent of its pool accepts new
             work.
@@ -209,6 +211,8 @@
     max_ask_all: int = 8
     initial_agents: int = 4
     offers_wait_s: float = 0.02
+    offers_wait_fraction: float = 0.05
+    max_offers_wait_s: float = 0.3
     reask_delay_s: float = 0.25
     no_agent_timeout_s: float = 2.0
     widen_delay_s: float = 0.1
--- a/dockreach/placement.py
+++ b/dockreach/placement.py
@@ -284,14 +284,10 @@
     prefill. The best grant is declined too, and ``None`` returned, if another agent's
     offer is clearly cheaper. An offer whose predicted start has passed does not count.
     """
-    best_name = ""
-    best_price = float("inf")
-    for name, grant in req.grants.items():
-        price = _price(world, grant.prefill_ms / MS_PER_S, grant.total_ms / MS_PER_S)
-        if price < best_price:
-            best_name, best_price = name, price
-    if not best_name:
+    if not req.grants:
         return None
+    best_name = min(req.grants, key=lambda name: _grant_price(world, req.grants[name]))
+    best_price = lowest_price(world, req)
     offer_price = _best_offer(world, req, set(req.grants))
     for name in sorted(set(req.grants) - {best_name}):
         _decline(world, req, name, "another grant has a lower price")
@@ -302,6 +298,15 @@
     return req.grants[best_name]
 
 
+def lowest_price(world: EntryWorld, req: RequestRow) -> float:
+    """Return the price of the cheapest grant, in seconds."""
+    return min(_grant_price(world, grant) for grant in req.grants.values())
+
+
+def _grant_price(world: EntryWorld, grant: Grant) -> float:
+    return _price(world, grant.prefill_ms / MS_PER_S, grant.total_ms / MS_PER_S)
+
+
 def _price(world: EntryWorld, prefill_s: float, total_s: float) -> float:
     return total_s + world.declarations.fleet.prefill_weight * prefill_s
 
--- a/tests/test_commitment.py
+++ b/tests/test_commitment.py
@@ -194,3 +194,40 @@
     assert refusal.verdict is Verdict.NOT_RUN
     assert refusal.reason is Reason.NO_ENDPOINT
     assert refusal.retry_after_s
+
+
+def slow_and_fast_agent() -> SimulatedNetwork:
+    """Return a network in which the engine of `e0` is known to be slow."""
+    net = new_network()
+    net.agents["e0"].model.gap = 0.4
+    return net
+
+
+def test_a_late_reply_of_an_agent_does_not_send_a_request_to_a_slow_engine() -> None:
+    net = slow_and_fast_agent()
+    net.deliver("n0", new_admit("r1"))
+    net.step()
+    net.paused.add("e1")
+    net.steps(20)
+    net.paused.clear()
+    net.steps(6)
+    assert net.request("r1").phase is Phase.COMMITTED
+    assert net.request("r1").agent == "e1"
+
+
+def test_an_agent_without_a_reply_does_not_delay_a_request_without_end() -> None:
+    net = slow_and_fast_agent()
+    net.paused.add("e1")
+    net.deliver("n0", new_admit("r1"))
+    net.steps(100)
+    assert net.request("r1").phase is Phase.COMMITTED
+    assert net.request("r1").agent == "e0"
+
+
+def test_an_agent_without_a_reply_hardly_delays_a_request_at_a_fast_engine() -> None:
+    net = slow_and_fast_agent()
+    net.paused.add("e0")
+    net.deliver("n0", new_admit("r1"))
+    net.steps(10)
+    assert net.request("r1").phase is Phase.COMMITTED
+    assert net.request("r1").agent == "e1"
