Take bytes that are nested too deeply for a decoder as invalid

What was seen: one endpoint's record with a field of lists 1,100 deep, or of 50,000 objects left open, kept every later change of the endpoint list out; an entry beside such a datagram received no others for 0.2 s.

Cause: a decoder skips unknown fields, but recurses for each level, and raises a RecursionError. All readers of other processes' bytes handle only the error that is documented for them.

Change: dockreach._decoding turns it into that error, in the one place that pages, watches, records, the configuration, datagrams, views and messages use.

--- a/dockreach/_decoding.py
+++ b/dockreach/_decoding.py
@@ -35,3 +35,6 @@
         return decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         raise make_error(str(exc)) from exc
+    except RecursionError as exc:
+        # Unknown fields are skipped, but with a recursion for each level.
+        raise make_error("too deeply nested") from exc
--- a/dockreach/endpoints.py
+++ b/dockreach/endpoints.py
@@ -18,6 +18,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from . import _green, clock
+from ._decoding import decode
 from .agent_tables import (
     CacheEvent,
     EngineChunk,
@@ -26,6 +27,7 @@
     ProbeSample,
     StartRun,
 )
+from .errors import WireError
 from .messages import Chunk
 from .orders import EndpointState, LoadOrder
 from .verdict import Reason
@@ -376,8 +378,8 @@
         response = endpoint.conn.pool.request("GET", f"{endpoint.conn.url}/v1/state")
         if response.status != 200:
             return None
-        return msgspec.json.decode(response.data, type=EndpointState)
-    except (HTTPError, OSError, msgspec.MsgspecError):
+        return decode(_STATE, response.data, WireError)
+    except (HTTPError, OSError, WireError):
         return None
 
 
@@ -398,6 +400,10 @@
     evicted: tuple[int, ...] = ()
 
 
+_STATE = msgspec.json.Decoder(EndpointState)
+_EVENTS = msgspec.json.Decoder(list[_Event])
+
+
 @singledispatch
 def fetch_cache_events(endpoint: object, after: int) -> list[CacheEvent]:
     """Return the changes of the endpoint's prefix cache after an event number.
@@ -413,7 +419,7 @@
     url = f"{endpoint.conn.url}/v1/cache/events?after={after}"
     try:
         response = endpoint.conn.pool.request("GET", url)
-        events = msgspec.json.decode(response.data, type=list[_Event])
-    except (HTTPError, OSError, msgspec.MsgspecError):
+        events = decode(_EVENTS, response.data, WireError)
+    except (HTTPError, OSError, WireError):
         return []
     return [CacheEvent(event.number, event.stored, event.evicted) for event in events]
--- a/dockreach/operator_api.py
+++ b/dockreach/operator_api.py
@@ -10,9 +10,10 @@
 import msgspec
 
 from . import _green
+from ._decoding import decode
 from .declarations import key_hash
 from .entry_tables import CallerGone
-from .errors import QueryError
+from .errors import QueryError, WireError
 from .events import Event, log
 from .messages import QueryAsk, QueryRows
 from .node import local_rows
@@ -142,7 +143,7 @@
         try:
             request = _decode_body(environ, QueryRequest)
             result = self.run_query(request.query)
-        except (msgspec.MsgspecError, QueryError) as exc:
+        except (WireError, QueryError) as exc:
             return _send_error(start_response, "400 Bad Request", str(exc))
         log(Event.OPERATOR_QUERY, query=request.query)
         return send_response(
@@ -158,7 +159,7 @@
             )
         try:
             request = _decode_body(environ, CancelRequest)
-        except msgspec.MsgspecError as exc:
+        except WireError as exc:
             return _send_error(start_response, "400 Bad Request", str(exc))
         row = self._node.world.requests.get(request.request)
         if row is None:
@@ -180,8 +181,13 @@
 
 
 def _decode_body(environ: Environ, kind: type[_Body]) -> _Body:
-    """Return the decoded and validated body of an operator's request."""
-    return msgspec.json.decode(environ["wsgi.input"].read(MAX_BODY_BYTES), type=kind)
+    """Return the decoded and validated body of an operator's request.
+
+    Raises:
+        WireError: It is not valid.
+    """
+    body = environ["wsgi.input"].read(MAX_BODY_BYTES)
+    return decode(msgspec.json.Decoder(kind), body, WireError)
 
 
 def _arrange_rows(query: Select | Why, rows: list[Row]) -> list[Row]:
--- a/dockreach/platform.py
+++ b/dockreach/platform.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from ._decoding import decode
 from .declarations import MAX_BODY_BYTES
 from .direct.feeds import CallLimits
 from .errors import PlatformError
@@ -22,6 +23,9 @@
     vms: list[VmRow]
 
 
+_VM_LIST = msgspec.json.Decoder(_VmList)
+
+
 class PlatformClient:
     """Client of the platform's HTTP API.
 
@@ -66,10 +70,11 @@
             PlatformError: There was no response, or it is not a VM list.
         """
         data = self._get("/v1/vms", CONNECT_TIMEOUT_S) or b""
-        try:
-            found = msgspec.json.decode(data, type=_VmList)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            raise self._record_failure(f"not a VM list: {exc}") from exc
+        found = decode(
+            _VM_LIST,
+            data,
+            lambda problem: self._record_failure(f"not a VM list: {problem}"),
+        )
         return VmRows(version=found.version, rows=tuple(found.vms))
 
     def _get(self, path: str, read_timeout_s: float) -> bytes | None:
--- a/dockreach/request_parsing.py
+++ b/dockreach/request_parsing.py
@@ -11,9 +11,11 @@
 import msgspec
 from msgspec import Meta
 
+from ._decoding import decode
 from .claims import KEYED_PREFIX
 from .declarations import Declarations, Organisation
 from .entry_tables import Admit, AttachRun
+from .errors import WireError
 from .prefix import block_hashes, estimate_tokens
 from .verdict import Reason, Refusal, Verdict
 
@@ -50,6 +52,9 @@
     stream: bool = False
 
 
+_COMPLETION = msgspec.json.Decoder(Completion)
+
+
 class Ticket(NamedTuple):
     """Identifies a run, so that a caller can fetch its response with a later request."""
 
@@ -85,7 +90,11 @@
 
 
 def prompt_text(completion: Completion) -> str:
-    """Return a request's prompt as one text, for token counts and prefix hashes."""
+    """Return a request's prompt as one text, for token counts and prefix hashes.
+
+    Raises:
+        WireError: It has a part that cannot be written as text.
+    """
     if completion.messages is not None:
         parts = [
             f"{item.role}\n{_content_text(item.content)}" for item in completion.messages
@@ -97,7 +106,12 @@
 
 
 def _content_text(content: Any) -> str:  # noqa: ANN401
-    return content if isinstance(content, str) else msgspec.json.encode(content).decode()
+    if isinstance(content, str):
+        return content
+    try:
+        return msgspec.json.encode(content).decode()
+    except RecursionError as exc:
+        raise WireError("the content of a message is too deeply nested") from exc
 
 
 def not_run_refusal(reason: Reason, detail: str, retry_s: float | None = None) -> Refusal:
@@ -176,9 +190,9 @@
     req: InboundRequest, caller: CallerIdentity, declarations: Declarations
 ) -> Admit | Refusal:
     try:
-        completion = msgspec.json.decode(req.body, type=Completion)
+        completion = decode(_COMPLETION, req.body, WireError)
         text = prompt_text(completion)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except WireError as exc:
         return not_run_refusal(
             Reason.BAD_REQUEST, f"the body is not a valid request: {exc}"
         )
@@ -280,8 +294,8 @@
     if len(parts) != 3 or not parts[2].isdigit():
         return not_run_refusal(Reason.BAD_REQUEST, f"{TICKET_HEADER} is not a valid ticket")
     try:
-        stream = msgspec.json.decode(req.body, type=Completion).stream
-    except msgspec.MsgspecError:
+        stream = decode(_COMPLETION, req.body, WireError).stream
+    except WireError:
         stream = False
     return AttachRun(
         rid=parts[0],
--- a/dockreach/request_timeline.py
+++ b/dockreach/request_timeline.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ._decoding import decode
+from .errors import WireError
 from .events import Event
 
 LOG_TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
@@ -18,6 +20,8 @@
 _REQUEST_EVENTS = range(Event.REQUEST_ANSWERED, Event.DIGEST_REFUSED)
 """Events of single requests; all other events concern the state of a daemon."""
 
+_VALUES = msgspec.json.Decoder(dict[str, Any])
+
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
@@ -66,9 +70,9 @@
         if start < 0:
             continue
         try:
-            values = msgspec.json.decode(text[start:].strip())
+            values = decode(_VALUES, text[start:].strip().encode(), WireError)
             yield _to_log_line(values)
-        except (msgspec.DecodeError, KeyError, ValueError, TypeError):
+        except (WireError, KeyError, ValueError, TypeError):
             # Not a log line, such as a line of a traceback, or a truncated one.
             continue
 
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -59,6 +59,7 @@
         (b"\xff\xfe{}", 400, "bad_request"),
         (b'{"model":"m","prompt":"\xff"}', 400, "bad_request"),
         (b"[]", 400, "bad_request"),
+        (b'{"model":"m","n":' + b"[" * 1100 + b"]" * 1100 + b"}", 400, "bad_request"),
         (completion_body(max_tokens=0), 400, "bad_request"),
         (completion_body(max_tokens="many"), 400, "bad_request"),
         (completion_body(prompt=""), 400, "bad_request"),
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from dockreach import messages
 from dockreach.direct import datagrams, view
 from dockreach.direct.feeds import CallLimits
 from dockreach.errors import (
@@ -18,6 +19,8 @@
     SettingsError,
     WireError,
 )
+from dockreach.messages import Heartbeat
+from dockreach.platform import PlatformClient
 from dockreach_platform import records, settings
 from dockreach_platform.store import StoreClient
 
@@ -26,6 +29,8 @@
 
 CONFIG = b'{"version": 7, "routes": []}'
 PAGE = b'{"items": [], "store_revision": 7}'
+CHANGES = b'{"events": [], "store_revision": 7}'
+VM_LIST = b'{"version": 7, "vms": []}'
 SETTINGS = json.dumps(
     {
         "node_name": "front-a-1",
@@ -55,6 +60,26 @@
     return AnsweredStore(body).list("servers/", CallLimits(0.0, 1.0))
 
 
+def watch_items(body: bytes) -> object:
+    return AnsweredStore(body).watch("servers/", 6, CallLimits(0.0, 1.0))
+
+
+class AnsweredPlatform(PlatformClient):
+    """A client whose calls are all answered with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        super().__init__("http://10.0.0.1:80")
+        self._body = body
+
+    def _get(self, path: str, read_timeout_s: float) -> bytes:
+        del path, read_timeout_s
+        return self._body
+
+
+def list_vms(body: bytes) -> object:
+    return AnsweredPlatform(body).vm_list()
+
+
 def read_record(text: bytes) -> object:
     return records.read_endpoint("i-1", text)
 
@@ -79,6 +104,15 @@
     return head + known + b"\x91" * depth + b"\xc0"
 
 
+def nested_batch(data: bytes, depth: int) -> bytes:
+    """Add a field that is not known to the first message of a batch."""
+    (message,) = msgspec.msgpack.decode(data)
+    known = msgspec.msgpack.encode(message)
+    head = bytes([0x91, 0x80 + len(message) + 1])
+    name = msgspec.msgpack.encode("unknown")
+    return head + known[1:] + name + b"\x91" * depth + b"\xc0"
+
+
 @pytest.mark.parametrize("depth", [10, 500, 1100, 20_000])
 @pytest.mark.parametrize(
     ("decode", "nested", "valid", "error"),
@@ -89,8 +123,26 @@
         (records.read_revision, nested_json, CONFIG, RevisionError),
         (read_record, nested_json, endpoint_record(), RevisionError),
         (load_settings, nested_json, SETTINGS, SettingsError),
+        (watch_items, nested_json, CHANGES, PlatformError),
+        (
+            messages.decode,
+            nested_batch,
+            messages.encode([Heartbeat(revision=7)]),
+            WireError,
+        ),
+        (list_vms, nested_json, VM_LIST, PlatformError),
+    ],
+    ids=[
+        "datagram",
+        "view",
+        "page",
+        "configuration",
+        "record",
+        "settings",
+        "changes",
+        "messages",
+        "vm-list",
     ],
-    ids=["datagram", "view", "page", "configuration", "record", "settings"],
 )
 def test_deeply_nested_bytes_raise_no_other_error(
     decode: Callable[[bytes], object],
