Refuse records whose numbers or addresses nothing can hold

What was seen: a record with `slots` of 400 digits was accepted. Each round that places requests then failed, so no later change of the endpoint list was applied and requests of all callers failed. With `born` or `sequence` past 64 bits an entry served no view.

Cause: the record's types bound its numbers from below only, and the address by a pattern and a second check that let leading zeros pass, which are octal to a socket.

RecordError, a RevisionError as before, also says why: nesting, number, address, form.

--- a/dockreach/_decoding.py
+++ b/dockreach/_decoding.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+TOO_DEEP = "too deeply nested"
+"""Description of bytes with more levels than a decoder can follow."""
+
 _Decoded = TypeVar("_Decoded")
 _Decoded_co = TypeVar("_Decoded_co", covariant=True)
 
@@ -37,4 +40,4 @@
         raise make_error(str(exc)) from exc
     except RecursionError as exc:
         # Unknown fields are skipped, but with a recursion for each level.
-        raise make_error("too deeply nested") from exc
+        raise make_error(TOO_DEEP) from exc
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from dockreach.direct import datagrams, view
+from dockreach.direct.record_checks import RecordError, RecordFault
 from dockreach.direct.routing_config import ConfigRevision, RetryMode
 from dockreach.errors import RevisionError
 from dockreach_platform.records import read_endpoint, read_revision
@@ -130,6 +131,48 @@
         read_endpoint("i-1", text)
 
 
+def with_literal(field: str, text: str) -> bytes:
+    """Return a record in which a field has a value that is written as it is."""
+    return endpoint_record(**{field: "@"}).replace(b'"@"', text.encode())
+
+
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        (with_literal("unknown", "[" * 1100 + "]" * 1100), RecordFault.NESTING),
+        (with_literal("unknown", '{"a":' * 50_000), RecordFault.NESTING),
+        (with_literal("slots", "9" * 20), RecordFault.NUMBER),
+        (with_literal("slots", "9" * 400), RecordFault.NUMBER),
+        (with_literal("slots", "9" * 5000), RecordFault.NUMBER),
+        (with_literal("slots", "-1"), RecordFault.NUMBER),
+        (with_literal("slots", "1e400"), RecordFault.NUMBER),
+        (with_literal("sequence", "9" * 400), RecordFault.NUMBER),
+        (with_literal("born", "9" * 400), RecordFault.NUMBER),
+        (with_literal("cold_remaining_ms", "9" * 400), RecordFault.NUMBER),
+        (with_literal("cold_remaining_ms", "1e308"), RecordFault.NUMBER),
+        (with_literal("cold_remaining_ms", "1e400"), RecordFault.NUMBER),
+        (with_literal("slots", "NaN"), RecordFault.FORM),
+        (with_literal("slots", "Infinity"), RecordFault.FORM),
+        (with_literal("slots", "\u0665"), RecordFault.FORM),
+        (with_literal("slots", '"5"'), RecordFault.FORM),
+        (with_literal("slots", "[5]"), RecordFault.FORM),
+        (endpoint_record(address="10.0.0.1:70000"), RecordFault.ADDRESS),
+        (endpoint_record(address="10.0.0.1:8\u0660"), RecordFault.ADDRESS),
+        (endpoint_record(address="10.0.0.\u00b2:80"), RecordFault.ADDRESS),
+        (endpoint_record(address=80), RecordFault.FORM),
+        (endpoint_record(service="\ud800"), RecordFault.FORM),
+        (b"", RecordFault.FORM),
+        (b"\xff", RecordFault.FORM),
+    ],
+)
+def test_an_odd_record_is_refused_for_one_of_the_documented_reasons(
+    text: bytes, fault: RecordFault
+) -> None:
+    with pytest.raises(RecordError) as found:
+        read_endpoint("i-1", text)
+    assert found.value.fault is fault
+
+
 @pytest.mark.parametrize("field", sorted(ENDPOINT_RECORD))
 def test_a_record_without_a_required_field_is_rejected(field: str) -> None:
     record = {name: value for name, value in ENDPOINT_RECORD.items() if name != field}
