Tell why an endpoint's record is not used

What was seen: line 532 and its counter showed that records were refused, not for which kind of reason, nor whether the store or a peer had sent them. A record that changed its invalid value with each heartbeat was logged each time.

Change: RecordRefusals logs and counts a record once for each reason. A record that was deleted is logged again when an invalid one follows.

--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from ..metrics import Sample
+from .record_refusals import RecordRefusals
 
 MAX_WAIT_FRACTION = 0.6
 """Longest wait for a change (long poll), as a fraction of the time within which a change
@@ -203,17 +204,20 @@
 
     configuration: Feed = field(default_factory=Feed)
     endpoints: Feed = field(default_factory=Feed)
-    invalid_records: int = 0
-    """Endpoint records that were not valid."""
+    refusals: RecordRefusals = field(default_factory=RecordRefusals)
+    """Endpoint records that were not used."""
+
+    @property
+    def invalid_records(self) -> int:
+        """Number of endpoint records that were not used."""
+        return self.refusals.total
 
     def samples(self, now: float, started: float) -> Iterator[Sample]:
-        """Return metrics of each feed: its age, its calls and its failed calls."""
-        yield Sample(
-            "dockreach_direct_refused_entries_total",
-            "Entries of endpoints that were not valid",
-            self.invalid_records,
-            {},
-        )
+        """Return metrics of each feed, and of the records that were not used.
+
+        Each feed has its age, its calls and its failed calls.
+        """
+        yield from self.refusals.samples()
         parts = {"configuration": self.configuration, "endpoints": self.endpoints}
         for name, feed in parts.items():
             labels = {"feed": name}
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -336,6 +336,7 @@
     assert len(entry.endpoints) == 4
     refused = [vars(row) for row in caplog.records if vars(row)["event"] == 532]
     assert [row["endpoint"] for row in refused] == ["i-1"]
+    assert (refused[0]["reason"], refused[0]["source"]) == ("form", "store")
     assert entry.feeds.invalid_records == 1
     store.put("servers/i-1", server_record())
     eventlet.sleep(0.3)
