Let an unexpected error with one record cost that record and not the list

What was seen: an error that no reader expects, raised while one endpoint's record was decoded or applied, kept all later ones of the list, the watch or a peer's view from being applied, and had the same list read again five times a second without end.

Cause: lists and watches were applied as one step of a loop.

Change: EndpointSync, which lists, watches and views all pass, catches an error for each record and each removal, logs it (731 with `endpoint`), counts the record as refused with reason `internal`, and applies it again a second later, until a newer record, a list without it or its deletion replaces it. A round that fails costs no record. Lines 731 are counted by dockreach_direct_internal_errors_total.

--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from .. import clock
 from ..events import Event, log
@@ -15,7 +16,10 @@
 from .endpoints import EndpointRow, Published, PublishResult
 from .feeds import Feed
 from .lapses import LAPSE_GRACE_S, answered_periods, grace_end
+from .loops import log_internal_error
 from .peers import PeerTable
+from .record_checks import RecordFault
+from .record_refusals import RecordRefusals
 
 STORE_SOURCE = "store"
 """Source, in log events, of what this entry read from the platform itself."""
@@ -24,20 +28,45 @@
 """Source, in log events, of the removal of an endpoint whose grace period has ended."""
 
 
+REAPPLY_INTERVAL_S = 1.0
+"""Time until a record is applied again after an unexpected error, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Unapplied:
+    """A record that could not be applied.
+
+    Attributes:
+        retry_at: Monotonic time at which it is applied again, in seconds.
+    """
+
+    record: Published
+    source: str
+    retry_at: float
+
+
 class EndpointSync:
     """Applies the platform's endpoint list to the table of endpoints.
 
+    An unexpected error with one record costs that record and not the list: the others are
+    applied, and the record itself again a moment later.
+
     Args:
         ctx: State shared by all requests of the entry.
         peers: The other entries, whose digests tell whether the platform answered them.
         feed: This entry's own calls for the list.
+        refusals: Reports records that are not used.
     """
 
-    def __init__(self, ctx: Context, peers: PeerTable, feed: Feed) -> None:
+    def __init__(
+        self, ctx: Context, peers: PeerTable, feed: Feed, refusals: RecordRefusals
+    ) -> None:
         self._ctx = ctx
         self._peers = peers
         self._feed = feed
+        self._refusals = refusals
         self._told_at = -math.inf
+        self._unapplied: dict[str, _Unapplied] = {}
 
     def apply(self, published: Published, *, source: str = STORE_SOURCE) -> None:
         """Add an endpoint, or update its row.
@@ -46,12 +75,42 @@
             published: The platform's record of it.
             source: The peer whose view holds the record, or `STORE_SOURCE`.
         """
+        self._unapplied.pop(published.id, None)
+        try:
+            is_applied = self._publish(published, source)
+        except Exception as exc:  # noqa: BLE001
+            log_internal_error(exc, endpoint=published.id)
+            self._refusals.report(
+                published.id, RecordFault.INTERNAL, repr(exc), source=source
+            )
+            retry_at = clock.now() + REAPPLY_INTERVAL_S
+            self._unapplied[published.id] = _Unapplied(published, source, retry_at)
+            return
+        self._refusals.forget(published.id)
+        if is_applied:
+            self._run_round()
+
+    def _run_round(self) -> None:
+        """Place the requests that wait; an error there does not concern the list."""
+        try:
+            self._ctx.scheduler.run_round()
+        except Exception as exc:  # noqa: BLE001
+            log_internal_error(exc)
+
+    def apply_again(self, now: float) -> None:
+        """Apply the records again that an unexpected error kept from being applied."""
+        for item in list(self._unapplied.values()):
+            if now >= item.retry_at:
+                self.apply(item.record, source=item.source)
+
+    def _publish(self, published: Published, source: str) -> bool:
+        """Add an endpoint, or update its row; return whether its record was current."""
         row = self._ctx.endpoints.last_incarnation(published.id)
         was_leaving = row is not None and row.published.leaving
         old_version = row and row.published.software_version
         result = self._ctx.endpoints.publish(published, clock.now())
         if result is PublishResult.STALE:
-            return
+            return False
         if row is not None and old_version != published.software_version:
             self._ctx.streams.handle_version_change(published.id)
         if result is PublishResult.NEW_INCARNATION and row is not None:
@@ -66,7 +125,7 @@
                 version=published.software_version,
                 source=source,
             )
-        self._ctx.scheduler.run_round()
+        return True
 
     def remove(
         self,
@@ -84,6 +143,13 @@
                 is kept for a grace period from then on. ``None`` if it has left.
             source: The peer whose view says so, `STORE_SOURCE` or `GRACE_PERIOD_SOURCE`.
         """
+        self._unapplied.pop(endpoint, None)
+        try:
+            self._unlist(endpoint, lapsed_at, source)
+        except Exception as exc:  # noqa: BLE001
+            log_internal_error(exc, endpoint=endpoint)
+
+    def _unlist(self, endpoint: str, lapsed_at: float | None, source: str) -> None:
         row = self._ctx.endpoints.get(endpoint)
         if row is None:
             return
@@ -129,6 +195,7 @@
                 the list, in seconds; ``None`` if no running endpoint can be missing.
             source: The peer whose view holds the list, or `STORE_SOURCE`.
         """
+        self._unapplied.clear()
         listed = {item.id for item in published}
         for item in published:
             self.apply(item, source=source)
@@ -150,6 +217,7 @@
                 their grace period counts, in seconds.
             source: The peer.
         """
+        self._unapplied.clear()
         lapsed = [(item, lapsed_at[item.id]) for item in published if item.id in lapsed_at]
         gone = self._past_grace(lapsed, clock.now())
         kept = {item.id for item in published} - gone
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -184,7 +184,9 @@
                 clock.now,
             ),
         )
-        self._endpoint_sync = EndpointSync(self.ctx, self.peers, self.feeds.endpoints)
+        self._endpoint_sync = EndpointSync(
+            self.ctx, self.peers, self.feeds.endpoints, self.feeds.refusals
+        )
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
         self.admission = ConnectionAdmission(clock.now, meter)
@@ -560,6 +562,7 @@
         self.ctx.quotas.keep_ended_peers(expired)
         for row in expired:
             log(Event.PEER_DOWN, peer=row.digest.name)
+        self._endpoint_sync.apply_again(now)
         self.expire_lapsed_endpoints()
         self.ctx.notices.expire(now)
         self.ctx.pool.expire()
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from .. import clock
+from ..events import Event, event_count
 from ..metrics import Sample, counter_samples, process_samples
 from . import view as views
 from .context import Context
@@ -109,6 +110,12 @@
                 count,
                 {"status": str(status)},
             )
+        yield Sample(
+            "dockreach_direct_internal_errors_total",
+            "Faults of the program that ended a connection, a step or a record",
+            event_count(Event.INTERNAL_ERROR),
+            {},
+        )
         yield from entry.ctx.outcomes.samples()
         yield from entry.ctx.ends.samples()
         now = clock.now()
--- a/dockreach/direct/loops.py
+++ b/dockreach/direct/loops.py
@@ -24,5 +24,15 @@
         try:
             step()
         except Exception as exc:  # noqa: BLE001
-            log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc())
+            log_internal_error(exc)
             eventlet.sleep(ERROR_PAUSE_S)
+
+
+def log_internal_error(exc: Exception, **fields: str) -> None:
+    """Log an unexpected error that is being handled, with its traceback.
+
+    Args:
+        exc: The error.
+        **fields: What it concerns.
+    """
+    log(Event.INTERNAL_ERROR, repr(exc), trace=traceback.format_exc(), **fields)
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -122,8 +122,10 @@
     second: int = 0
     count: int = 0
     suppressed: int = 0
+    total: int = 0
 
     def allows(self, now: float) -> bool:
+        self.total += 1
         if int(now) != self.second:
             self.second = int(now)
             self.count = 0
@@ -181,6 +183,12 @@
     _LOGGER.log(level, text or event.name.lower().replace("_", " "), extra=extra)
 
 
+def event_count(event: Event) -> int:
+    """Return how often an event occurred since the start, with the lines left out."""
+    rate = _line_rates.get(event)
+    return rate.total if rate is not None else 0
+
+
 def level_name(event: Event) -> str:
     """Return the lower-case name of the level at which an event is logged."""
     return logging.getLevelName(_LEVELS.get(event, logging.INFO)).lower()
--- a/tests/direct/test_endpoint_sync.py
+++ b/tests/direct/test_endpoint_sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 import msgspec
 import pytest
@@ -9,10 +11,12 @@
 from dockreach import clock
 from dockreach.direct import view as views
 from dockreach.direct.digest import Digest
-from dockreach.direct.endpoints import Published
+from dockreach.direct.endpoint_sync import REAPPLY_INTERVAL_S
+from dockreach.direct.endpoints import Published, PublishResult
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import FAILING
 from dockreach.direct.lapses import LAPSE_GRACE_S
+from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.view import View
 from dockreach_platform.headers import PlatformAdapter
 
@@ -238,3 +242,99 @@
     assert entry.may_skip_poll(entry.feeds.endpoints)
     lose(entry, "e-1", 7, after_outage=True)
     assert entry.may_skip_poll(entry.feeds.endpoints)
+
+
+@pytest.fixture(name="faulty")
+def _faulty(monkeypatch: pytest.MonkeyPatch) -> tuple[Entry, set[str]]:
+    """Return an entry, and the endpoints whose records raise an unexpected error."""
+    entry = entry_with(record(0), record(1))
+    failing = {"e-2"}
+    publish = entry.endpoints.publish
+
+    def fail_or_publish(item: Published, now: float) -> PublishResult:
+        if item.id in failing:
+            raise ZeroDivisionError("a fault of the program")
+        return publish(item, now)
+
+    monkeypatch.setattr(entry.endpoints, "publish", fail_or_publish)
+    return entry, failing
+
+
+def by_list(entry: Entry, *records: Published) -> None:
+    entry.replace_endpoints(list(records), 7)
+
+
+def by_watch(entry: Entry, *records: Published) -> None:
+    for item in records:
+        add(entry, item, 7)
+
+
+def by_view(entry: Entry, *records: Published) -> None:
+    entry.apply_view(views.View(0, b"", 7, list(records)), "peer")
+
+
+@pytest.mark.parametrize("receive", [by_list, by_watch, by_view])
+def test_an_unexpected_error_costs_one_record_and_not_the_list(
+    faulty: tuple[Entry, set[str]],
+    receive: Callable[..., None],
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a list that is not followed any more for the sake of one record."""
+    entry, failing = faulty
+    receive(entry, *map(record, range(5)))
+    assert ids(entry) == {"e-0", "e-1", "e-3", "e-4"}
+    errors = [vars(row) for row in caplog.records if vars(row)["event"] == 731]
+    assert [row["endpoint"] for row in errors] == ["e-2"]
+    assert "in _publish" in errors[0]["trace"]
+    assert entry.feeds.refusals.count(RecordFault.INTERNAL) == 1
+    failing.clear()
+    entry._endpoint_sync.apply_again(clock.now())
+    assert "e-2" not in ids(entry)
+    entry._endpoint_sync.apply_again(clock.now() + REAPPLY_INTERVAL_S)
+    assert ids(entry) == {f"e-{number}" for number in range(5)}
+
+
+def test_a_record_that_was_deleted_meanwhile_is_not_applied_again(
+    faulty: tuple[Entry, set[str]],
+) -> None:
+    entry, failing = faulty
+    later = clock.now() + 10 * REAPPLY_INTERVAL_S
+    by_watch(entry, record(2))
+    lose(entry, "e-2", 8)
+    by_watch(entry, record(2))
+    by_list(entry, record(0))
+    failing.clear()
+    entry._endpoint_sync.apply_again(later)
+    assert ids(entry) == {"e-0"}
+
+
+def test_a_round_that_fails_costs_no_change_of_the_list(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    entry = entry_with(record(0))
+
+    def fail() -> None:
+        raise ZeroDivisionError("a fault of the program")
+
+    monkeypatch.setattr(entry.ctx.scheduler, "run_round", fail)
+    by_list(entry, record(1), record(2))
+    assert ids(entry) == {"e-1", "e-2"}
+    assert len([row for row in caplog.records if vars(row)["event"] == 731]) == 2
+    assert entry.feeds.refusals.total == 0
+
+
+def test_an_endpoint_whose_removal_fails_costs_no_other_removal(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    entry = entry_with(*map(record, range(3)))
+    faults = iter([ZeroDivisionError("a fault of the program")])
+
+    def fail_once(address: str) -> None:
+        del address
+        for fault in faults:
+            raise fault
+
+    monkeypatch.setattr(entry.ctx.pool, "close_idle", fail_once)
+    by_list(entry, record(2))
+    assert ids(entry) == {"e-2"}
+    assert len([row for row in caplog.records if vars(row)["event"] == 731]) == 1
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -9,12 +9,16 @@
 import pytest
 
 from dockreach import clock
+from dockreach.direct.endpoints import Published
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import CallLimits
+from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.routing_config import ConfigRevision
 from dockreach.errors import PlatformError
+from dockreach_platform import follower
 from dockreach_platform.follower import StoreFollower
 from dockreach_platform.headers import PlatformAdapter
+from dockreach_platform.records import read_endpoint
 from dockreach_platform.store import HistoryCompactedError, StoreClient
 from tests.direct.standins import entry_settings
 
@@ -312,6 +316,49 @@
     assert entry.revision.number == 8
 
 
+def test_an_unexpected_error_with_one_record_does_not_affect_the_others(
+    store: StoreStandIn,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a list that is not followed any more for the sake of one record."""
+
+    def fail_or_read(endpoint: str, value: bytes) -> Published:
+        if endpoint == "i-3":
+            raise ZeroDivisionError("a fault of the program")
+        return read_endpoint(endpoint, value)
+
+    monkeypatch.setattr(follower, "read_endpoint", fail_or_read)
+    entry = start_following_entry(store)
+    assert {row.id for row in entry.endpoints} == {"i-0", "i-1", "i-2", "i-4"}
+    store.put("servers/i-3", server_record("draining"))
+    store.put("servers/i-9", server_record())
+    eventlet.sleep(0.4)
+    assert {row.id for row in entry.endpoints} == {"i-0", "i-1", "i-2", "i-4", "i-9"}
+    assert entry.feeds.refusals.count(RecordFault.INTERNAL) == 1
+    errors = [vars(row) for row in caplog.records if vars(row)["event"] == 731]
+    assert {row["endpoint"] for row in errors} == {"i-3"}
+
+
+def test_a_configuration_that_raises_an_unexpected_error_costs_no_evacuation(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_following_entry(store)
+
+    def fail(revision: ConfigRevision, source: str) -> bool:
+        raise ZeroDivisionError("a fault of the program")
+
+    monkeypatch.setattr(entry, "apply_revision", fail)
+    store.put("op/config", config_record(8))
+    store.put("op/evacuate/z", b"{}")
+    eventlet.sleep(0.6)
+    assert entry.endpoints.evacuated == {"z"}
+    store.compact_history()
+    store.delete("op/evacuate/z")
+    eventlet.sleep(0.8)
+    assert entry.endpoints.evacuated == frozenset()
+
+
 def test_a_refused_connection_fails_at_once() -> None:
     with pytest.raises(PlatformError):
         StoreClient("127.0.0.1:9").list("op/", LIMITS)
