Check the records in a peer's view as those of the store

What was seen: an entry that takes its endpoint list from a peer, as most do that are no readers, applied each record of the peer's view as it was: with 2^62 or no slots, an undefined or infinite warm-up, a port out of range, or an id that breaks its header.

Cause: only the reader of the store checked them; a peer of an earlier version accepts more.

Change: apply_relayed checks each record, reports an invalid one as the follower does, with the peer as `source`, and applies the others.

--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -18,7 +18,7 @@
 from .lapses import LAPSE_GRACE_S, answered_periods, grace_end
 from .loops import log_internal_error
 from .peers import PeerTable
-from .record_checks import RecordFault
+from .record_checks import RecordError, RecordFault, check_record
 from .record_refusals import RecordRefusals
 
 STORE_SOURCE = "store"
@@ -218,11 +218,12 @@
             source: The peer.
         """
         self._unapplied.clear()
-        lapsed = [(item, lapsed_at[item.id]) for item in published if item.id in lapsed_at]
+        valid = [item for item in published if self._is_valid(item, source)]
+        lapsed = [(item, lapsed_at[item.id]) for item in valid if item.id in lapsed_at]
         gone = self._past_grace(lapsed, clock.now())
-        kept = {item.id for item in published} - gone
+        kept = {item.id for item in valid} - gone
         table = self._ctx.endpoints
-        for item in published:
+        for item in valid:
             is_known = table.get(item.id) is not None or table.has_ended(item)
             if item.id not in lapsed_at or (item.id in kept and not is_known):
                 self.apply(item, source=source)
@@ -234,6 +235,15 @@
                     self._told_at = clock.now()
                 self.remove(row.id, lapsed_at=lapsed_at[row.id], source=source)
 
+    def _is_valid(self, published: Published, source: str) -> bool:
+        """Return whether a peer's record is valid; report it if it is not."""
+        try:
+            check_record(published)
+        except RecordError as exc:
+            self._refusals.report(published.id, exc.fault, str(exc), source=source)
+            return False
+        return True
+
     @property
     def must_check_lapses(self) -> bool:
         """Whether a peer told of lapsed endpoints since the last own call was answered.
--- a/tests/direct/test_endpoint_sync.py
+++ b/tests/direct/test_endpoint_sync.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
+from dataclasses import replace
 
 import eventlet
 import msgspec
@@ -244,6 +246,38 @@
     assert entry.may_skip_poll(entry.feeds.endpoints)
 
 
+def odd_records() -> list[Published]:
+    """Return records that an entry of an earlier version may have accepted."""
+    odd = record(7)
+    return [
+        replace(odd, slots=2**62),
+        replace(odd, slots=0),
+        replace(odd, cold_s=math.nan),
+        replace(odd, cold_s=math.inf),
+        replace(odd, address="10.0.0.1:70000"),
+        replace(odd, address="somewhere"),
+        replace(odd, hall=""),
+        replace(odd, id="i\r\nX: 1"),
+    ]
+
+
+@pytest.mark.parametrize("odd", odd_records())
+def test_an_odd_record_in_a_peers_view_costs_only_that_record(
+    odd: Published, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against an odd record that comes by way of an entry that accepted it."""
+    caplog.set_level("INFO", logger="dockreach")
+    entry = entry_with(record(0), record(1))
+    view = views.View(0, b"", 7, [record(1), odd, record(2)])
+    for revision in (7, 8):
+        view.endpoints_revision = revision
+        entry.apply_view(views.decode(views.encode(view)), "earlier")
+    assert ids(entry) == {"e-1", "e-2"}
+    refused = [vars(row) for row in caplog.records if vars(row)["event"] == 532]
+    assert [row["source"] for row in refused] == ["earlier"]
+    assert entry.feeds.refusals.total == 1
+
+
 @pytest.fixture(name="faulty")
 def _faulty(monkeypatch: pytest.MonkeyPatch) -> tuple[Entry, set[str]]:
     """Return an entry, and the endpoints whose records raise an unexpected error."""
