Refuse numbers and addresses of configurations, pages and settings that nothing can hold

What was seen: with a `version` of 10^30 an entry sent no digests, and the same holds for a revision of a page or of an item. Times and rates of up to 10^308 were accepted, of which sums are infinite. A settings file with port 70000, octet 256 or digits of another script was accepted, and raised another error at the first use of the address.

Cause: whole numbers had no largest value, numbers of JSON can be as large as a float, and the patterns took any decimal digit, any octet and a line end.

--- a/dockreach/direct/record_checks.py
+++ b/dockreach/direct/record_checks.py
@@ -9,22 +9,11 @@
 import enum
 import re
 
+from ..addresses import ADDRESS_PATTERN
 from ..errors import RevisionError
 from .endpoints import Published
 from .message_checks import MAX_LOAD_FIGURE
 
-IP_PATTERN = (
-    r"((25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])\.){3}"
-    r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
-)
-"""An IPv4 address in ASCII digits, without leading zeros, which would be octal."""
-
-PORT_PATTERN = (
-    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
-    r"|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
-)
-"""A port that a peer can listen at: 1 to 65535."""
-
 MAX_SLOTS = MAX_LOAD_FIGURE
 """Most slots that an endpoint may have."""
 
@@ -37,7 +26,7 @@
 MAX_LOGGED_CHARACTERS = 64
 """Characters of an invalid value that are logged."""
 
-_ADDRESS = re.compile(f"{IP_PATTERN}:{PORT_PATTERN}")
+_ADDRESS = re.compile(ADDRESS_PATTERN)
 
 
 class RecordFault(enum.StrEnum):
--- a/dockreach/settings.py
+++ b/dockreach/settings.py
@@ -8,11 +8,12 @@
 import msgspec
 from msgspec import Meta
 
+from .addresses import ADDRESS_PATTERN, IP_PATTERN, PORT_PATTERN
 from .declarations import convert_section, new_parser
 from .errors import SettingsError
 
-Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
-Url = Annotated[str, Meta(pattern=r"^http://(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Address = Annotated[str, Meta(pattern=rf"\A{IP_PATTERN}:(0|{PORT_PATTERN})\Z")]
+Url = Annotated[str, Meta(pattern=rf"\Ahttp://{ADDRESS_PATTERN}\Z")]
 Role = Annotated[str, Meta(pattern="^(entry|agent)$")]
 DaemonName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
 
@@ -64,7 +65,9 @@
 class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[peers]``: addresses to connect to if the platform is unavailable at startup."""
 
-    seeds: Annotated[str, Meta(pattern=r"^([\d.:]+(\s*,\s*[\d.:]+)*)?$")] = ""
+    seeds: Annotated[
+        str, Meta(pattern=rf"\A({ADDRESS_PATTERN}([ \t]*,[ \t]*{ADDRESS_PATTERN})*)?\Z")
+    ] = ""
 
     @property
     def addresses(self) -> tuple[str, ...]:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import json
 from typing import Any
 
@@ -283,6 +284,75 @@
     assert view.decode(view.encode(relayed)) == relayed
 
 
+Keys = tuple[str | int, ...]
+
+
+def numbers_of(tree: object, path: Keys = ()) -> list[Keys]:
+    """Return the paths of all numbers in a tree of lists and mappings."""
+    if isinstance(tree, dict | list):
+        parts = tree.items() if isinstance(tree, dict) else enumerate(tree)
+        return [found for key, part in parts for found in numbers_of(part, (*path, key))]
+    return [path] if isinstance(tree, int | float) else []
+
+
+def with_number(path: Keys, value: float) -> bytes:
+    """Return the full configuration with one of its numbers replaced."""
+    tree = copy.deepcopy(FULL_CONFIG)
+    part: Any = tree
+    for key in path[:-1]:
+        part = part[key]
+    part[path[-1]] = value
+    return json.dumps(tree).encode()
+
+
+FULL_CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        route(
+            traffic_split=[{"service": "s", "weight": 0.5}], max_attempts=2, gap_aim_ms=300
+        )
+    ],
+    "services": [
+        {
+            "name": "s",
+            "max_connections": 5,
+            "engine": {"stride": 4.0},
+            "cold_start_s": 1.0,
+            "cold_per_s": 2.0,
+        }
+    ],
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k"],
+            "priority": 1,
+            "plain_tokens": 200,
+            "rate_per_s": 5,
+            "burst": 7,
+        }
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 65536,
+        "header_timeout_ms": 1000.0,
+        "idle_timeout_ms": 1000.0,
+    },
+}
+
+
+@pytest.mark.parametrize("value", [2**64, 10**30, 10**400, 1e300, -(10**30), -1e300])
+@pytest.mark.parametrize(
+    "path", numbers_of(FULL_CONFIG), ids=lambda path: ".".join(map(str, path))
+)
+def test_a_configuration_with_an_absurd_number_is_rejected(
+    path: Keys, value: float
+) -> None:
+    """Guards against sums and products that no message and no timer can hold."""
+    assert read_revision(with_number(path, 9)).number in (7, 9)
+    with pytest.raises(RevisionError):
+        read_revision(with_number(path, value))
+
+
 @pytest.mark.parametrize("version", [0, -1, 2**63, 2**64 - 1, 2**64, 10**30])
 def test_a_configuration_that_is_accepted_can_be_announced(version: int) -> None:
     """Guards against a version with which an entry sends no digests any more."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,6 +55,24 @@
         assert all(isinstance(item.value, bytes | None) for item in batch.items)
 
 
+@pytest.mark.parametrize("value", [-1, 2**63, 2**64, 10**30, 10**400, 1.5, 1e300, "7"])
+@pytest.mark.parametrize("call", ["list", "watch"])
+@pytest.mark.parametrize("whose", ["store", "item"])
+def test_a_revision_that_no_message_can_hold_is_an_error_of_the_platform(
+    call: str, whose: str, value: object
+) -> None:
+    """Guards against a revision with which an entry sends no digests any more."""
+    item = {**ITEM, "revision": value} if whose == "item" else ITEM
+    revision = value if whose == "store" else 9
+    body = json.dumps({"items": [item], "events": [item], "store_revision": revision})
+    store = AnsweredStore(200, body.encode())
+    with pytest.raises(PlatformError, match="not valid"):
+        if call == "list":
+            store.list("servers/", LIMITS)
+        else:
+            store.watch("servers/", 6, LIMITS)
+
+
 @settings(deadline=None)
 @given(st.binary(max_size=200), st.sampled_from([200, 200, 404, 500]))
 def test_any_response_is_read_or_an_error_of_the_platform(body: bytes, status: int) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,6 +26,9 @@
     [
         ("role = entry", "role = king", "daemon", "role"),
         ("127.0.0.1:8080", "localhost:8080", "listen", "http"),
+        ("127.0.0.1:8080", "127.0.0.256:8080", "listen", "http"),
+        ("127.0.0.1:8080", "127.0.0.1:65536", "listen", "http"),
+        ("127.0.0.1:8080", "127.0.0.1:8\u0660", "listen", "http"),
         ("retention_s = 600", "retention_s = 0", "limits", "retention_s"),
         ("retention_s = 600", "retention = 1", "limits", "retention"),
         ("[limits]", "[limit]", "limit", ""),
