Bound the numbers in headers, in ASCII digits

What was seen: a deadline of `nan` was taken for a time, one of 400 digits for an infinite one; a superscript digit, or over 4,300 digits, in Prompt-Prefix-Hash was an internal error; Token-Counts past 64 bits could not be told to other entries; `Keep-Alive: timeout=` with 400 digits kept a connection for ever.

Cause: float and int accept far more than the header's form, and str.isdigit takes digits that int refuses.

A caller's invalid deadline or token count is 400, the rest is ignored as before.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -51,6 +51,22 @@
     assert found.stream_rid == ""
 
 
+@pytest.mark.parametrize(
+    ("value", "counts"),
+    [
+        (b"1460,80", (1460, 80)),
+        (b" 1460 , +80\t", (1460, 80)),
+        (b"1460", (1460, 0)),
+        (b"1460,", (1460, 0)),
+        (b"-3,-4", (0, 0)),
+        (b"999999999,999999999", (999_999_999, 999_999_999)),
+    ],
+)
+def test_token_counts_are_decoded(value: bytes, counts: tuple[int, int]) -> None:
+    found = ADAPTER.read_request(raw_request((b"Token-Counts", value)), 0.0)
+    assert (found.prompt_tokens, found.max_output_tokens) == counts
+
+
 def test_a_request_that_continues_a_stream_names_the_attempt_that_began_it() -> None:
     found = ADAPTER.read_request(
         raw_request(
@@ -62,7 +78,24 @@
 
 
 @pytest.mark.parametrize(
-    "header", [(b"Request-Deadline-Ms", b"soon"), (b"Token-Counts", b"many")]
+    "header",
+    [
+        (b"Request-Deadline-Ms", b"soon"),
+        (b"Request-Deadline-Ms", b"nan"),
+        (b"Request-Deadline-Ms", b"-inf"),
+        (b"Request-Deadline-Ms", b"1e400"),
+        (b"Request-Deadline-Ms", b"9" * 400),
+        (b"Request-Deadline-Ms", "\u0663".encode()),
+        (b"Token-Counts", b"many"),
+        (b"Token-Counts", b"1.5"),
+        (b"Token-Counts", b"1_0,8"),
+        (b"Token-Counts", b"8,1" + b"0" * 9),
+        (b"Token-Counts", b"9" * 20),
+        (b"Token-Counts", b"9" * 5000),
+        (b"Token-Counts", "\u0663".encode()),
+        (b"Token-Counts", b"\xb2,8"),
+    ],
+    ids=repr,
 )
 def test_a_header_that_should_be_a_number_is_rejected(header: tuple[bytes, bytes]) -> None:
     with pytest.raises(BadRequestError):
@@ -115,6 +148,8 @@
         ([(b"Keep-Alive", b"timeout=5, max=9")], 5.0),
         ([(b"Connection", b"close"), (b"Keep-Alive", b"timeout=5")], 0.0),
         ([], None),
+        ([(b"Keep-Alive", b"timeout=" + b"9" * 400)], None),
+        ([(b"Keep-Alive", b"timeout=\xb2")], None),
     ],
 )
 def test_the_keep_alive_timeout_is_decoded(
