Follow the platform again after more than a thousand failed calls

What was seen: in a test, an entry whose calls to the store failed 1,025 times in a row, some 10 to 15 minutes at the pauses between them, never called it again, although it was back: it logged an OverflowError five times a second. Likewise each failed request to an endpoint that had failed 1,025 times in a row ended in an internal error.

Cause: the back-offs are min(first * 2 ** failures, longest), and a float has no power of two beyond 1,023.

Change: backoff_after bounds the exponent; feeds, circuits and declined holds use it.

Result: test_a_store_that_was_away_for_a_long_time_is_read_again, test_a_circuit_opens_ after_any_number_of_failures and three cases of test_calls_have_limits_after_any_number_ of_failures failed before and pass now.

--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..backoff import backoff_after
 from .advertised_state import AdvertisedState
 from .endpoint_load import EndpointLoad, usual_duration_s
 from .engine_speed import EWMA_WEIGHT, EngineSpeed
@@ -311,7 +312,11 @@
 
     def open_circuit(self, now: float) -> None:
         """Open the circuit: send the endpoint no requests for some time (back-off)."""
-        wait = min(FIRST_CIRCUIT_OPEN_S * 2**self.consecutive_failures, MAX_CIRCUIT_OPEN_S)
+        wait = backoff_after(
+            self.consecutive_failures,
+            first=FIRST_CIRCUIT_OPEN_S,
+            longest=MAX_CIRCUIT_OPEN_S,
+        )
         self.consecutive_failures += 1
         self.has_probe = False
         self.circuit_open_until = now + wait
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ..backoff import backoff_after
 from ..metrics import Sample
 from .record_refusals import RecordRefusals
 
@@ -174,9 +175,10 @@
             max_wait_s: Longest wait for a change, if the operator sets one, in seconds.
         """
         if self.consecutive_failures:
-            fraction = min(
-                RESPONSE_FRACTION * 2.0 ** (self.consecutive_failures - 1),
-                MAX_RESPONSE_FRACTION,
+            fraction = backoff_after(
+                self.consecutive_failures - 1,
+                first=RESPONSE_FRACTION,
+                longest=MAX_RESPONSE_FRACTION,
             )
             return CallLimits(0.0, fraction * apply_deadline_s)
         longest_s = MAX_WAIT_FRACTION * apply_deadline_s
@@ -191,8 +193,10 @@
         Args:
             call_s: How long the call took, in seconds.
         """
-        delay_s = min(
-            FIRST_RETRY_DELAY_S * 2.0 ** (self.consecutive_failures - 1), MAX_RETRY_DELAY_S
+        delay_s = backoff_after(
+            self.consecutive_failures - 1,
+            first=FIRST_RETRY_DELAY_S,
+            longest=MAX_RETRY_DELAY_S,
         )
         jitter = random.uniform(1 - RETRY_JITTER_FRACTION, 1 + RETRY_JITTER_FRACTION)
         return max(delay_s * jitter - call_s, 0.0)
--- a/dockreach/granting.py
+++ b/dockreach/granting.py
@@ -9,6 +9,7 @@
 import heapq
 
 from .agent_tables import AgentWorld, GrantRow, receive
+from .backoff import backoff_after
 from .messages import Decline, Displaced, Floor, Grant, Offer, Withdraw
 from .messages import Hold as HoldMessage
 from .queueing import Hold, Lane
@@ -67,9 +68,11 @@
     world.queue.refund(grant.hold)
     world.counters.declined += 1
     hold = grant.hold
-    pause = world.policy.decline_pause_s * 2**hold.declines
+    pause = backoff_after(
+        hold.declines, first=world.policy.decline_pause_s, longest=MAX_DECLINE_PAUSE_S
+    )
     hold.declines += 1
-    until = world.now + min(pause, MAX_DECLINE_PAUSE_S)
+    until = world.now + pause
     heapq.heappush(world.paused_holds, (until, hold.rid))
 
 
--- a/tests/direct/test_endpoint_selection.py
+++ b/tests/direct/test_endpoint_selection.py
@@ -9,7 +9,12 @@
     EndpointSelector,
     SelectionPolicy,
 )
-from dockreach.direct.endpoints import MAX_PREFIXES, EndpointTable, Published
+from dockreach.direct.endpoints import (
+    MAX_CIRCUIT_OPEN_S,
+    MAX_PREFIXES,
+    EndpointTable,
+    Published,
+)
 from dockreach.direct.jobs import Job
 
 from .core_builders import dispatcher, endpoints, job, placed
@@ -94,6 +99,14 @@
     assert placed(queue.run_round(2.1)) == ["second"]
 
 
+def test_a_circuit_opens_after_any_number_of_failures() -> None:
+    """Guards against internal errors once an endpoint has failed for an hour."""
+    (row,) = endpoints(1)
+    row.consecutive_failures = 5000
+    row.open_circuit(100.0)
+    assert row.circuit_open_until == 100.0 + MAX_CIRCUIT_OPEN_S
+
+
 def test_with_all_circuits_open_all_endpoints_are_usable() -> None:
     table = endpoints(1, 1)
     for row in table:
--- a/tests/direct/test_feeds.py
+++ b/tests/direct/test_feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -45,6 +46,16 @@
     )
 
 
+@pytest.mark.parametrize("failures", [1024, 1025, 2000, 10**6])
+def test_calls_have_limits_after_any_number_of_failures(failures: int) -> None:
+    """Guards against a platform that is never called again after an outage of 15 min."""
+    feed = Feed()
+    feed.record_failure()
+    feed.consecutive_failures = failures
+    assert feed.next_call_limits(2.0).read_timeout_s == 1.0
+    assert 0.4 < feed.retry_delay_s(0.0) < 0.8
+
+
 def test_a_call_that_failed_immediately_is_retried_after_a_delay() -> None:
     feed = Feed()
     feed.record_failure()
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -122,6 +122,27 @@
     assert entry.revision.number == 8
 
 
+def test_a_store_that_was_away_for_a_long_time_is_read_again(
+    store: StoreStandIn, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against an entry that does not follow the store any more after 15 min."""
+    entry = start_following_entry(store)
+    store.failure_mode = 503
+    store.end_watches()
+    eventlet.sleep(0.3)
+    for feed in (entry.feeds.endpoints, entry.feeds.configuration):
+        feed.consecutive_failures = 1024
+    eventlet.sleep(1.0)
+    store.failure_mode = ""
+    store.put("op/config", config_record(8))
+    store.put("servers/i-9", server_record())
+    eventlet.sleep(1.2)
+    assert entry.endpoints.get("i-9") is not None
+    assert entry.revision is not None
+    assert entry.revision.number == 8
+    assert not [row for row in caplog.records if vars(row)["event"] == 731]
+
+
 def test_an_endpoint_deleted_after_an_outage_is_removed_at_once(
     store: StoreStandIn,
 ) -> None:
