Refuse a job whose denial has an unknown reason

What was seen: a reply with a reason that this version does not know raised a ValueError after its job was taken from those that wait: nobody decided on it any more, and the other denials of the reply were lost.

Change: such a denial counts as one for lack of capacity. The coordinator has not run the job, so "not run" is true, and the caller may retry.

--- a/dockreach/direct/slot_client.py
+++ b/dockreach/direct/slot_client.py
@@ -553,6 +553,9 @@
 
 
 def _refusal(denial: Denial) -> Refusal:
-    return Refusal(
-        Verdict.NOT_RUN, Reason(denial.reason), denial.detail, denial.retry_after_s
-    )
+    try:
+        reason = Reason(denial.reason)
+    except ValueError:
+        # A coordinator of a later version may know more reasons.
+        reason = Reason.SHED
+    return Refusal(Verdict.NOT_RUN, reason, denial.detail, denial.retry_after_s)
