Leave out samples, sends and decisions whose numbers make no sense

What was seen: a job with an undefined `blocked_s` was valid. One sample with an infinite or undefined time left an endpoint's measured speed undefined for as long as its record was listed; token counts near 2^64 made sums that no reply can hold; a denial could have an undefined Retry-After.

Cause: only jobs and reports of states were checked, and counts from below only.

Change: samples, recent sends, grants and denials are checked as jobs are, and counts of tokens and events are 10^12 at most. A grant or denial that is left out costs its job the time until its entry's own deadline, which refuses it.

--- a/dockreach/direct/message_checks.py
+++ b/dockreach/direct/message_checks.py
@@ -9,8 +9,20 @@
 
 import math
 from functools import singledispatch
-
-from .slot_messages import HeldJob, LoadReport, RefusalReport, SlotState, WaitingJob
+from typing import TypeVar
+
+from .slot_messages import (
+    Denial,
+    Grant,
+    HeldJob,
+    LoadReport,
+    RecentSend,
+    RefusalReport,
+    Sample,
+    SlotReply,
+    SlotState,
+    WaitingJob,
+)
 
 MAX_LOAD_FIGURE = 100_000
 """Largest figure of a load that makes sense; the platform's adapter has the same bound."""
@@ -19,18 +31,42 @@
 """Largest age that a message may state, in seconds; requests last for seconds."""
 
 
-def without_invalid_parts(state: SlotState) -> SlotState:
-    """Remove jobs and reports with invalid numbers from a state; return the state."""
+MAX_TOKENS = 10**12
+"""Largest number of tokens or events that makes sense; sums of them fit into messages."""
+
+_Message = TypeVar("_Message", bound=SlotState | SlotReply)
+
+
+def without_invalid_parts(message: _Message) -> _Message:
+    """Remove the parts with invalid numbers from a message; return the message."""
+    _remove_invalid_parts(message)
+    return message
+
+
+@singledispatch
+def _remove_invalid_parts(message: object) -> None:
+    raise NotImplementedError(type(message))
+
+
+@_remove_invalid_parts.register
+def _(state: SlotState) -> None:
     state.waiting = [job for job in state.waiting if is_valid(job)]
     state.held = [job for job in state.held if is_valid(job)]
+    state.samples = [sample for sample in state.samples if is_valid(sample)]
+    state.recent_sends = [send for send in state.recent_sends if is_valid(send)]
     state.refusals = [report for report in state.refusals if is_valid(report)]
     state.loads = [report for report in state.loads if is_valid(report)]
-    return state
+
+
+@_remove_invalid_parts.register
+def _(reply: SlotReply) -> None:
+    reply.grants = [grant for grant in reply.grants if is_valid(grant)]
+    reply.denials = [denial for denial in reply.denials if is_valid(denial)]
 
 
 @singledispatch
 def is_valid(part: object) -> bool:
-    """Return whether all numbers in a part of a state make sense."""
+    """Return whether all numbers in a part of a message make sense."""
     raise NotImplementedError(type(part))
 
 
@@ -41,7 +77,9 @@
         and _is_age(job.age_s)
         and _is_age(job.first_attempt_age_s)
         and _is_amount(job.expected_events)
-        and job.prompt_tokens >= 0
+        and _is_count(job.prompt_tokens)
+        and all(_is_count(tokens) for _, tokens in job.prefix)
+        and not any(map(math.isnan, job.blocked_s.values()))
         and not math.isnan(job.queue_timeout_s)
         and not math.isnan(job.time_left_s)
         and not math.isnan(job.caller_time_left_s)
@@ -53,11 +91,26 @@
     return (
         _is_amount(job.expected_events)
         and _is_amount(job.age_s)
-        and job.events >= 0
-        and job.prompt_tokens >= 0
+        and _is_count(job.events)
+        and _is_count(job.prompt_tokens)
+        and _is_count(job.prefill_tokens)
+    )
+
+
+@is_valid.register
+def _(sample: Sample) -> bool:
+    return (
+        _is_count(sample.tokens)
+        and 0.0 <= sample.seconds <= MAX_REPORTED_AGE_S
+        and 0.0 <= sample.percent <= MAX_LOAD_FIGURE
     )
 
 
+@is_valid.register
+def _(send: RecentSend) -> bool:
+    return _is_age(send.age_s)
+
+
 @is_valid.register
 def _(report: RefusalReport) -> bool:
     return (
@@ -76,6 +129,27 @@
     )
 
 
+@is_valid.register
+def _(grant: Grant) -> bool:
+    return (
+        _is_count(grant.prefill_tokens)
+        and _is_count(grant.prefill_ahead)
+        and _is_age(grant.first_attempt_age_s)
+        and 0 <= grant.load_percent <= MAX_LOAD_FIGURE
+    )
+
+
+@is_valid.register
+def _(denial: Denial) -> bool:
+    return _is_age(denial.first_attempt_age_s) and (
+        denial.retry_after_s is None or 0.0 <= denial.retry_after_s <= MAX_REPORTED_AGE_S
+    )
+
+
+def _is_count(value: int) -> bool:
+    return 0 <= value <= MAX_TOKENS
+
+
 def _is_age(seconds: float) -> bool:
     """Return whether a time relative to the message makes sense, before or after it."""
     return -MAX_REPORTED_AGE_S <= seconds <= MAX_REPORTED_AGE_S
--- a/dockreach/direct/slot_client.py
+++ b/dockreach/direct/slot_client.py
@@ -17,6 +17,7 @@
 from .digest import Address
 from .endpoints import EndpointRow, EndpointTable
 from .jobs import MIN_RETRY_AFTER_S, Decision, Job, Placed, Refused, RetryKind
+from .message_checks import without_invalid_parts
 from .returning_requests import ReturningRequests
 from .send_guard import SendGuard
 from .slot_messages import (
@@ -268,6 +269,7 @@
             return []
         if reply.address != session.coordinator:
             return []
+        reply = without_invalid_parts(reply)
         session.unanswered_states = 0
         session.has_reported_sends |= not session.refusal_states
         session.record_refusal_reply(reply.number)
--- a/tests/direct/test_message_checks.py
+++ b/tests/direct/test_message_checks.py
@@ -11,9 +11,15 @@
 
 from dockreach.direct.message_checks import is_valid, without_invalid_parts
 from dockreach.direct.slot_messages import (
+    Denial,
+    Grant,
     HeldJob,
     LoadReport,
+    RecentSend,
     RefusalReport,
+    Sample,
+    SampleKind,
+    SlotReply,
     SlotState,
     WaitingJob,
 )
@@ -27,7 +33,14 @@
 LOAD = LoadReport("e-0", 1, 0, 5, 250, 0.1)
 
 
-@pytest.mark.parametrize("part", [WAITING, HELD, REFUSAL, LOAD])
+SAMPLE = Sample("e-0", SampleKind.FIRST_EVENT, 1000, 0.2, percent=100.0)
+SEND = RecentSend("e-0", 0.1)
+GRANT = Grant(1, "e-0", 1000, 0, True, 0.5, 1, 100)
+DENIAL = Denial(1, "shed", "", 0.5, 0.5)
+PARTS = [WAITING, HELD, REFUSAL, LOAD, SAMPLE, SEND, GRANT, DENIAL]
+
+
+@pytest.mark.parametrize("part", PARTS)
 def test_ordinary_numbers_are_valid(part: object) -> None:
     assert is_valid(part)
 
@@ -40,6 +53,10 @@
         (HELD, ("age_s", "expected_events")),
         (REFUSAL, ("first_attempt_age_s", "retry_in_s")),
         (LOAD, ("age_s",)),
+        (SAMPLE, ("seconds", "percent")),
+        (SEND, ("age_s",)),
+        (GRANT, ("first_attempt_age_s",)),
+        (DENIAL, ("first_attempt_age_s", "retry_after_s")),
     ],
 )
 def test_infinite_and_undefined_numbers_are_not(
@@ -59,6 +76,20 @@
         (LOAD, {"percent": 10**6}),
         (LOAD, {"running": -1}),
         (LOAD, {"age_s": -1e9}),
+        (WAITING, {"prompt_tokens": 2**63}),
+        (WAITING, {"prefix": (("5c", 10), ("91", 2**63))}),
+        (WAITING, {"prefix": (("5c", -1),)}),
+        (HELD, {"prompt_tokens": 2**64 - 1}),
+        (HELD, {"prefill_tokens": -1}),
+        (SAMPLE, {"tokens": 2**63}),
+        (SAMPLE, {"seconds": -1.0}),
+        (SAMPLE, {"percent": -1.0}),
+        (SEND, {"age_s": 1e9}),
+        (GRANT, {"prefill_tokens": -1}),
+        (GRANT, {"prefill_ahead": 2**64 - 1}),
+        (GRANT, {"load_percent": 2**40}),
+        (DENIAL, {"retry_after_s": -1.0}),
+        (DENIAL, {"retry_after_s": 1e9}),
     ],
 )
 def test_absurd_numbers_are_not_valid(
@@ -80,27 +111,38 @@
     assert cleaned.loads == [LOAD]
 
 
-KINDS: dict[str, type[msgspec.Struct]] = {
-    "waiting": WaitingJob,
-    "held": HeldJob,
-    "refusals": RefusalReport,
-    "loads": LoadReport,
+def test_a_decision_with_invalid_numbers_does_not_stop_the_others() -> None:
+    """Guards against an undefined Retry-After, and times that stay undefined."""
+    invalid = msgspec.structs.replace(DENIAL, number=3, retry_after_s=math.nan)
+    undefined = msgspec.structs.replace(GRANT, number=4, first_attempt_age_s=math.nan)
+    reply = SlotReply(address(1), 1, 1, "work", [undefined, GRANT], [DENIAL, invalid])
+    cleaned = without_invalid_parts(reply)
+    assert cleaned.grants == [GRANT]
+    assert cleaned.denials == [DENIAL]
+
+
+PARTS_OF: dict[type[SlotState | SlotReply], tuple[str, ...]] = {
+    SlotState: ("waiting", "held", "samples", "recent_sends", "refusals", "loads"),
+    SlotReply: ("grants", "denials"),
 }
 
 
+@pytest.mark.parametrize("kind", list(PARTS_OF))
 @settings(max_examples=20, deadline=None)
 @given(st.data())
-def test_what_is_left_of_any_state_is_valid(data: st.DataObject) -> None:
-    state = data.draw(records(SlotState))
-    sent = {name: len(getattr(state, name)) for name in KINDS}
-    cleaned = without_invalid_parts(state)
-    for name in KINDS:
+def test_what_is_left_of_any_message_is_valid(
+    kind: type[SlotState | SlotReply], data: st.DataObject
+) -> None:
+    message = data.draw(records(kind))
+    sent = {name: len(getattr(message, name)) for name in PARTS_OF[kind]}
+    cleaned = without_invalid_parts(message)
+    for name in PARTS_OF[kind]:
         parts = getattr(cleaned, name)
         assert len(parts) <= sent[name]
         assert all(map(is_valid, parts))
 
 
-@pytest.mark.parametrize("part", [WAITING, HELD, REFUSAL, LOAD])
+@pytest.mark.parametrize("part", PARTS)
 def test_no_number_of_a_valid_part_is_undefined(part: msgspec.Struct) -> None:
     for field in msgspec.structs.fields(part):
         if field.type is float:
