Merge one border for odd records, numbers and nesting

A record, configuration, page, message or header whose nesting, numbers or address nothing can hold costs itself only, at every reader; refusals are logged and counted by reason.

--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -14,7 +14,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ..backoff import backoff_after
 from ..metrics import Sample
+from .record_refusals import RecordRefusals
 
 MAX_WAIT_FRACTION = 0.6
 """Longest wait for a change (long poll), as a fraction of the time within which a change
@@ -173,9 +175,10 @@
             max_wait_s: Longest wait for a change, if the operator sets one, in seconds.
         """
         if self.consecutive_failures:
-            fraction = min(
-                RESPONSE_FRACTION * 2.0 ** (self.consecutive_failures - 1),
-                MAX_RESPONSE_FRACTION,
+            fraction = backoff_after(
+                self.consecutive_failures - 1,
+                first=RESPONSE_FRACTION,
+                longest=MAX_RESPONSE_FRACTION,
             )
             return CallLimits(0.0, fraction * apply_deadline_s)
         longest_s = MAX_WAIT_FRACTION * apply_deadline_s
@@ -190,8 +193,10 @@
         Args:
             call_s: How long the call took, in seconds.
         """
-        delay_s = min(
-            FIRST_RETRY_DELAY_S * 2.0 ** (self.consecutive_failures - 1), MAX_RETRY_DELAY_S
+        delay_s = backoff_after(
+            self.consecutive_failures - 1,
+            first=FIRST_RETRY_DELAY_S,
+            longest=MAX_RETRY_DELAY_S,
         )
         jitter = random.uniform(1 - RETRY_JITTER_FRACTION, 1 + RETRY_JITTER_FRACTION)
         return max(delay_s * jitter - call_s, 0.0)
@@ -203,17 +208,20 @@
 
     configuration: Feed = field(default_factory=Feed)
     endpoints: Feed = field(default_factory=Feed)
-    invalid_records: int = 0
-    """Endpoint records that were not valid."""
+    refusals: RecordRefusals = field(default_factory=RecordRefusals)
+    """Endpoint records that were not used."""
+
+    @property
+    def invalid_records(self) -> int:
+        """Number of endpoint records that were not used."""
+        return self.refusals.total
 
     def samples(self, now: float, started: float) -> Iterator[Sample]:
-        """Return metrics of each feed: its age, its calls and its failed calls."""
-        yield Sample(
-            "dockreach_direct_refused_entries_total",
-            "Entries of endpoints that were not valid",
-            self.invalid_records,
-            {},
-        )
+        """Return metrics of each feed, and of the records that were not used.
+
+        Each feed has its age, its calls and its failed calls.
+        """
+        yield from self.refusals.samples()
         parts = {"configuration": self.configuration, "endpoints": self.endpoints}
         for name, feed in parts.items():
             labels = {"feed": name}
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import json
 from typing import Any
 
@@ -11,6 +12,7 @@
 from hypothesis import strategies as st
 
 from dockreach.direct import datagrams, view
+from dockreach.direct.record_checks import RecordError, RecordFault
 from dockreach.direct.routing_config import ConfigRevision, RetryMode
 from dockreach.errors import RevisionError
 from dockreach_platform.records import read_endpoint, read_revision
@@ -130,6 +132,48 @@
         read_endpoint("i-1", text)
 
 
+def with_literal(field: str, text: str) -> bytes:
+    """Return a record in which a field has a value that is written as it is."""
+    return endpoint_record(**{field: "@"}).replace(b'"@"', text.encode())
+
+
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        (with_literal("unknown", "[" * 1100 + "]" * 1100), RecordFault.NESTING),
+        (with_literal("unknown", '{"a":' * 50_000), RecordFault.NESTING),
+        (with_literal("slots", "9" * 20), RecordFault.NUMBER),
+        (with_literal("slots", "9" * 400), RecordFault.NUMBER),
+        (with_literal("slots", "9" * 5000), RecordFault.NUMBER),
+        (with_literal("slots", "-1"), RecordFault.NUMBER),
+        (with_literal("slots", "1e400"), RecordFault.NUMBER),
+        (with_literal("sequence", "9" * 400), RecordFault.NUMBER),
+        (with_literal("born", "9" * 400), RecordFault.NUMBER),
+        (with_literal("cold_remaining_ms", "9" * 400), RecordFault.NUMBER),
+        (with_literal("cold_remaining_ms", "1e308"), RecordFault.NUMBER),
+        (with_literal("cold_remaining_ms", "1e400"), RecordFault.NUMBER),
+        (with_literal("slots", "NaN"), RecordFault.FORM),
+        (with_literal("slots", "Infinity"), RecordFault.FORM),
+        (with_literal("slots", "\u0665"), RecordFault.FORM),
+        (with_literal("slots", '"5"'), RecordFault.FORM),
+        (with_literal("slots", "[5]"), RecordFault.FORM),
+        (endpoint_record(address="10.0.0.1:70000"), RecordFault.ADDRESS),
+        (endpoint_record(address="10.0.0.1:8\u0660"), RecordFault.ADDRESS),
+        (endpoint_record(address="10.0.0.\u00b2:80"), RecordFault.ADDRESS),
+        (endpoint_record(address=80), RecordFault.FORM),
+        (endpoint_record(service="\ud800"), RecordFault.FORM),
+        (b"", RecordFault.FORM),
+        (b"\xff", RecordFault.FORM),
+    ],
+)
+def test_an_odd_record_is_refused_for_one_of_the_documented_reasons(
+    text: bytes, fault: RecordFault
+) -> None:
+    with pytest.raises(RecordError) as found:
+        read_endpoint("i-1", text)
+    assert found.value.fault is fault
+
+
 @pytest.mark.parametrize("field", sorted(ENDPOINT_RECORD))
 def test_a_record_without_a_required_field_is_rejected(field: str) -> None:
     record = {name: value for name, value in ENDPOINT_RECORD.items() if name != field}
@@ -240,6 +284,75 @@
     assert view.decode(view.encode(relayed)) == relayed
 
 
+Keys = tuple[str | int, ...]
+
+
+def numbers_of(tree: object, path: Keys = ()) -> list[Keys]:
+    """Return the paths of all numbers in a tree of lists and mappings."""
+    if isinstance(tree, dict | list):
+        parts = tree.items() if isinstance(tree, dict) else enumerate(tree)
+        return [found for key, part in parts for found in numbers_of(part, (*path, key))]
+    return [path] if isinstance(tree, int | float) else []
+
+
+def with_number(path: Keys, value: float) -> bytes:
+    """Return the full configuration with one of its numbers replaced."""
+    tree = copy.deepcopy(FULL_CONFIG)
+    part: Any = tree
+    for key in path[:-1]:
+        part = part[key]
+    part[path[-1]] = value
+    return json.dumps(tree).encode()
+
+
+FULL_CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        route(
+            traffic_split=[{"service": "s", "weight": 0.5}], max_attempts=2, gap_aim_ms=300
+        )
+    ],
+    "services": [
+        {
+            "name": "s",
+            "max_connections": 5,
+            "engine": {"stride": 4.0},
+            "cold_start_s": 1.0,
+            "cold_per_s": 2.0,
+        }
+    ],
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k"],
+            "priority": 1,
+            "plain_tokens": 200,
+            "rate_per_s": 5,
+            "burst": 7,
+        }
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 65536,
+        "header_timeout_ms": 1000.0,
+        "idle_timeout_ms": 1000.0,
+    },
+}
+
+
+@pytest.mark.parametrize("value", [2**64, 10**30, 10**400, 1e300, -(10**30), -1e300])
+@pytest.mark.parametrize(
+    "path", numbers_of(FULL_CONFIG), ids=lambda path: ".".join(map(str, path))
+)
+def test_a_configuration_with_an_absurd_number_is_rejected(
+    path: Keys, value: float
+) -> None:
+    """Guards against sums and products that no message and no timer can hold."""
+    assert read_revision(with_number(path, 9)).number in (7, 9)
+    with pytest.raises(RevisionError):
+        read_revision(with_number(path, value))
+
+
 @pytest.mark.parametrize("version", [0, -1, 2**63, 2**64 - 1, 2**64, 10**30])
 def test_a_configuration_that_is_accepted_can_be_announced(version: int) -> None:
     """Guards against a version with which an entry sends no digests any more."""
