Keep what is known of versions over an outage in which all changes are read

Callers saw: after any outage of the store longer than a change may take to be applied, take-ups of streams that no running entry knew were refused until the timeout of their route had passed, though the watch had gone on without a gap.

Cause: a late confirmation counted as a gap, since one call to the store returned only the last change of each key; and a response that said that the history was gone (410) counted as a confirmation.

Now earlier changes of a key are read for their versions, all changes up to the last applied response count as seen, and only a list that is read anew after a gap ends what was known before.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -5,7 +5,7 @@
 import math
 import secrets
 import socket
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from functools import partial, singledispatchmethod
 from typing import Any
@@ -102,7 +102,6 @@
         self.stopping_since: float | None = None
         self._endpoints_revision = 0
         self._has_endpoints = False
-        self._endpoints_read_at = -math.inf
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
         self._digest_number = 0
@@ -321,6 +320,7 @@
         """
         lapsed_at = clock.now() if after_outage else None
         self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
+        self.ctx.streams.replace_list()
         self.record_endpoints_revision(endpoints_revision)
 
     def expect_endpoint_history(self) -> None:
@@ -331,6 +331,11 @@
         self.endpoints.software_versions.coverage.revoke_first_start()
         self.ctx.streams.history = Signal()
 
+    def record_served(self, served: Iterable[ServedVersion]) -> None:
+        """Record versions of endpoints that were listed for a moment, and are not now."""
+        for item in served:
+            self.endpoints.software_versions.record(item.service, item.version, clock.now())
+
     def apply_endpoint_history(self, served: Collection[ServedVersion] | None) -> None:
         """Apply the versions of all endpoints that were ever listed.
 
@@ -347,21 +352,22 @@
         self.ctx.streams.finish_history()
 
     def _endpoints_confirmed_at(self) -> float:
-        """Return when this entry's list of endpoints was last known to be complete.
+        """Return up to when this entry has seen all changes of the list of endpoints.
+
+        A peer that the platform has answered since has seen none that this entry has not,
+        unless its revision is higher.
 
         Returns:
             The monotonic time in seconds; minus infinity if there is no list yet.
         """
-        if not self._has_endpoints:
+        if not self._endpoints_revision:
             return -math.inf
-        now = clock.now()
-        own = self.feeds.endpoints.last_response_at
         relayed = [
             row.received_at - row.digest.endpoints_age_s
-            for row in self.peers.fresh(now)
+            for row in self.peers.fresh(clock.now())
             if row.digest.endpoints_revision <= self._endpoints_revision
         ]
-        return max([self._endpoints_read_at, -math.inf if own is None else own, *relayed])
+        return max([self.feeds.endpoints.complete_at, *relayed])
 
     def _known_revisions(self) -> KnownRevisions:
         revision = self.revision.number if self.revision else 0
@@ -418,6 +424,7 @@
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
             lapsed_at = view.lapsed_at(clock.now())
             self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
+            self.ctx.streams.replace_list()
             self.record_endpoints_revision(view.endpoints_revision)
 
     def expire_lapsed_endpoints(self) -> None:
@@ -426,7 +433,6 @@
 
     def record_endpoints_revision(self, endpoints_revision: int) -> None:
         """Record the platform's revision up to which endpoints were read."""
-        self._endpoints_read_at = clock.now()
         if endpoints_revision > self._endpoints_revision:
             self._endpoints_revision = endpoints_revision
             self.gossip.send_soon()
@@ -622,7 +628,6 @@
         self.ctx.notices.expire(now)
         self.ctx.pool.expire()
         self.endpoints.refresh_software_versions(now)
-        self.ctx.streams.confirm_list()
         self.ctx.streams.report_running()
         self._recount_in_flight(now)
 
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -88,6 +88,8 @@
             seconds; ``None`` before the first response.
         unanswered_since: Monotonic time from which the platform did not respond, in
             seconds; ``None`` once the copy is up to date again.
+        complete_at: Monotonic time up to which all changes have been applied, in seconds;
+            minus infinity before the first list.
         follows_outage: Whether changes are still being read that were made in an outage.
     """
 
@@ -98,6 +100,7 @@
     max_gap_s: float = 2.4
     answered_since: float | None = None
     unanswered_since: float | None = None
+    complete_at: float = -math.inf
     follows_outage: bool = False
 
     def record_response(self, now: float) -> None:
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -30,8 +30,8 @@
 
     Attributes:
         coverage: From when on all of them are known.
-        confirmed_at: Monotonic time at which the list of endpoints was last known to be
-            complete, in seconds.
+        confirmed_at: Monotonic time up to which all changes of the list were seen, in
+            seconds.
     """
 
     def __init__(self) -> None:
@@ -62,21 +62,26 @@
         if known_s > 0:
             self.coverage.extend(now - known_s, VersionSource.ENTRY)
 
-    def confirm(self, at: float, max_gap_s: float) -> None:
-        """Record that the list of endpoints was complete at a time.
+    def confirm(self, at: float) -> None:
+        """Record that all changes of the list up to a time were seen.
 
         Args:
             at: That time, monotonic, in seconds.
-            max_gap_s: Longest time without a complete list in which no version can have
-                served unnoticed, in seconds.
         """
-        if at <= self.confirmed_at:
-            return
-        if self.confirmed_at == -math.inf:
-            self.coverage.extend(at, VersionSource.MEMORY)
-        elif at - self.confirmed_at > max_gap_s:
-            self.coverage.restart(at)
-        self.confirmed_at = at
+        self.confirmed_at = max(at, self.confirmed_at)
+
+    def replace_list(self, now: float, max_gap_s: float) -> None:
+        """Record that the list was read anew: changes since the last one were not seen.
+
+        Args:
+            now: Monotonic time, in seconds.
+            max_gap_s: Longest time between two lists in which no version can have served
+                unnoticed, in seconds.
+        """
+        if max_gap_s < now - self.confirmed_at < math.inf:
+            self.coverage.restart(now)
+        self.coverage.extend(now, VersionSource.MEMORY)
+        self.confirm(now)
 
     def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
         """Record all versions that ever served, as the platform's store tells.
@@ -94,7 +99,7 @@
 
         Args:
             now: Monotonic time, in seconds.
-            max_gap_s: As for `confirm`.
+            max_gap_s: As for `replace_list`.
         """
         if now - self.confirmed_at > max_gap_s:
             return 0
@@ -107,7 +112,7 @@
             service: The service.
             since: That time, monotonic, in seconds.
             now: Monotonic time, in seconds.
-            max_gap_s: As for `confirm`.
+            max_gap_s: As for `replace_list`.
         """
         is_current = now - self.confirmed_at <= max_gap_s
         is_covered = is_current and self.coverage.covers(since)
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -149,8 +149,8 @@
         hall: The data hall of this entry.
         send: Sends a message to another entry; it may be lost.
         clock: Returns the monotonic time, in seconds.
-        list_confirmed_at: Returns when the platform last confirmed the list of endpoints,
-            in monotonic seconds.
+        list_confirmed_at: Returns up to when all changes of the list of endpoints were
+            seen, in monotonic seconds.
         max_gap_s: Returns for how long the list may be unconfirmed before versions may have
             served unnoticed, in seconds.
 
@@ -225,13 +225,17 @@
         if self._running.get(origin.key) is origin:
             del self._running[origin.key]
 
-    def confirm_list(self) -> None:
-        """Note up to when the list of endpoints is complete."""
-        self._versions.confirm(self._list_confirmed_at(), self._max_gap_s())
+    def replace_list(self) -> None:
+        """Note that the list of endpoints was read anew."""
+        self._confirm_list()
+        self._versions.replace_list(self._clock(), self._max_gap_s())
+
+    def _confirm_list(self) -> None:
+        self._versions.confirm(self._list_confirmed_at())
 
     def versions_known_s(self) -> int:
         """Return for how long all software versions have been known, in whole seconds."""
-        self.confirm_list()
+        self._confirm_list()
         return self._versions.known_s(self._clock(), self._max_gap_s())
 
     def finish_history(self) -> None:
@@ -246,7 +250,7 @@
             service: The stream's service.
             max_age_s: How long ago the stream may have begun, in seconds.
         """
-        self.confirm_list()
+        self._confirm_list()
         now, max_gap_s = self._clock(), self._max_gap_s()
         since = now - max_age_s - max_gap_s
         return self._versions.is_only_one(service, since, now, max_gap_s)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -14,12 +14,13 @@
 from dockreach.direct.feeds import CallLimits
 from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.routing_config import ConfigRevision
+from dockreach.direct.version_coverage import ServedVersion, VersionSource
 from dockreach.errors import PlatformError
 from dockreach_platform import follower
-from dockreach_platform.follower import StoreFollower
+from dockreach_platform.follower import StoreFollower, served_versions
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_endpoint
-from dockreach_platform.store import HistoryCompactedError, StoreClient
+from dockreach_platform.store import HistoryCompactedError, Item, StoreClient
 from tests.direct.standins import entry_settings
 
 from .store_standin import StoreStandIn, endpoint_record
@@ -479,3 +480,44 @@
     store.put("op/evacuate/z", b"{}")
     entry = start_following_entry(store)
     assert entry.endpoints.evacuated == {"z"}
+
+
+def test_a_version_that_was_listed_only_between_two_calls_is_known(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store)
+    store.put("servers/i-8", server_record())
+    eventlet.sleep(0.05)
+    # Read with one call, as the entry pauses after a call with changes.
+    store.put("servers/i-9", endpoint_record(version="v2"))
+    store.delete("servers/i-9")
+    eventlet.sleep(0.4)
+    assert entry.endpoints.get("i-9") is None
+    assert entry.endpoints.software_versions.recent("s", clock.now()) == {"v1", "v2"}
+
+
+def test_a_list_that_is_read_anew_after_a_gap_leaves_earlier_versions_unknown(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store, apply_deadline_s=0.3)
+    coverage = entry.endpoints.software_versions.coverage
+    eventlet.sleep(0.1)
+    assert coverage.covers(0.0)
+    store.failure_mode = 503
+    eventlet.sleep(1.0)
+    store.put("servers/i-9", endpoint_record(version="v2"))
+    store.delete("servers/i-9")
+    store.compact_history()
+    store.failure_mode = ""
+    eventlet.sleep(1.0)
+    assert coverage.source is VersionSource.MEMORY
+    assert not coverage.covers(clock.now() - 2.0)
+
+
+def test_a_deleted_endpoint_without_a_known_record_leaves_versions_open() -> None:
+    deleted = Item("servers/i-1", None, 2)
+    assert served_versions([deleted]) is None
+    record = Item("servers/i-1", endpoint_record(version="v2"), 1)
+    assert served_versions([record, deleted]) == frozenset([ServedVersion("s", "v2")])
+    odd = Item("servers/i-2", endpoint_record(slots=2**64), 3)
+    assert served_versions([odd]) == frozenset()
