Failing tests: take-ups that still join versions, or are refused for too long

A review of the code that takes one listed version for the only one only where nothing else can have served.

Callers get two versions with 200: what a holder was told, or the entry itself remembers, is not looked at once one version counts as the only one; a caller that comes back as told gets another version as soon as the route's timeout has passed, and sooner if a configuration shortens that; versions are forgotten after 60 s, and streams of a longer route are not; a split route takes a stream up at another service; the time between the history or a peer's digest and the first list counts as known; a 410 counts as a confirmation of the list; a history in parts is taken for complete after the first part; versions that are not known are left out of what is told as all versions.

Streams that could go on are refused: a stream that began while versions were not known is told to no holder; a take-up at the entry that began the stream hides what it knows from others; versions of long ago in the history count for 60 s, at all entries, and may fill a digest; an outage of the store in which nothing changed ends all knowledge.

Two tests that exist take one stream up again and again and expect 200 at last (test_streams_are_refused_as_unknown_for_no_longer_than_they_last and test_streams_are_refused_only_while_an_unknown_version_may_have_begun_them): they contradict test_a_stream_that_was_refused_as_unknown_is_not_sent_anywhere _later and test_a_caller_that_keeps_coming_back_does_not_get_another_version_at _last, and are not changed here. The configuration of test_take_ups became a route, so that a test can change its timeout; its content is the same.

--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -6,9 +6,11 @@
 from dataclasses import replace
 
 import eventlet
+import msgspec
 import pytest
 
 from dockreach import clock
+from dockreach.direct.datagrams import MAX_DATAGRAM_BYTES
 from dockreach.direct.endpoints import EndpointTable
 from dockreach.direct.jobs import Job, Placed, Refused
 from dockreach.direct.software_versions import (
@@ -16,10 +18,11 @@
     VERSION_MEMORY_S,
     SoftwareVersions,
 )
+from dockreach.direct.version_coverage import ServedVersion, VersionSource
 from dockreach.verdict import Reason, Verdict
 
 from .core_builders import dispatcher, job, placed, versioned_endpoints
-from .standins import header_of, status_of
+from .standins import entry_settings, header_of, start_entry, status_of
 from .versioned_engines import (
     GOSSIP_S,
     STREAM_EVENTS,
@@ -238,3 +241,85 @@
     queue = dispatcher(table)
     queue.submit(pinned("r-0", "v1"))
     assert not placed(queue.run_round(0.1))
+
+
+MAX_GAP_S = 2.0
+
+
+def test_a_time_between_what_others_told_and_the_first_list_is_not_known() -> None:
+    versions = SoftwareVersions()
+    versions.merge({"work": {"v1": 0.0}}, 100.0, known_s=int(VERSION_MEMORY_S))
+    # The platform answers this entry only now; the entry that told it is long gone.
+    versions.record("work", "v1", 130.0)
+    versions.confirm(130.0, MAX_GAP_S)
+    assert not versions.is_only_one("work", 120.0, 130.0, MAX_GAP_S)
+
+
+def test_a_time_between_the_history_and_the_first_list_is_not_known() -> None:
+    versions = SoftwareVersions()
+    versions.add_history([ServedVersion("work", "v1")], 100.0)
+    versions.record("work", "v1", 130.0)
+    versions.confirm(130.0, MAX_GAP_S)
+    assert not versions.is_only_one("work", 120.0, 130.0, MAX_GAP_S)
+
+
+def test_an_entry_that_lists_an_unknown_version_tells_not_that_it_knows_all() -> None:
+    told, started = SoftwareVersions(), SoftwareVersions()
+    told.coverage.extend(0.0, VersionSource.MEMORY)
+    told.record("work", None, 100.0)
+    told.confirm(100.0, MAX_GAP_S)
+    started.record("work", "v2", 100.0)
+    started.confirm(100.0, MAX_GAP_S)
+    ages = told.report(100.0, with_single=True)
+    started.merge(ages, 100.0, known_s=told.known_s(100.0, MAX_GAP_S))
+    assert not started.is_only_one("work", 90.0, 100.0, MAX_GAP_S)
+
+
+@pytest.mark.parametrize("known_s", [2**62, 10**6])
+def test_a_peer_tells_of_no_longer_time_than_versions_are_remembered(known_s: int) -> None:
+    versions = SoftwareVersions()
+    versions.record("work", "v1", 1000.0)
+    versions.confirm(1000.0, MAX_GAP_S)
+    versions.merge({"work": {"v1": 0.0}}, 1000.0, known_s=known_s)
+    since = 1000.0 - VERSION_MEMORY_S - 1.0
+    assert not versions.is_only_one("work", since, 1000.0, MAX_GAP_S)
+
+
+def test_what_is_told_of_the_history_leaves_room_in_a_digest() -> None:
+    versions = SoftwareVersions()
+    served = [
+        ServedVersion(f"service-{service}-in-the-catalogue", f"1.{version}.0-20261205")
+        for service in range(200)
+        for version in range(MAX_VERSIONS)
+    ]
+    versions.add_history(served, 0.0)
+    data = msgspec.msgpack.encode(versions.report(1.0, with_single=True))
+    assert len(data) < MAX_DATAGRAM_BYTES / 2
+
+
+def test_a_stream_of_a_version_that_is_not_listed_here_yet_is_not_joined(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    engines = engines_of("v1")
+    settings = replace(entry_settings(), is_coordinated=False)
+    first = start_entry(settings=settings)
+    second = start_entry(
+        settings=replace(
+            entry_settings(), is_coordinated=False, seeds=(settings.gossip_address,)
+        )
+    )
+    for entry in (first, second):
+        entry.apply_endpoint(engines[0].published)
+    eventlet.sleep(GOSSIP_S)
+    # The release is listed at one entry only, whose next digest is lost; its reports to
+    # the holders of its streams arrive.
+    monkeypatch.setattr(first.gossip, "send_now", lambda: None)
+    released = VersionedEngine("e-9", "v1.2", pause_s=0.3)
+    first.apply_endpoint(released.published)
+    first.remove_endpoint("e-0")
+    caller, version = begin_stream(first, "r-1")
+    assert version == "v1.2"
+    eventlet.sleep(0.02)
+    caller.close()
+    response = take_up_stream(second, "t-1", stream_rid="r-1")
+    assert "v1" not in versions_in(response)
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -17,7 +17,7 @@
 from dockreach.direct.digest import Address
 from dockreach.direct.endpoints import RECORD_LAG_S, Published
 from dockreach.direct.peers import PeerTable
-from dockreach.direct.software_versions import SoftwareVersions
+from dockreach.direct.software_versions import VERSION_MEMORY_S, SoftwareVersions
 from dockreach.direct.stream_messages import (
     BegunStream,
     StreamQuestion,
@@ -391,3 +391,98 @@
     assert look_up(net, 0, "r-1").source is VersionSource.MEMORY
     assert look_up(net, 1, "r-1").source is VersionSource.ENTRY
     assert look_up(net, 1, "r-2").source is VersionSource.NOTHING
+
+
+def test_a_version_that_a_holder_was_told_outweighs_the_only_one_that_it_lists() -> None:
+    # The entry that began the stream lists the new version already, and is killed before
+    # its next digest. Its report to the holders has arrived.
+    net = network(3, "v1")
+    report = StreamReport(address(1), [BegunStream(stream_key("r-1"), "v1.2")])
+    net.nodes[address(0)].handle_report(report)
+    assert find(net, 0, "r-1") == "v1.2"
+
+
+def test_an_entry_that_began_a_stream_still_tells_others_after_it_was_taken_up() -> None:
+    net = network(4, "v1")
+    node = net.nodes[address(0)]
+    node.end(begin(net, 0, "r-1", "v1"))
+    # Its caller takes it up at the same entry: one version served, so that none is needed.
+    taken_up = node.begin(
+        "r-1", endpoint("v1"), sent_at=net.now, software_version="v1", is_concluded=True
+    )
+    net.list_versions("v1", "v1.2")
+    node.report_running()
+    eventlet.sleep(0)
+    node.end(taken_up)
+    assert find(net, 1, "r-1") == "v1"
+
+
+def test_a_stream_that_began_while_versions_were_unknown_survives_its_entry() -> None:
+    net = network(6, "v1", is_restarted=True)
+    begin(net, 0, "r-1", "v1")
+    net.nodes[address(0)].report_running()
+    eventlet.sleep(0)
+    net.dead.add(address(0))
+    assert find(net, 1, "r-1") == "v1"
+
+
+def test_a_version_that_left_before_its_streams_ended_is_not_forgotten() -> None:
+    max_age_s = 2 * VERSION_MEMORY_S
+    net = network(1, "v1", "v2")
+    node = net.nodes[address(0)]
+    begin(net, 0, "r-1", "v1")
+    for _ in range(int(VERSION_MEMORY_S) + 2):
+        net.now += 1.0
+        net.list_versions("v2")
+        node.confirm_list()
+    assert not node.is_only_version(SERVICE, max_age_s)
+    found = node.find("r-1", SERVICE, max_age_s)
+    assert isinstance(found, KnownVersion)
+    assert found.version == "v1"
+
+
+def test_a_stream_does_not_go_on_at_the_version_of_another_service() -> None:
+    # The take-up has another id, so that a split route may choose another service for it.
+    net = network(1, "v1")
+    net.versions[address(0)].record("other", "v2", net.now)
+    begin(net, 0, "r-1", "v1")
+    found = net.nodes[address(0)].find("r-1", "other", MAX_AGE_S)
+    assert isinstance(found, UnknownVersion) or found.version == "v1"
+
+
+def test_versions_of_long_ago_in_the_history_refuse_streams_no_longer_than_they_last() -> (
+    None
+):
+    net = network(1, "v2", is_restarted=True)
+    served = [ServedVersion(SERVICE, version) for version in ("v1", "v2")]
+    net.versions[address(0)].add_history(served, net.now)
+    for _ in range(int(MAX_AGE_S + MAX_GAP_S) + 1):
+        net.now += 1.0
+        net.list_versions("v2")
+        net.nodes[address(0)].confirm_list()
+    assert find(net, 0, "r-1") is None
+
+
+def test_a_started_entry_does_not_make_others_doubt_what_they_have_seen() -> None:
+    net = network(2, "v2")
+    started = net.versions[address(1)]
+    for _ in range(int(VERSION_MEMORY_S) + 1):
+        net.now += 1.0
+        net.list_versions("v2")
+        net.nodes[address(0)].confirm_list()
+    served = [ServedVersion(SERVICE, version) for version in ("v1", "v2")]
+    started.add_history(served, net.now)
+    net.versions[address(0)].merge(started.report(net.now), net.now)
+    assert find(net, 0, "r-1") is None
+
+
+def test_a_stream_that_was_refused_as_unknown_is_not_sent_anywhere_later() -> None:
+    # Its caller comes back as told, until the time of the route has passed. The stream
+    # began before the entry was started all the same.
+    net = network(1, "v2", is_restarted=True)
+    node = net.nodes[address(0)]
+    for _ in range(2 * int(MAX_AGE_S + MAX_GAP_S)):
+        assert isinstance(look_up(net, 0, "r-before"), UnknownVersion)
+        net.now += 1.0
+        node.confirm_list()
+    assert find(net, 0, "r-after") is None
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -12,6 +12,7 @@
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import CallLimits
 from dockreach.direct.routing_config import ConfigRevision
+from dockreach.direct.view import View
 from dockreach.errors import PlatformError
 from dockreach_platform.follower import StoreFollower
 from dockreach_platform.headers import PlatformAdapter
@@ -410,3 +411,31 @@
     store.put("op/evacuate/z", b"{}")
     entry = start_following_entry(store)
     assert entry.endpoints.evacuated == {"z"}
+
+
+def test_a_peer_that_is_cut_off_brings_no_withdrawn_evacuation_back(
+    store: StoreStandIn,
+) -> None:
+    store.put("op/evacuate/z", b"")
+    evacuated_at = store.revision
+    store.delete("op/evacuate/z")
+    # This entry has just started: it has read that no hall is evacuated, and not why.
+    entry = start_following_entry(store)
+    entry.apply_view(View(0, b"", 0, [], [], ["z"], evacuated_at), "peer")
+    assert not entry.endpoints.evacuated
+
+
+def test_a_forgotten_history_does_not_confirm_the_list_of_endpoints(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_following_entry(store)
+    eventlet.sleep(0.5)
+    changed_at = clock.now()
+    store.put("servers/i-new", server_record())
+    store.delete("servers/i-new")
+    store.compact_history()
+    # The watch gets 410, and the list that is to replace it fails.
+    monkeypatch.setattr(store, "_page", lambda *_: (503, {}))
+    eventlet.sleep(0.5)
+    assert entry.feeds.endpoints.consecutive_failures
+    assert entry._endpoints_confirmed_at() <= changed_at
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 from hypothesis import given, settings
@@ -86,3 +87,31 @@
     body = json.dumps({**PAGE, "items": [{**ITEM, "value": value}]}).encode()
     (item,) = AnsweredStore(200, body).list("servers/", LIMITS).items
     assert isinstance(item.value, bytes)
+
+
+class PagedStore(StoreClient):
+    """A client of a store that returns its changes in parts.
+
+    As the protocol says, the next call goes on from `store_revision`.
+    """
+
+    def __init__(self, part: int, changes: int) -> None:
+        super().__init__("10.0.0.1:80")
+        self._part = part
+        self._changes = [{**ITEM, "revision": 1 + number} for number in range(changes)]
+
+    def _exchange(self, target: str, limits: CallLimits) -> tuple[int, bytes]:
+        del limits
+        query = parse_qs(urlsplit(target).query)
+        after = int(query["since_revision"][0])
+        events = [item for item in self._changes if int(str(item["revision"])) > after]
+        part = events[: self._part]
+        revision = part[-1]["revision"] if part else len(self._changes)
+        body = {"events": part, "store_revision": revision}
+        return 200, json.dumps(body).encode()
+
+
+@pytest.mark.parametrize("part", [2, 5, 100])
+def test_a_history_in_parts_is_read_to_its_end(part: int) -> None:
+    history = PagedStore(part, 9).history("servers/", LIMITS)
+    assert [item.revision for item in history] == list(range(1, 10))
--- a/tests/platform/test_take_ups.py
+++ b/tests/platform/test_take_ups.py
@@ -26,21 +26,14 @@
 LONGEST_REFUSAL_S = ROUTE_TIMEOUT_S + 3 * APPLY_DEADLINE_S
 """Time after which a stream that was taken up before the start can run no more."""
 
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "brief",
-            "host": "tools.example",
-            "path_prefix": "/brief/",
-            "type": "streaming",
-            "resumable": True,
-            "timeout_ms": ROUTE_TIMEOUT_S * 1000,
-            "max_attempts": 2,
-            "service": "work",
-        }
-    ],
-    "services": [{"name": "work"}],
+ROUTE = {
+    "name": "brief",
+    "host": "tools.example",
+    "path_prefix": "/brief/",
+    "type": "streaming",
+    "resumable": True,
+    "max_attempts": 2,
+    "service": "work",
 }
 
 
@@ -54,10 +47,16 @@
     def __init__(self, directory: Path) -> None:
         self._directory = directory
         self.store = StoreStandIn()
-        self.store.put("op/config", json.dumps(CONFIGURATION).encode())
+        self.configure(version=1, timeout_s=ROUTE_TIMEOUT_S)
         self.processes: list[Any] = []
         self.port = 0
 
+    def configure(self, *, version: int, timeout_s: float) -> None:
+        """Publish a configuration whose route has a timeout, in seconds."""
+        route = {**ROUTE, "timeout_ms": timeout_s * 1000}
+        content = {"version": version, "routes": [route], "services": [{"name": "work"}]}
+        self.store.put("op/config", json.dumps(content).encode())
+
     def list_endpoint(self, name: str, version: str) -> VersionedEngine:
         """List an endpoint; one of the same name is replaced."""
         engine = VersionedEngine(name, version)
@@ -169,3 +168,51 @@
         assert time.monotonic() - started_at < LONGEST_REFUSAL_S
         eventlet.sleep(0.1)
     assert versions_in(response) == ["v1"] * (STREAM_EVENTS - 1)
+
+
+def test_a_caller_that_keeps_coming_back_does_not_get_another_version_at_last(
+    site: Site,
+) -> None:
+    engine = replace_by_another_endpoint(site)
+    site.store.compact_history()
+    site.start_entry(bootstrap=False)
+    until = time.monotonic() + LONGEST_REFUSAL_S + 1.0
+    while time.monotonic() < until:
+        response = site.take_up()
+        assert status_of(response) == 503, versions_in(response)
+        eventlet.sleep(float(header_of(response, b"retry-after") or 0))
+    assert not engine.standin.requests
+
+
+def test_a_shorter_timeout_of_the_route_does_not_make_streams_of_before_younger(
+    site: Site,
+) -> None:
+    engine = replace_by_another_endpoint(site)
+    site.store.compact_history()
+    site.configure(version=2, timeout_s=60.0)
+    site.start_entry(bootstrap=False)
+    assert status_of(site.take_up()) == 503
+    site.configure(version=3, timeout_s=0.4)
+    until = time.monotonic() + 0.4 + 4 * APPLY_DEADLINE_S
+    while time.monotonic() < until:
+        response = site.take_up()
+        assert status_of(response) == 503, versions_in(response)
+        eventlet.sleep(0.2)
+    assert not engine.standin.requests
+
+
+def test_streams_go_on_after_an_outage_of_the_store_in_which_nothing_changed(
+    site: Site,
+) -> None:
+    site.list_endpoint("e-1", "v1")
+    site.start_entry(bootstrap=False)
+    assert status_of(site.take_up()) == 200
+    site.store.failure_mode = 503
+    site.store.end_watches()
+    eventlet.sleep(3 * APPLY_DEADLINE_S)
+    site.store.failure_mode = ""
+    # The watch goes on from the revision of before, and would tell of every change.
+    eventlet.sleep(APPLY_DEADLINE_S)
+    response = site.send("Last-Event-Id: 1\r\nResumes: r-other\r\n")
+    assert status_of(response) == 200
+    assert versions_in(response) == ["v1"] * (STREAM_EVENTS - 1)
