Failing test: a concluded version replaces what another entry has reported

An entry that took a stream up concludes its version from the list. When another entry reports the version that began it, that replaces the conclusion, until report_running puts the origin of the running stream back five seconds later; a later take-up there is then sent to the concluded version, as known from memory.

--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -31,6 +31,7 @@
     HOLDERS,
     HOLDERS_ANSWER_S,
     MAX_STREAMS,
+    REPORT_INTERVAL_S,
     KnownVersion,
     StreamOrigin,
     StreamVersions,
@@ -486,3 +487,18 @@
         net.now += 1.0
         node.confirm_list()
     assert find(net, 0, "r-after") is None
+
+
+def test_what_others_know_of_a_stream_outlasts_what_was_concluded_of_it() -> None:
+    net = network(3, "v2")
+    node = net.nodes[address(0)]
+    node.begin(
+        "r-1", endpoint("v2"), sent_at=net.now, software_version="v2", is_concluded=True
+    )
+    net.list_versions("v1")
+    node.handle_report(StreamReport(address(1), [BegunStream(stream_key("r-1"), "v1")]))
+    assert find(net, 0, "r-1") == "v1"
+    # The stream that was taken up still runs here.
+    net.now += REPORT_INTERVAL_S
+    node.report_running()
+    assert find(net, 0, "r-1") == "v1"
