--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -39,7 +39,7 @@
 from .listening import listen
 from .loops import run_forever
 from .notice_tracker import NoticeTracker
-from .peers import PeerTable
+from .peers import RECENT_START_S, PeerTable
 from .pool import ConnectionPool
 from .protocol_adapter import ProtocolAdapter
 from .quarantine import RequestQuarantine
@@ -192,6 +192,7 @@
             self.endpoints.software_versions.coverage.extend(
                 -math.inf, VersionSource.FIRST_START
             )
+        self.ctx.entry_count += self.peers.never_seen_count
         self._endpoint_sync = EndpointSync(
             self.ctx, self.peers, self.feeds.endpoints, self.feeds.refusals
         )
@@ -258,6 +259,11 @@
         is_configured = self.revision is not None and self._has_endpoints
         return is_configured and self.stopping_since is None
 
+    @property
+    def has_endpoint_list(self) -> bool:
+        """Whether the platform's list of endpoints was read."""
+        return self._has_endpoints
+
     @property
     def _is_ready_for_callers(self) -> bool:
         """Whether callers that wait during startup can be served now."""
@@ -281,15 +287,21 @@
         """Add an endpoint, or replace its published state."""
         self._endpoint_sync.apply(published)
 
-    def apply_evacuations(self, halls: frozenset[str], orders_revision: int) -> None:
+    def apply_evacuations(
+        self, halls: frozenset[str], orders_revision: int, *, complete_to: int = 0
+    ) -> None:
         """Send no more requests to the endpoints of evacuated data halls.
 
         Args:
             halls: All data halls that the operator wants evacuated.
             orders_revision: The platform's revision up to which operator commands were
                 read.
+            complete_to: The platform's revision up to which this entry itself has read all
+                commands; 0 if a peer told them.
         """
-        if self.evacuated.apply(halls, orders_revision, clock.now()):
+        if self.evacuated.apply(
+            halls, orders_revision, clock.now(), complete_to=complete_to
+        ):
             self.gossip.send_soon()
         self.ctx.scheduler.run_round()
 
@@ -347,7 +359,7 @@
         log(
             Event.ENDPOINT_HISTORY,
             is_complete=served is not None,
-            versions=", ".join(sorted({item.version for item in served or ()})),
+            versions=len({item.version for item in served or ()}),
         )
         self.ctx.streams.finish_history()
 
@@ -614,6 +626,9 @@
         )
         self.endpoints.has_silent_peers = bool(self.peers.silent(now))
         self.ctx.entry_count = len(self.peers) + 1
+        if now - self.started_at < RECENT_START_S:
+            # Entries that start together take shares of the budgets before they have met.
+            self.ctx.entry_count += self.peers.never_seen_count
         self.ctx.scheduler.refresh_coordinators()
 
     def _run_maintenance(self) -> None:
--- a/dockreach/direct/slot_acquirer.py
+++ b/dockreach/direct/slot_acquirer.py
@@ -9,7 +9,12 @@
 from .jobs import DEFAULT_RETRY_AFTER_S, Job
 from .requests import InboundRequest
 from .routing_config import RetryMode
-from .stream_versions import KnownVersion, StreamOrigin, UnknownVersion
+from .stream_versions import (
+    MIN_STREAM_AGE_S,
+    KnownVersion,
+    StreamOrigin,
+    UnknownVersion,
+)
 from .upstream_request import UpstreamRequest
 from .version_coverage import VersionSource
 
@@ -88,20 +93,21 @@
         Returns:
             A refusal if the version is not known, and several may have served.
         """
-        if not self._goes_on:
-            return None
         if self._origin is not None:
             job.software_version = self._origin.software_version
             self._set_source(VersionSource.MEMORY)
-        if not self._must_know_version(job):
-            self._set_source(self._ctx.endpoints.software_versions.coverage.source)
+        if not self._goes_on or job.software_version is not None:
             return None
-        found: KnownVersion | UnknownVersion = UnknownVersion("its endpoint has restarted")
+        found: KnownVersion | UnknownVersion
         if self._origin is None:
             found = self._ctx.streams.find(
-                self._req.stream_rid, job.service, job.route.timeout_s
+                self._req.stream_rid, job.service, _max_age_s(job)
             )
-        self._set_source(found.source)
+            self._set_source(found.source)
+        elif self._must_know_version(job):
+            found = UnknownVersion("its endpoint has restarted")
+        else:
+            return None
         if isinstance(found, UnknownVersion):
             return Refusal(
                 Verdict.NOT_RUN,
@@ -132,7 +138,7 @@
         return (
             self._goes_on
             and job.software_version is None
-            and not self._ctx.streams.is_only_version(job.service, job.route.timeout_s)
+            and not self._ctx.streams.is_only_version(job.service, _max_age_s(job))
         )
 
     def record_origin(self, upstream: UpstreamRequest) -> None:
@@ -155,3 +161,8 @@
         """Record that the stream does not run here any more."""
         if self._origin is not None:
             self._ctx.streams.end(self._origin)
+
+
+def _max_age_s(job: Job) -> float:
+    """Return how long a stream that a job continues may have run, in seconds."""
+    return max(job.route.timeout_s, MIN_STREAM_AGE_S)
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from typing import TypeGuard
 
 from .version_coverage import ServedVersion, VersionCoverage, VersionSource
 
@@ -16,9 +17,19 @@
 """How long a version counts after its last endpoint has gone, in seconds: longer than a
 stream and the attempts to continue it last."""
 
+RETENTION_S = 600.0
+"""How long a version is remembered after that, in seconds: routes with a longer timeout
+have streams that last longer."""
+
 MAX_VERSIONS = 16
 """Maximum number of versions of one service that are remembered."""
 
+MAX_TOLD_VERSIONS = 64
+"""Most versions, of all services, in what other entries are told with each digest."""
+
+MAX_TOLD_CHARACTERS = 64
+"""Longest version that other entries are told."""
+
 VersionAges = dict[str, dict[str, float]]
 """Time since each version was last listed, in seconds, by service and version."""
 
@@ -37,6 +48,9 @@
     def __init__(self) -> None:
         self.coverage = VersionCoverage()
         self.confirmed_at = -math.inf
+        self._shared_coverage = VersionCoverage()
+        self._told_at = -math.inf
+        self._history: dict[str, dict[str | None, float]] = {}
         self._listed: dict[str, dict[str | None, float]] = {}
         self._reported: dict[str, dict[str | None, float]] = {}
 
@@ -60,7 +74,10 @@
                 if 0.0 <= age_s <= VERSION_MEMORY_S:
                     _remember(self._reported, service, version, now - age_s)
         if known_s > 0:
-            self.coverage.extend(now - known_s, VersionSource.ENTRY)
+            since = now - min(known_s, VERSION_MEMORY_S)
+            self.coverage.extend(since, VersionSource.ENTRY)
+            self._shared_coverage.extend(since, VersionSource.ENTRY)
+            self._told_at = now
 
     def confirm(self, at: float) -> None:
         """Record that all changes of the list up to a time were seen.
@@ -78,24 +95,28 @@
             max_gap_s: Longest time between two lists in which no version can have served
                 unnoticed, in seconds.
         """
-        if max_gap_s < now - self.confirmed_at < math.inf:
-            self.coverage.restart(now)
-        self.coverage.extend(now, VersionSource.MEMORY)
+        seen_at = max(self.confirmed_at, self._told_at)
+        for coverage in (self.coverage, self._shared_coverage):
+            if max_gap_s < now - seen_at < math.inf:
+                coverage.restart(now)
+            coverage.extend(now, VersionSource.MEMORY)
         self.confirm(now)
 
     def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
         """Record all versions that ever served, as the platform's store tells.
 
-        It does not tell when. They count as if they had served until now.
+        It does not tell when. They count here as if they had served until now; other
+        entries, which may know better, are not told of them.
         """
         for item in served:
-            _remember(self._reported, item.service, item.version, now)
+            _remember(self._history, item.service, item.version, now)
         self.coverage.extend(-math.inf, VersionSource.HISTORY)
+        self._told_at = now
 
     def known_s(self, now: float, max_gap_s: float) -> int:
-        """Return for how long all versions have been known, in whole seconds.
+        """Return for how long `report` holds all versions that served, in whole seconds.
 
-        It is 0 if they are not known now, and at most `VERSION_MEMORY_S`.
+        It is 0 if it does not, and at most `VERSION_MEMORY_S`.
 
         Args:
             now: Monotonic time, in seconds.
@@ -103,7 +124,11 @@
         """
         if now - self.confirmed_at > max_gap_s:
             return 0
-        return int(min(self.coverage.age_s(now), VERSION_MEMORY_S))
+        recent = [self.recent(service, now) for service in self._services()]
+        untold = [name for names in recent for name in names if not _can_be_told(name)]
+        if untold or sum(map(len, recent)) > MAX_TOLD_VERSIONS:
+            return 0
+        return int(min(self._shared_coverage.age_s(now), VERSION_MEMORY_S))
 
     def is_only_one(self, service: str, since: float, now: float, max_gap_s: float) -> bool:
         """Return whether only one version served a service since a time, for certain.
@@ -115,8 +140,16 @@
             max_gap_s: As for `replace_list`.
         """
         is_current = now - self.confirmed_at <= max_gap_s
-        is_covered = is_current and self.coverage.covers(since)
-        return is_covered and not self.has_several(service, now)
+        if not is_current or not self.coverage.covers(since) or since < now - RETENTION_S:
+            return False
+        known = (self._listed, self._reported, self._history)
+        served = {
+            version
+            for versions in known
+            for version, at in versions.get(service, {}).items()
+            if at >= since
+        }
+        return len(served) <= 1
 
     def recent(self, service: str, now: float) -> set[str | None]:
         """Return the versions that serve a service, or served it lately."""
@@ -139,8 +172,10 @@
 
     def mixed_services(self, now: float) -> list[str]:
         """Return the services of which several versions serve, or served lately."""
-        services = self._listed.keys() | self._reported.keys()
-        return sorted(name for name in services if self.has_several(name, now))
+        return [name for name in self._services() if self.has_several(name, now)]
+
+    def _services(self) -> list[str]:
+        return sorted(self._listed.keys() | self._reported.keys())
 
     def report(self, now: float, *, with_single: bool = False) -> VersionAges:
         """Return the versions of the services that have several, for other entries.
@@ -149,30 +184,39 @@
             now: Monotonic time, in seconds.
             with_single: Whether to add the services that have one version.
         """
-        services = self.mixed_services(now)
-        if with_single:
-            services = sorted(self._listed.keys() | self._reported.keys())
-        ages = {service: self._ages(service, now) for service in services}
-        return {service: versions for service, versions in ages.items() if versions}
+        services = self._services() if with_single else self.mixed_services(now)
+        told: VersionAges = {}
+        room = MAX_TOLD_VERSIONS
+        for service in services:
+            ages = self._ages(service, now)
+            if ages and len(ages) <= room:
+                told[service] = ages
+                room -= len(ages)
+        return told
 
     def _ages(self, service: str, now: float) -> dict[str, float]:
         ages: dict[str, float] = {}
         for known in (self._listed, self._reported):
             for version, at in known.get(service, {}).items():
                 age_s = max(now - at, 0.0)
-                if version is not None and age_s <= VERSION_MEMORY_S:
+                if _can_be_told(version) and age_s <= VERSION_MEMORY_S:
                     ages[version] = min(age_s, ages.get(version, age_s))
         return ages
 
     def expire(self, now: float) -> None:
         """Forget versions whose last endpoint went too long ago."""
-        for known in (self._listed, self._reported):
+        for known in (self._listed, self._reported, self._history):
             for service, versions in list(known.items()):
                 _drop_old(versions, now)
                 if not versions:
                     del known[service]
 
 
+def _can_be_told(version: str | None) -> TypeGuard[str]:
+    """Return whether other entries can be told of a version."""
+    return version is not None and len(version) <= MAX_TOLD_CHARACTERS
+
+
 def _remember(
     known: dict[str, dict[str | None, float]],
     service: str,
@@ -188,7 +232,7 @@
 
 def _drop_old(versions: dict[str | None, float], now: float) -> None:
     old: Iterable[str | None] = [
-        version for version, at in versions.items() if now - at > VERSION_MEMORY_S
+        version for version, at in versions.items() if now - at > RETENTION_S
     ]
     for version in old:
         del versions[version]
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -4,7 +4,7 @@
 While endpoints of several versions serve, each entry tells a few others of every stream
 before it passes on its first event: rendezvous hashing of the stream's key selects these
 holders, which the entry that the caller turns to asks first. While one version serves, and
-the entry knows that no other one served since the stream can have begun, nothing is sent.
+the entry knows that no other one served lately, it tells nothing.
 """
 
 from __future__ import annotations
@@ -43,6 +43,10 @@
 """Interval at which running streams are reported again, in seconds: holders restart, and
 datagrams are lost."""
 
+MIN_STREAM_AGE_S = 20.0
+"""How old a stream may be at least, in seconds, whatever the timeout of its route: that may
+have been longer in an earlier configuration."""
+
 HOLDERS_ANSWER_S = 0.04
 """Time after which all entries are asked and not only the holders, in seconds: ten round
 trips between data halls."""
@@ -123,16 +127,14 @@
     """A question to other entries that is not answered yet.
 
     Attributes:
-        waiter: Set once the answer is known, or all have answered that they do not know.
         asked: Entries that were asked.
         unaware: Entries that do not know the stream.
-        asks_all: Whether all entries have been asked.
+        waiter: Set once the answer is known, or all have answered that they do not know.
     """
 
+    asked: set[Address]
+    unaware: set[Address]
     waiter: Any = field(default_factory=Waiter)
-    asked: set[Address] = field(default_factory=set)
-    unaware: set[Address] = field(default_factory=set)
-    asks_all: bool = False
 
     def finish(self) -> None:
         """Wake those that wait for the answer."""
@@ -181,6 +183,9 @@
         self._known: TTLCache[bytes, StreamOrigin] = TTLCache(
             MAX_STREAMS, ttl=STREAM_MEMORY_S, timer=clock
         )
+        self._refused: TTLCache[bytes, float] = TTLCache(
+            MAX_STREAMS, ttl=STREAM_MEMORY_S, timer=clock
+        )
         self._questions: dict[bytes, _Question] = {}
         self._reported_services: set[str] = set()
         self._reported_at = -math.inf
@@ -215,11 +220,19 @@
             is_concluded,
         )
         self._running[origin.key] = origin
-        self._known[origin.key] = origin
-        if self._versions.has_several(published.service, self._clock()):
+        if not is_concluded or self._certain(origin.key) is None:
+            self._known[origin.key] = origin
+        if self._may_be_mixed(published.service):
             self._report([origin])
         return origin
 
+    def _may_be_mixed(self, service: str) -> bool:
+        """Return whether other entries may not know which version began a stream."""
+        now = self._clock()
+        return self._versions.has_several(
+            service, now
+        ) or not self._versions.coverage.covers(now - MIN_STREAM_AGE_S)
+
     def end(self, origin: StreamOrigin) -> None:
         """Record that a stream does not run here any more."""
         if self._running.get(origin.key) is origin:
@@ -227,15 +240,16 @@
 
     def replace_list(self) -> None:
         """Note that the list of endpoints was read anew."""
-        self._confirm_list()
+        self.confirm_list()
         self._versions.replace_list(self._clock(), self._max_gap_s())
 
-    def _confirm_list(self) -> None:
+    def confirm_list(self) -> None:
+        """Note up to when all changes of the list of endpoints were seen."""
         self._versions.confirm(self._list_confirmed_at())
 
     def versions_known_s(self) -> int:
         """Return for how long all software versions have been known, in whole seconds."""
-        self._confirm_list()
+        self.confirm_list()
         return self._versions.known_s(self._clock(), self._max_gap_s())
 
     def finish_history(self) -> None:
@@ -243,16 +257,20 @@
         if self.history is not None and not self.history.ready():
             self.history.send(None)
 
-    def is_only_version(self, service: str, max_age_s: float) -> bool:
+    def is_only_version(
+        self, service: str, max_age_s: float, seen_at: float = math.inf
+    ) -> bool:
         """Return whether only one version served since a stream began, for certain.
 
         Args:
             service: The stream's service.
-            max_age_s: How long ago the stream may have begun, in seconds.
+            max_age_s: How long the stream may have run by then, in seconds.
+            seen_at: Monotonic time at which its caller took it up first, in seconds; now if
+                omitted.
         """
-        self._confirm_list()
+        self.confirm_list()
         now, max_gap_s = self._clock(), self._max_gap_s()
-        since = now - max_age_s - max_gap_s
+        since = min(now, seen_at) - max_age_s - max_gap_s
         return self._versions.is_only_one(service, since, now, max_gap_s)
 
     def find(
@@ -260,8 +278,9 @@
     ) -> KnownVersion | UnknownVersion:
         """Return the software version at which a stream has to go on.
 
-        Waits for the answers of other entries if this one does not know the stream, unless
-        only one version can have begun it.
+        What is known of the stream itself outweighs what follows from the list, which lags:
+        its holders are asked even if one version is listed. Only if several versions may
+        have begun it, all entries are.
 
         Args:
             stream_rid: Id of the attempt that brought its first event; empty if the caller
@@ -269,31 +288,22 @@
             service: The stream's service.
             max_age_s: How long ago it may have begun, in seconds.
         """
-        found = self._find_only(service, max_age_s)
-        if found is not None:
-            return found
-        if stream_rid:
-            key = stream_key(stream_rid)
-            if key not in self._known:
-                self._ask(key)
-            origin = self._known.get(key)
-            if origin is not None and origin.software_version is not None:
-                return KnownVersion(origin.software_version, origin.source)
-            if origin is not None:
-                return UnknownVersion("the endpoint that began the stream has restarted")
+        key = stream_key(stream_rid) if stream_rid else b""
+        seen_at = self._refused.get(key, self._clock())
+        if key and self._certain(key) is None:
+            self._ask(key, asks_all=not self.is_only_version(service, max_age_s, seen_at))
+        origin = self._known.get(key) if key else None
+        version = None if origin is None else origin.software_version
+        if origin is not None and not origin.is_concluded and version is not None:
+            return KnownVersion(version, origin.source)
         self._await_history()
-        found = self._find_only(service, max_age_s)
-        if found is not None:
-            return found
-        if not stream_rid:
-            return UnknownVersion("the request does not name the attempt that began it")
-        return UnknownVersion("no entry knows the stream")
-
-    def _find_only(self, service: str, max_age_s: float) -> KnownVersion | None:
-        """Return the finding if only one version served, for certain."""
-        if not self.is_only_version(service, max_age_s):
-            return None
-        return KnownVersion(None, self._versions.coverage.source)
+        if self.is_only_version(service, max_age_s, seen_at):
+            return KnownVersion(None, self._versions.coverage.source)
+        if origin is not None and version is not None:
+            return KnownVersion(version, origin.source)
+        if key:
+            self._refused[key] = seen_at
+        return _unknown(stream_rid, origin)
 
     def _await_history(self) -> None:
         """Wait until the store's history of endpoints was read, or will not be."""
@@ -301,34 +311,50 @@
             with eventlet.Timeout(HISTORY_TIMEOUT_S, False):
                 self.history.wait()
 
-    def _ask(self, key: bytes) -> None:
-        """Ask other entries for a stream, its likely holders first, and wait."""
-        question = self._questions.get(key)
-        if question is not None:
-            question.waiter.wait()
-            return
-        question = self._questions[key] = _Question()
-        try:
-            self._send_question(key, question, self._holders(key))
-            if _await(question, HOLDERS_ANSWER_S):
+    def _ask(self, key: bytes, *, asks_all: bool) -> None:
+        """Ask other entries for a stream, its likely holders first, and wait.
+
+        Args:
+            key: The stream's key.
+            asks_all: Whether to ask all entries if no holder knows it.
+        """
+        while (pending := self._questions.get(key)) is not None:
+            pending.waiter.wait()
+            if self._certain(key) is not None:
                 return
-            question.asks_all = True
-            for timeout_s in (ASK_AGAIN_S, ANSWER_TIMEOUT_S):
-                self._send_question(key, question, self._tracking_peers())
-                if _await(question, timeout_s):
-                    return
-        finally:
-            del self._questions[key]
-            question.finish()
+        unaware: set[Address] = set()
+        self._ask_once(key, self._holders(key), unaware, HOLDERS_ANSWER_S)
+        for timeout_s in (ASK_AGAIN_S, ANSWER_TIMEOUT_S) if asks_all else ():
+            if self._certain(key) is not None:
+                return
+            self._ask_once(key, self._tracking_peers(), unaware, timeout_s)
 
-    def _send_question(
-        self, key: bytes, question: _Question, targets: Iterable[Address]
+    def _ask_once(
+        self,
+        key: bytes,
+        targets: Iterable[Address],
+        unaware: set[Address],
+        timeout_s: float,
     ) -> None:
-        for address in targets:
-            if address not in question.unaware:
-                question.asked.add(address)
+        """Ask some entries, and wait until one knows the stream or none does.
+
+        Args:
+            key: The stream's key.
+            targets: The entries.
+            unaware: Entries that have said that they do not know it; others are added.
+            timeout_s: How long to wait, in seconds.
+        """
+        asked = set(targets) - unaware
+        if not asked:
+            return
+        question = self._questions[key] = _Question(asked, unaware)
+        try:
+            for address in asked:
                 self._send(StreamQuestion(self._peers.own_address, [key]), address)
-        if question.asks_all and question.asked <= question.unaware:
+            with eventlet.Timeout(timeout_s, False):
+                question.waiter.wait()
+        finally:
+            del self._questions[key]
             question.finish()
 
     def handle_question(self, question: StreamQuestion) -> None:
@@ -356,7 +382,7 @@
             question = self._questions.get(key)
             if question is not None:
                 question.unaware.add(report.address)
-                if question.asks_all and question.asked <= question.unaware:
+                if question.asked <= question.unaware:
                     question.finish()
 
     def _take_over(self, stream: BegunStream) -> None:
@@ -397,7 +423,11 @@
         self._reported_services = mixed
         if is_due:
             self._reported_at = now
-        running = [item for item in self._running.values() if item.service in services]
+        running = [
+            item
+            for item in self._running.values()
+            if item.service in services and not item.is_concluded
+        ]
         for origin in running:
             self._known[origin.key] = origin
         self._report(running)
@@ -440,8 +470,15 @@
     return BegunStream(origin.key, origin.software_version)
 
 
-def _await(question: _Question, seconds: float) -> bool:
-    """Wait for the answer to a question; return whether it has come."""
-    with eventlet.Timeout(seconds, False):
-        question.waiter.wait()
-    return bool(question.waiter.ready())
+def _unknown(stream_rid: str, origin: StreamOrigin | None) -> UnknownVersion:
+    """Return why the version of a stream is not known.
+
+    Args:
+        stream_rid: Id of the attempt that brought its first event, if the caller named it.
+        origin: How it began, but for the version; ``None`` if no entry knows it.
+    """
+    if origin is not None:
+        return UnknownVersion("the endpoint that began the stream has restarted")
+    if not stream_rid:
+        return UnknownVersion("the request does not name the attempt that began it")
+    return UnknownVersion("no entry knows the stream")
--- a/tests/direct/test_slot_acquirer.py
+++ b/tests/direct/test_slot_acquirer.py
@@ -25,7 +25,7 @@
     quarantine.refusal.return_value = QUARANTINED
     return SimpleNamespace(
         now=lambda: 0.0,
-        endpoints=Mock(**{"software_versions.coverage.source": VersionSource.HISTORY}),
+        endpoints=object(),
         scheduler=Mock(**{"acquire_slot.side_effect": list(found)}),
         crashes=SimpleNamespace(quarantine=quarantine),
         streams=Mock(**{"is_only_version.return_value": False}),
@@ -93,7 +93,11 @@
     row: Any = SimpleNamespace(id="e-0", published=Mock(software_version="v1"))
     ctx, job = make_context([row]), make_job("e-0")
     ctx.streams.is_only_version.side_effect = lambda *_: is_only
-    ctx.streams.find.return_value = KnownVersion("v1", VersionSource.ENTRY)
+    ctx.streams.find.return_value = (
+        KnownVersion(None, VersionSource.HISTORY)
+        if is_only
+        else KnownVersion("v1", VersionSource.ENTRY)
+    )
     slots = SlotAcquirer(ctx, make_request(last_event_id="3"), (b"f",), is_probe=False)
     assert slots.acquire(job) is row
     slots.record_origin(Mock(job=job, row=row, sent_at=0.0))
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -15,6 +15,7 @@
 from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.routing_config import ConfigRevision
 from dockreach.direct.version_coverage import ServedVersion, VersionSource
+from dockreach.direct.view import View
 from dockreach.errors import PlatformError
 from dockreach_platform import follower
 from dockreach_platform.follower import StoreFollower, served_versions
@@ -521,3 +522,31 @@
     assert served_versions([record, deleted]) == frozenset([ServedVersion("s", "v2")])
     odd = Item("servers/i-2", endpoint_record(slots=2**64), 3)
     assert served_versions([odd]) == frozenset()
+
+
+def test_a_peer_that_is_cut_off_brings_no_withdrawn_evacuation_back(
+    store: StoreStandIn,
+) -> None:
+    store.put("op/evacuate/z", b"")
+    evacuated_at = store.revision
+    store.delete("op/evacuate/z")
+    # This entry has just started: it has read that no hall is evacuated, and not why.
+    entry = start_following_entry(store)
+    entry.apply_view(View(0, b"", 0, [], [], ["z"], evacuated_at), "peer")
+    assert not entry.endpoints.evacuated
+
+
+def test_a_forgotten_history_does_not_confirm_the_list_of_endpoints(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_following_entry(store)
+    eventlet.sleep(0.5)
+    changed_at = clock.now()
+    store.put("servers/i-new", server_record())
+    store.delete("servers/i-new")
+    store.compact_history()
+    # The watch gets 410, and the list that is to replace it fails.
+    monkeypatch.setattr(store, "_page", lambda *_: (503, {}))
+    eventlet.sleep(0.5)
+    assert entry.feeds.endpoints.consecutive_failures
+    assert entry._endpoints_confirmed_at() <= changed_at
