Let the store's stand-in tell when an item was created

The platform's store gives each item a `created_rev` beside its `revision`. The stand-in left it out, so that nothing that reads it could be tested. It is kept over later writes, and begins anew after a deletion.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -71,7 +71,12 @@
         """Write an item."""
         self.revision += 1
         text = base64.b64encode(value).decode()
-        item = {"tls_key": key, "value": text, "revision": self.revision}
+        item = {
+            "tls_key": key,
+            "value": text,
+            "revision": self.revision,
+            "created_rev": self._items.get(key, {}).get("created_rev", self.revision),
+        }
         self._items[key] = item
         self._record_change(item)
 
