Soak: long streams, and kills of all entries beside a change of software

Streams of three kinds (one of them resumable) have 4 to 244 events.

`--code` runs the entries of another clone, so that a fault can be counted on earlier versions; `--parallel` says how many soaks run at the same time.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 import click
 
 from .cluster import DEFAULT_ENTRIES
+from .entries import ROOT
 from .run import run_soak
 from .theme import Theme
 
@@ -75,7 +76,21 @@
     type=Theme,
     help="Endpoints that are processes, killed and paused.",
 )
+@click.option(
+    "--rejoined",
+    "theme",
+    flag_value=Theme.REJOINED,
+    type=Theme,
+    help="Long streams, and kills of all entries beside a change of software.",
+)
 @click.option("--all", "theme", flag_value=Theme.ALL, type=Theme, help="All three.")
+@click.option(
+    "--code",
+    type=click.Path(exists=True, path_type=Path),
+    default=ROOT,
+    help="Root of the code that entries run.",
+)
+@click.option("--parallel", default=PARALLEL_RUNS, help="Soaks at the same time.")
 @click.option("--one", type=int, help="Run only this seed, in this process.")
 def main(
     seeds: int,
@@ -83,19 +98,21 @@
     seconds: float,
     entries: int,
     theme: Theme | None,
+    code: Path,
+    parallel: int,
     one: int | None,
 ) -> None:
     """Run soaks with new seeds, some in parallel; exit with 1 if one fails."""
     chosen = theme or Theme.ORDINARY
     if one is not None:
-        sys.exit(_run_one(one, seconds, entries, chosen))
+        sys.exit(_run_one(one, seconds, entries, chosen, code))
     start = secrets.randbelow(10**6) if first is None else first
     remaining = list(range(start, start + seeds))
     failed = []
     while remaining:
-        count = max(PARALLEL_RUNS * DEFAULT_ENTRIES // entries, 1)
+        count = max(parallel * DEFAULT_ENTRIES // entries, 1)
         batch, remaining = remaining[:count], remaining[count:]
-        running = [(seed, _spawn(seed, seconds, entries, chosen)) for seed in batch]
+        running = [(seed, _spawn(seed, seconds, entries, chosen, code)) for seed in batch]
         for seed, process in running:
             output, _ = process.communicate()
             click.echo(output.decode(), nl=False)
@@ -108,10 +125,11 @@
 
 
 def _spawn(
-    seed: int, seconds: float, entries: int, theme: Theme
+    seed: int, seconds: float, entries: int, theme: Theme, code: Path
 ) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-W", "ignore", "-m", "tests.soak"]
     options = ["--one", str(seed), "--seconds", str(seconds), "--entries", str(entries)]
+    options += ["--code", str(code)]
     if theme is not Theme.ORDINARY:
         options.append(f"--{theme}")
     return subprocess.Popen(
@@ -119,13 +137,15 @@
     )
 
 
-def _run_one(seed: int, seconds: float, entries: int, theme: Theme) -> int:
+def _run_one(seed: int, seconds: float, entries: int, theme: Theme, code: Path) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        result = run_soak(seed, seconds, Path(folder), entries, theme=theme)
+        result = run_soak(seed, seconds, Path(folder), entries, theme=theme, code=code)
     stalled = (
         f", own process stalled for {result.stalled_s:.1f} s" if result.stalled_s else ""
     )
     click.echo(f"seed {seed}: {result.served} of {result.sent} requests served{stalled}")
+    for note in result.notes:
+        click.echo(f"  {note}")
     if not result.violations:
         return 0
     for line in [*result.violations, *result.faults, *result.logs]:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -62,6 +62,9 @@
 
 _EVENT_NUMBER = re.compile(rb"^id: (\d+)\n[^\0]*?\n\n", re.MULTILINE)
 
+RESUMABLE_ROUTE_KINDS = ("brief", "story")
+"""Kinds of routes whose streams may be resumed."""
+
 ROUTE_KINDS = ("once", "safe", "draft", "brief", "new")
 """Kinds of routes; ``new`` stands for one that a recent configuration added."""
 
@@ -130,7 +133,7 @@
     def is_broken_stream(self) -> bool:
         """Whether the response is a resumable stream that broke off after an event."""
         return (
-            self.kind == "brief"
+            self.kind in RESUMABLE_ROUTE_KINDS
             and self.status == 200
             and not self.is_whole
             and not self.abandoned_at
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -25,6 +25,7 @@
 DEFAULT_ENTRIES = 3
 CALLERS = 12
 MAX_CALLERS = 48
+LONG_STREAM_CALLERS = 24
 OVERLOAD_CALLERS = 30
 """Callers where requests exceed the slots during surges, and fit them otherwise."""
 
@@ -46,6 +47,9 @@
 RESUMABLE_KINDS = ("brief",) * 6
 """Kinds of requests besides all others while several software versions serve."""
 
+LONG_TIMEOUT_S = 7.0
+"""Timeout of the routes with long streams, in seconds."""
+
 SOFTWARE_VERSIONS = ("v1", "v1.2", "v2")
 
 QUOTA_WINDOW_S = 4.0
@@ -203,6 +207,8 @@
         callers = min(max(CALLERS, len(self.entries)), MAX_CALLERS)
         self.callers.max_pause_s *= callers / CALLERS
         keys = ("key-limited", "key-free", "key-free")
+        if self.theme.has_long_streams:
+            callers = LONG_STREAM_CALLERS
         if self.theme.has_overload:
             callers, keys = OVERLOAD_CALLERS, COMPETING_KEYS
         for number in range(callers):
@@ -224,6 +230,10 @@
                 f"{entry.name}: {line}" for line in entry.internal_errors()
             ]
 
+    def notes(self) -> list[str]:
+        """Return lines on what was seen beside violations."""
+        return []
+
     def violations(self) -> list[str]:
         """Return a line for each violated invariant."""
         return violations(self.observations)
@@ -266,6 +276,8 @@
                 {"name": "free", "api_keys": ["key-free"]},
                 *_competing_organisations(),
             ]
+        if self.theme.has_long_streams:
+            content["routes"] += _long_stream_routes()
         if self.theme.has_silences:
             _draw_limits(content, random.Random(f"{self._seed} {self._version}"))
             if not self.silent_fraction:
@@ -534,6 +546,17 @@
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
 
 
+def _long_stream_routes() -> list[dict[str, object]]:
+    more: dict[str, object] = {"timeout_ms": LONG_TIMEOUT_S * 1000}
+    return [
+        _route("report", "streaming", SERVICES[0], **more),
+        _route("grade", "streaming", RESUMABLE_SERVICE),
+        _route(
+            "story", "streaming", RESUMABLE_SERVICE, max_attempts=2, resumable=True, **more
+        ),
+    ]
+
+
 def _largest_body(version: int) -> int:
     """Return the largest body that a configuration allows, in bytes."""
     return FIRST_BODY_BYTES + BODY_STEP_BYTES * version
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -55,6 +56,8 @@
         ip: Its own loopback address.
         unexpected_exits: Exit codes of exits without a SIGTERM or SIGKILL from the soak.
         more_bounds: Bounds of its settings beside those of all soaks.
+        code: Root of the code that it runs.
+        down_until: Monotonic time until which it is not started again, in seconds.
     """
 
     def __init__(self, number: int, net: int, store: str, folder: Path) -> None:
@@ -69,6 +72,8 @@
         self._is_exit_expected = False
         self.unexpected_exits: list[int] = []
         self.more_bounds: dict[str, float] = {}
+        self.code = ROOT
+        self.down_until = 0.0
 
     @property
     def callers_address(self) -> tuple[str, int]:
@@ -143,7 +148,7 @@
         self._is_exit_expected = False
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "main.py")],
+                [sys.executable, str(self.code / "platform" / "main.py")],
                 env={
                     "PATH": os.environ["PATH"],
                     "DOCKREACH_CONFIG": str(self._settings_path),
@@ -163,7 +168,8 @@
 
     def restart_if_exited(self) -> None:
         """Start the process again if it exited; record the exit if it was unexpected."""
-        if self._process is None or self.is_running:
+        is_down = time.monotonic() < self.down_until
+        if self._process is None or self.is_running or is_down:
             return
         if not self._is_exit_expected:
             self.unexpected_exits.append(self._process.returncode)
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -21,7 +21,7 @@
 OWN_FAILURES = (502, 504)
 """Statuses with which only entries end requests that may have run."""
 
-AT_MOST_ONCE_KINDS = ("once", "draft")
+AT_MOST_ONCE_KINDS = ("once", "draft", "report", "grade")
 """Kinds of routes whose requests must not run more than once."""
 
 STORE = "store"
@@ -139,6 +139,8 @@
         version_changes: Numbers of ready endpoints of the service with resumable streams,
             by software version, each with the time from which they hold.
         rids: The ids of all requests that callers made.
+        worker_versions: The software version of each endpoint, where they have one.
+        power_cuts: Times at which all entries were killed at once.
     """
 
     outcomes: list[Outcome]
@@ -160,6 +162,8 @@
     recovered_from: float = 0.0
     version_changes: list[tuple[float, dict[str, int]]] = field(default_factory=list)
     rids: set[str] = field(default_factory=set)
+    worker_versions: dict[str, str] = field(default_factory=dict)
+    power_cuts: list[float] = field(default_factory=list)
 
     def version_counts(self) -> Iterator[tuple[float, float, dict[str, int]]]:
         """Return spans of time, each with the number of endpoints by software version."""
--- a/tests/soak/process_callers.py
+++ b/tests/soak/process_callers.py
@@ -60,9 +60,13 @@
                 conn.close()
                 conn = None
             self.outcomes.append(outcome)
-            if outcome.is_broken_stream:
+            if self._takes_up(outcome):
                 self._take_up_broken(outcome, key)
 
+    def _takes_up(self, outcome: Outcome) -> bool:
+        """Return whether a caller takes a stream up."""
+        return outcome.is_broken_stream
+
     def _draw_request(self) -> Outcome:
         kind = self.rng.choice(self.kinds)
         rid = self.make_rid(kind)
@@ -88,17 +92,21 @@
             others = [pair for pair in self.addresses() if pair[0] != broken.entry]
             entry, address = self.rng.choice(others or self.addresses())
             again = self._draw_request()
-            again.kind, again.entry = "brief", entry
-            again.rid = self.make_rid("brief")
+            again.kind, again.entry = broken.kind, entry
+            again.rid = self.make_rid(broken.kind)
             again.request_body = request_body(again.rid, len(broken.request_body))
             again.after = broken.last_event
             again.stream_rid = broken.stream_rid or broken.rid
-            conn = _Connection(entry, address)
-            conn.exchange(again, key, self._draw_pauses())
-            conn.close()
-            self.outcomes.append(again)
+            self._send_alone(again, address, key)
             broken = again
 
+    def _send_alone(self, outcome: Outcome, address: str, key: str) -> None:
+        """Send a request on a connection of its own."""
+        conn = _Connection(outcome.entry, address)
+        conn.exchange(outcome, key, self._draw_pauses())
+        conn.close()
+        self.outcomes.append(outcome)
+
 
 class _Connection(HttpConnection):
     def exchange(self, outcome: Outcome, key: str, pauses_s: list[float]) -> bool:
--- a/tests/soak/process_cluster.py
+++ b/tests/soak/process_cluster.py
@@ -5,6 +5,7 @@
 import random
 import signal
 from pathlib import Path
+from typing import ClassVar
 
 import eventlet
 
@@ -36,16 +37,27 @@
 
     Attributes:
         processes: The endpoints that are published as ready, by name.
+        same_port_chance: Chance that the successor of an endpoint takes its port at once.
     """
 
-    def __init__(self, seed: int, net: int, folder: Path, entries: int) -> None:
-        super().__init__(seed, net, folder, entries, Theme.PROCESSES)
+    callers_type: ClassVar[type[ProcessCallers]] = ProcessCallers
+
+    def __init__(
+        self,
+        seed: int,
+        net: int,
+        folder: Path,
+        entries: int,
+        theme: Theme = Theme.PROCESSES,
+    ) -> None:
+        super().__init__(seed, net, folder, entries, theme)
         self._folder = folder
         self._workers_ip = f"127.{net}.1.1"
         self._started: list[WorkerProcess] = []
         self._is_calm = False
         self.processes: dict[str, WorkerProcess] = {}
-        self.callers = ProcessCallers(
+        self.same_port_chance = SAME_PORT_CHANCE
+        self.callers = self.callers_type(
             self._entry_addresses,
             self._newest_applied_version,
             {},
@@ -116,19 +128,26 @@
 
     def _succeed(self, ended: WorkerProcess) -> None:
         """Start the successor of an endpoint whose record expires later."""
-        port = ended.port if self.rng.random() < SAME_PORT_CHANCE else 0
+        port = ended.port if self.rng.random() < self.same_port_chance else 0
         if not port:
             eventlet.sleep(self.rng.uniform(0.0, CRASH_EXPIRY_S))
         self.add_worker(ended.service, port=port)
         eventlet.sleep(CRASH_EXPIRY_S)
         self._delete_record(ended.name)
 
-    def drain_process(self, name: str) -> None:
-        """Let an endpoint drain and exit, after its successor has started."""
+    def drain_process(self, name: str, *, draining_s: float = DRAINING_S) -> None:
+        """Let an endpoint drain and exit, after its successor has started.
+
+        Args:
+            name: The endpoint's id.
+            draining_s: How long it is listed as draining, in seconds; 0 if it leaves
+                without saying so.
+        """
         worker = self.processes.pop(name)
         self.add_worker(worker.service)
-        self._publish_process(worker, "draining")
-        eventlet.sleep(DRAINING_S)
+        if draining_s:
+            self._publish_process(worker, "draining")
+            eventlet.sleep(draining_s)
         self._delete_record(name)
         eventlet.sleep(DRAINING_S)
         worker.send_signal(signal.SIGCONT)
--- a/tests/soak/process_invariants.py
+++ b/tests/soak/process_invariants.py
@@ -18,7 +18,7 @@
 from .worker_content import StreamEvent, decode_events, plain_body, stream_length
 from .worker_facts import Fact, FactKind
 
-STREAM_KINDS = ("draft", "brief")
+STREAM_KINDS = ("draft", "brief", "report", "grade", "story")
 """Kinds of routes whose responses are streams."""
 
 ANSWER_SLACK_S = 1.0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,16 +9,24 @@
 import eventlet
 
 from .cluster import DEFAULT_ENTRIES, Cluster
-from .entries import reserved_net
+from .entries import ROOT, reserved_net
 from .faults import FAULTS, THEME_FAULTS, Fault
 from .process_cluster import ProcessCluster
 from .process_faults import PROCESS_FAULTS
+from .rejoined_cluster import RejoinedCluster
+from .rejoined_faults import REJOINED_FAULTS
 from .theme import Theme
 
 START_TIMEOUT_S = 30.0
 """Longest time until entries have loaded, in seconds: the first import of all modules may
 wait for a cold disk."""
 
+ALL_THEME_FAULTS: dict[Theme, tuple[Fault, ...]] = {
+    **THEME_FAULTS,
+    Theme.PROCESSES: PROCESS_FAULTS,
+    Theme.REJOINED: REJOINED_FAULTS,
+}
+
 MAX_FAULT_INTERVALS_S = (0.8, 2.0, 5.0)
 """Longest times between two faults, in seconds; one is drawn for each soak. In some soaks
 faults overlap all the time; in others there are gaps in which invariants with a time limit
@@ -52,6 +60,7 @@
         served: Number of requests with a complete and successful response.
         logs: Lines of each entry's log, if an invariant was violated.
         stalled_s: For how long the soak's own process stalled, in seconds.
+        notes: What was seen beside violations.
     """
 
     seed: int
@@ -61,6 +70,7 @@
     served: int
     logs: list[str]
     stalled_s: float
+    notes: list[str]
 
 
 def run_soak(
@@ -70,6 +80,7 @@
     entries: int = DEFAULT_ENTRIES,
     *,
     theme: Theme = Theme.ORDINARY,
+    code: Path = ROOT,
 ) -> Result:
     """Run one soak.
 
@@ -79,13 +90,18 @@
         folder: Directory for settings and logs.
         entries: Number of entries.
         theme: The special behaviour that it tests.
+        code: Root of the code that entries run, such as a clone of an earlier version.
     """
     with reserved_net() as net:
         cluster: Cluster
-        if theme.has_processes:
+        if theme is Theme.REJOINED:
+            cluster = RejoinedCluster(seed, net, folder, entries)
+        elif theme.has_processes:
             cluster = ProcessCluster(seed, net, folder, entries)
         else:
             cluster = Cluster(seed, net, folder, entries, theme)
+        for entry in cluster.entries:
+            entry.code = code
         return _run(cluster, seed, faults_s)
 
 
@@ -112,7 +128,14 @@
     logs = cluster.logs(found) if found else []
     sent = len(cluster.observations.outcomes)
     return Result(
-        seed, found, faults, sent, len(served), logs, cluster.observations.stalled_s
+        seed,
+        found,
+        faults,
+        sent,
+        len(served),
+        logs,
+        cluster.observations.stalled_s,
+        cluster.notes(),
     )
 
 
@@ -136,7 +159,7 @@
     names = []
     running = []
     max_interval_s = cluster.rng.choice(MAX_FAULT_INTERVALS_S)
-    kinds = list({**THEME_FAULTS, Theme.PROCESSES: PROCESS_FAULTS}.get(cluster.theme, ()))
+    kinds = list(ALL_THEME_FAULTS.get(cluster.theme, ()))
     if not kinds:
         kinds = cluster.rng.sample(FAULTS, cluster.rng.randint(*FAULT_KIND_COUNTS))
     while time.monotonic() < start + faults_s:
--- a/tests/soak/theme.py
+++ b/tests/soak/theme.py
@@ -43,6 +43,10 @@
     """Endpoints are processes that are killed, paused, exit in mid-answer and refuse in
     their own ways; callers use HTTP/1.0 and 1.1 and take broken streams up."""
 
+    REJOINED = "rejoined"
+    """Endpoints and entries are processes, streams are long, and all entries are killed at
+    once while endpoints of one software version follow those of another."""
+
     ALL = "all"
     """Restarts, crashing requests and notices at once."""
 
@@ -69,7 +73,12 @@
     @property
     def has_processes(self) -> bool:
         """Whether endpoints are processes of their own."""
-        return self is Theme.PROCESSES
+        return self in (Theme.PROCESSES, Theme.REJOINED)
+
+    @property
+    def has_long_streams(self) -> bool:
+        """Whether there are routes of long streams, which callers take up patiently."""
+        return self is Theme.REJOINED
 
     @property
     def has_overload(self) -> bool:
--- a/tests/soak/worker_content.py
+++ b/tests/soak/worker_content.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import zlib
 from dataclasses import dataclass
@@ -10,6 +11,13 @@
 MORE_EVENTS = 20
 """A stream has from `FEWEST_EVENTS` on fewer than this many events more."""
 
+LONG_KINDS = ("report", "story")
+"""Kinds of routes with long streams."""
+
+MEAN_LONG_EVENTS = 60
+MOST_LONG_EVENTS = 240
+"""Events of a long stream beside the fewest, in the mean and at most."""
+
 MOST_BODY_LINES = 400
 """Lines of the longest plain body."""
 
@@ -35,7 +43,16 @@
 
 def stream_length(stream: str) -> int:
     """Return the number of events of a stream."""
-    return FEWEST_EVENTS + zlib.crc32(stream.encode()) % MORE_EVENTS
+    drawn = zlib.crc32(stream.encode())
+    if is_long(stream):
+        more = -MEAN_LONG_EVENTS * math.log(1 - drawn / (1 << 32))
+        return FEWEST_EVENTS + min(int(more), MOST_LONG_EVENTS)
+    return FEWEST_EVENTS + drawn % MORE_EVENTS
+
+
+def is_long(stream: str) -> bool:
+    """Return whether a stream is of a kind with long ones."""
+    return stream.partition("-")[0] in LONG_KINDS
 
 
 def encode_event(stream: str, number: int, worker: str) -> bytes:
--- a/tests/soak/worker_process.py
+++ b/tests/soak/worker_process.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from .worker_content import encode_event, plain_body, request_body, stream_length
+from .worker_content import encode_event, is_long, plain_body, request_body, stream_length
 from .worker_facts import FactKind, FactLog
 
 CAPACITY = 12
@@ -32,6 +32,9 @@
 EVENT_GAP_S = (0.005, 0.06)
 """Shortest and longest time between events, in seconds; one is drawn for each stream."""
 
+LONG_EVENT_GAP_S = (0.01, 0.025)
+"""The same for long streams, in seconds."""
+
 PIECE_PAUSE_S = 0.003
 """Longest pause between the pieces of a response, in seconds."""
 
@@ -54,7 +57,7 @@
 """Chances of an early response, of a resumed run that repeats events, of a head of
 HTTP/1.0, and of a response in odd pieces."""
 
-STREAM_PATHS = ("/draft/", "/brief/")
+STREAM_PATHS = ("/draft/", "/brief/", "/report/", "/grade/", "/story/")
 REASONS = {
     200: "OK",
     408: "Request Timeout",
@@ -331,7 +334,7 @@
         size = sum(map(len, events))
         self._send(self._start(rid, framing, is_http10, size, "event-stream"))
         exit_at = self._rng.choice(numbers or (0,)) if oddity is Oddity.EXIT else None
-        gap_s = self._rng.uniform(*EVENT_GAP_S)
+        gap_s = self._rng.uniform(*(LONG_EVENT_GAP_S if is_long(stream) else EVENT_GAP_S))
         for number, event in zip(numbers, events, strict=True):
             time.sleep(gap_s)
             self._raise_if_closed()
