Soak: callers of long streams turn to another entry if nothing was read

An entry whose event loop is busy for over 0.9 of the time closes new connections unread, and callers are to turn to another entry at once. They now send again elsewhere, up to three times and under new ids; the last of these attempts counts.

--- a/tests/soak/test_rejoined_callers.py
+++ b/tests/soak/test_rejoined_callers.py
@@ -34,6 +34,9 @@
         stream = headers.get("resumes") or headers["request-id"]
         first = int(headers.get("last-event-id") or 0) + 1
         result = results.pop(0) if results else "whole"
+        if result == "unread":
+            reset(sock)
+            return
         if result == "refused":
             sock.sendall(REFUSAL)
             sock.close()
@@ -75,3 +78,10 @@
 def test_a_whole_stream_is_not_taken_up() -> None:
     (only,) = run_callers(["whole"], 0)
     assert only.is_whole
+
+
+def test_a_caller_whose_connection_is_reset_unread_turns_to_another_entry() -> None:
+    first, second, third = run_callers(["unread", "unread", "whole"], 2)
+    assert [first.is_dropped, second.is_dropped, third.is_dropped] == [True, True, False]
+    assert len({first.rid, second.rid, third.rid}) == 3
+    assert third.is_whole
