--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -67,11 +67,21 @@
         self._changed = Waiter()
         eventlet.spawn(accept_all, self._listener, self._serve)
 
+    @property
+    def has_whole_history(self) -> bool:
+        """Whether no change was forgotten."""
+        return not self._compacted_revision
+
     def put(self, key: str, value: bytes) -> None:
         """Write an item."""
         self.revision += 1
         text = base64.b64encode(value).decode()
-        item = {"tls_key": key, "value": text, "revision": self.revision}
+        item = {
+            "tls_key": key,
+            "value": text,
+            "revision": self.revision,
+            "created_rev": self._items.get(key, {}).get("created_rev", self.revision),
+        }
         self._items[key] = item
         self._record_change(item)
 
