--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -100,6 +100,40 @@
     assert entry.endpoints.get("i-2") is None
 
 
+def large_config_record(version: int) -> bytes:
+    """Return a configuration of 1 MB, mostly of a field that the entry does not use."""
+    return json.dumps({"version": version, "notes": "n" * 1_000_000}).encode()
+
+
+def test_changes_that_are_too_long_for_a_response_are_listed(store: StoreStandIn) -> None:
+    entry = start_following_entry(store)
+    store.delete("servers/i-2")
+    for version in range(10, 20):
+        store.put("op/config", large_config_record(version))
+    eventlet.sleep(1.0)
+    assert entry.revision is not None
+    assert entry.revision.number == 19
+    assert entry.endpoints.get("i-2") is None
+    store.put("op/config", config_record(20))
+    eventlet.sleep(0.6)
+    assert entry.revision.number == 20
+    assert not entry.feeds.configuration.consecutive_failures
+
+
+def test_a_list_that_is_too_long_for_a_response_is_not_read_without_pause(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store)
+    for number in range(9):
+        store.put(f"op/notes/{number}", b"n" * 1_000_000)
+    store.page_items = 10
+    calls = len(store.calls)
+    store.compact_history()
+    eventlet.sleep(1.0)
+    assert 1 <= entry.feeds.configuration.consecutive_failures <= 10
+    assert len(store.calls) - calls <= 20
+
+
 @pytest.mark.parametrize("failure_mode", [503, 429, "reset"])
 def test_after_an_outage_deleted_endpoints_lapse_and_changes_are_applied(
     store: StoreStandIn, failure_mode: int | str
