Open the second connection of an end's check as soon as the first one ends

What callers saw: a stream without a length looked whole although its endpoint's process had ended. When the first connection of the check is reset, it still waited in the queue of the listener that ends.

Change: `EndpointConnection.watch_idle` returns as soon as a connection ends, and the check opens its second one at once. The kernel takes a listener out of its table before it resets the connections in its queue, so the second one is refused unless another process listens already. An endpoint that resets each further connection, since all are in use, is still believed, and earlier than before.

Not covered: a successor that listens before the check begins.

--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 import math
 from http import HTTPStatus
@@ -10,6 +11,7 @@
 import eventlet
 import h11
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from .. import clock
 from .http1 import (
@@ -350,6 +352,17 @@
             return IdleState.RESET
         return IdleState.ENDED
 
+    def watch_idle(self, seconds: float) -> IdleState:
+        """Return the state of an idle connection once it is open no longer, or later.
+
+        Args:
+            seconds: How long to watch one that stays open.
+        """
+        # The state tells whether something has come, also while the event loop was busy.
+        with contextlib.suppress(TimeoutError):
+            trampoline(self._sock.fd, read=True, timeout=seconds, timeout_exc=TimeoutError)
+        return self.idle_state()
+
     def close(self) -> None:
         """Close the connection, which also stops its request at the endpoint."""
         try:
--- a/dockreach/direct/liveness.py
+++ b/dockreach/direct/liveness.py
@@ -144,7 +144,8 @@
             state = self._try_repeatedly(row, check)
             if state is not IdleState.OPEN:
                 # An endpoint that has all its connections in use resets further ones, as
-                # does a listener that closes. By now, that would refuse them.
+                # does a listener that closes. By now, that refuses them, unless another
+                # process has taken its port: the later, the likelier.
                 state = self._try_connection(row, check)
         except ConnectError as exc:
             is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
@@ -174,7 +175,10 @@
         return self._try_connection(row, check)
 
     def _try_connection(self, row: EndpointRow, check: LivenessCheck) -> IdleState:
-        """Open a connection, and return its state after a while; pool it if it is open.
+        """Open a connection, and watch it until it ends or the check's time has passed.
+
+        Returns:
+            Its state; one that is open is pooled.
 
         Raises:
             ConnectError: No connection could be opened.
@@ -184,12 +188,10 @@
         except ConnectError as exc:
             if not isinstance(exc.__cause__, ConnectionResetError):
                 raise
-            eventlet.sleep(check.settle_s)
             return IdleState.RESET
         is_kept = False
         try:
-            eventlet.sleep(check.settle_s)
-            state = conn.idle_state()
+            state = conn.watch_idle(check.settle_s)
             is_kept = state is IdleState.OPEN and self._is_current(row)
         finally:
             if not is_kept:
--- a/tests/direct/test_endpoint_connection.py
+++ b/tests/direct/test_endpoint_connection.py
@@ -18,10 +18,11 @@
     MAX_LATE_RESPONSES,
     MAX_SKIPPED_BYTES,
     EndpointConnection,
+    IdleState,
 )
 from dockreach.direct.http1 import RECV_BYTES, ResponseError
 
-from .standins import LOCAL, address_of, reset
+from .standins import LOCAL, address_of, listen_locally, reset
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -287,3 +288,34 @@
         with pytest.raises(ResponseError):
             conn.read_data()
         conn.close()
+
+
+WATCHED_S = 0.6
+"""How long an idle connection is watched, in seconds."""
+
+
+def close_in_order(sock: Any) -> None:  # noqa: ANN401
+    sock.close()
+
+
+@pytest.mark.parametrize(
+    ("end", "state"), [(reset, IdleState.RESET), (close_in_order, IdleState.ENDED)]
+)
+def test_the_end_of_a_watched_connection_is_known_at_once(
+    end: Callable[[Any], None], state: IdleState
+) -> None:
+    listener = listen_locally()
+    conn = EndpointConnection(address_of(listener), 1.0)
+    sock, _ = listener.accept()
+    eventlet.spawn(end, sock)
+    began_at = clock.now()
+    assert conn.watch_idle(WATCHED_S) is state
+    assert clock.now() - began_at < WATCHED_S / 2
+
+
+def test_a_watched_connection_that_stays_open_is_watched_for_the_whole_time() -> None:
+    listener = listen_locally()
+    conn = EndpointConnection(address_of(listener), 1.0)
+    began_at = clock.now()
+    assert conn.watch_idle(WATCHED_S / 10) is IdleState.OPEN
+    assert clock.now() - began_at >= WATCHED_S / 10
