Believe the end of a response without a length if its endpoint answers by its id

What callers saw: a stream without a length looked whole, with an event missing or more, after the process of its endpoint was paused and killed, or killed while a successor took its port.

Cause: the check of an end asked only whether a new connection opens and stays open for a while. That shows that somebody listens there: the kernel accepts connections for a process that is stopped, and a successor at the port accepts them as well.

Change: the check sends a health check on its connection (`health_path` of the service, from the configuration; `Expected-Instance` names the endpoint) and believes the end if the response names the endpoint, or is a rejection that another endpoint would have answered with 421. Another id, 421 or a failure without an id is not believed. It waits for 4 s; if there is no response by then, the end is believed only if another connection in use, which was open before the end, is still established (read from TCP_INFO, since a read would take the error of a reset away from the reader). A service without a health path, or an endpoint that leaves its id out, is judged by the connection alone, as before: otherwise no such response could be delivered.

Why it works: a process that ends answers nothing, whatever the kernel still accepts for it, and each start of one has an id of its own.

Price: one health check for all responses of an endpoint that ended before the check began, on the connection that was opened before as well; none where a response is framed. Where the endpoint is not busy, ends are known sooner: nothing waits for 0.02 or 0.15 s. Counter `end_probes`.

Not proved (docs/PROOFS.md): several processes with one id and port, an endpoint that starts again under its id before its end was noticed, one that rejects as full before it compares ids.

In the soak the configuration names a health path, and endpoints that are processes take a slot for a health check, or reject it without an id.

--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -46,6 +46,7 @@
         late_answers: Late responses to earlier requests, which are skipped.
         end_checks: Checks that an endpoint lives on after it closed the connection of a
             response without a length.
+        end_probes: Health checks that were sent for that.
         unproven_ends: Such responses that are not known to be complete.
         invalid_loads: Responses whose header with the endpoint's load is not valid.
         response_limits: Responses that went over a limit, by that limit.
@@ -68,6 +69,7 @@
     event_gaps: int = 0
     late_answers: int = 0
     end_checks: int = 0
+    end_probes: int = 0
     unproven_ends: int = 0
     invalid_loads: int = 0
     response_limits: Counter[ResponseLimit] = field(default_factory=Counter)
@@ -102,7 +104,9 @@
 
     def __post_init__(self) -> None:
         """Check endpoints with connections of the pool."""
-        self.liveness = LivenessChecks(self.pool, self.endpoints, self.counters)
+        self.liveness = LivenessChecks(
+            self.pool, self.endpoints, self.adapter, self.counters
+        )
 
     def halls_in(self, regions: frozenset[str]) -> frozenset[str]:
         """Return the data halls that are in any of some regions."""
--- a/dockreach/direct/endpoint_connection.py
+++ b/dockreach/direct/endpoint_connection.py
@@ -61,6 +61,9 @@
 MAX_PROBLEM_CHARACTERS = 200
 """Length of the description of a broken response, which may contain a part of it."""
 
+_TCP_ESTABLISHED = b"\x01"
+"""State of an open connection, the first byte of `tcp_info` in Linux."""
+
 _TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
 
@@ -109,7 +112,7 @@
         """Monotonic time until which reads wait for data, in seconds; then they raise
         `SilentError`, and may be repeated."""
         self._is_aborted = False
-        self._is_write_broken = False
+        self._write_error: OSError | None = None
         self._late_responses = 0
         self._skipped_bytes = 0
         self._share = LoopShare()
@@ -143,7 +146,8 @@
             return
         self._write(data)
         if not self._is_written:
-            raise ResponseError(f"{self.address}: connection broke while sending")
+            problem = f"{self.address}: connection broke while sending"
+            raise ResponseError(problem) from self._write_error
 
     def _set_send_timeout(self, size: int) -> None:
         """Set how long an endpoint may leave a request of this many bytes unread."""
@@ -162,10 +166,10 @@
         try:
             self._sock.sendall(data)
             self._is_written = True
-        except OSError:
+        except OSError as exc:
             # The reader finds the broken connection, or a response that was sent early.
             self._is_written = False
-            self._is_write_broken = True
+            self._write_error = exc
 
     def set_read_timeout(self, seconds: float | None) -> None:
         """Set the read timeout; ``None`` waits forever."""
@@ -294,7 +298,7 @@
 
     def _receive(self) -> bytes:
         data = self._receive_until()
-        if not data and self._is_write_broken and not self.is_framed:
+        if not data and self._write_error is not None and not self.is_framed:
             # The kernel tells of a reset once, and the writer may have been told.
             raise ResponseError(f"{self.address}: connection broke while sending")
         if self._is_aborted:
@@ -352,6 +356,17 @@
             return IdleState.RESET
         return IdleState.ENDED
 
+    def is_established(self) -> bool:
+        """Return whether neither side has closed it; may be called beside its reader.
+
+        A read would take the error of a reset away from the reader.
+        """
+        try:
+            info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return False
+        return bytes(info)[:1] == _TCP_ESTABLISHED
+
     def watch_idle(self, seconds: float) -> IdleState:
         """Return the state of an idle connection once it is open no longer, or later.
 
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -115,6 +115,9 @@
     def abort(self) -> None:
         """Make reads from the connection fail immediately."""
 
+    def is_established(self) -> bool:
+        """Return whether neither side has closed it."""
+
 
 @dataclass(slots=True, eq=False)
 class EndpointRow:
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -261,6 +261,7 @@
             return False
         self.revision = revision
         self.send_guard.apply_services(revision.services)
+        self.ctx.liveness.apply_services(revision.services)
         self.dispatcher.apply_organisations(revision.organisations)
         self.ctx.first_attempts.keep_only({route.name for route in revision.routes})
         log(Event.CONFIG_IN_FORCE, revision=revision.number, source=source)
--- a/dockreach/direct/protocol_adapter.py
+++ b/dockreach/direct/protocol_adapter.py
@@ -7,7 +7,7 @@
 from ..verdict import Refusal
 from .endpoints import Published
 from .http1 import RawHead, RawRequest
-from .requests import Header, InboundRequest, ResponseHead
+from .requests import Header, HealthResponse, InboundRequest, ResponseHead
 from .routing_config import ConfigRevision
 
 
@@ -55,6 +55,21 @@
             endpoint: Id of the endpoint that the request was sent to.
         """
 
+    def health_headers(self, endpoint: Published) -> list[Header]:
+        """Return the headers of a health check, which names the endpoint it is for.
+
+        Args:
+            endpoint: The endpoint that is checked.
+        """
+
+    def read_health(self, raw: RawHead, endpoint: str) -> HealthResponse:
+        """Decode the head of a response to a health check.
+
+        Args:
+            raw: The head as received.
+            endpoint: Id of the endpoint that was checked.
+        """
+
     def promises_not_run(self, status: int) -> bool:
         """Return whether a status promises to callers that the request was not run."""
 
--- a/dockreach/direct/requests.py
+++ b/dockreach/direct/requests.py
@@ -4,6 +4,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from .notice import NO_NOTICE, EndpointNotice, InvalidValue
 
@@ -73,6 +74,34 @@
     """Another endpoint uses the address now; it has not run the request."""
 
 
+class Responder(enum.Enum):
+    """Whose response to a health check it is."""
+
+    EXPECTED = "expected"
+    """The endpoint's that was asked."""
+
+    OTHER = "other"
+    """Another endpoint's, which uses the address now."""
+
+    UNNAMED = "unnamed"
+    """Of an endpoint that does not say which one it is."""
+
+    FAILURE = "failure"
+    """A failure that names no endpoint, like that of a proxy whose engine has exited."""
+
+
+class HealthResponse(NamedTuple):
+    """What the head of a response to a health check says.
+
+    Attributes:
+        keep_alive_s: How long the endpoint keeps the idle connection open, in seconds;
+            ``None`` if not given.
+    """
+
+    responder: Responder
+    keep_alive_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """The load that an endpoint reports in a response.
--- a/dockreach/direct/routing_config.py
+++ b/dockreach/direct/routing_config.py
@@ -84,6 +84,7 @@
 
     Attributes:
         max_connections: Connections that each endpoint accepts from all entries together.
+        health_path: Path at which an endpoint tells its id; empty if there is none.
         event_tokens: Tokens in one event of a stream.
         cold_rate: Requests a second that an endpoint can handle while it is cold; 0 for no
             limit.
@@ -92,6 +93,7 @@
 
     name: str
     max_connections: int
+    health_path: str = ""
     event_tokens: float = 1.0
     cold_rate: float = 0.0
     cold_start_s: float = 0.0
--- a/tests/direct/standins.py
+++ b/tests/direct/standins.py
@@ -262,6 +262,7 @@
     *,
     organisations: tuple[Organisation, ...] = (ORGANISATION,),
     limits: CallerLimits | None = None,
+    health_path: str = "",
 ) -> ConfigRevision:
     """Return a configuration with one route for each kind of retry and response."""
     return ConfigRevision(
@@ -272,7 +273,7 @@
             route(RetryMode.NEVER, prefix="/draft/", stream=True, attempts=1),
             route(RetryMode.RESUME, prefix="/brief/", stream=True),
         ),
-        services={"work": Service("work", 100)},
+        services={"work": Service("work", 100, health_path)},
         organisations=organisations,
         limits=limits or CallerLimits(),
     )
--- a/tests/direct/test_liveness.py
+++ b/tests/direct/test_liveness.py
@@ -23,6 +23,7 @@
 from dockreach.direct.entry import Entry
 from dockreach.direct.http1 import ConnectError, ResponseError, SilentError, receive
 from dockreach.direct.liveness import (
+    HEALTH_TIMEOUT_S,
     SETTLE_S,
     STREAM_SETTLE_S,
     Liveness,
@@ -45,6 +46,7 @@
     published,
     reset,
     respond_fine,
+    revision,
     start_entry,
     status_of,
     wake_waiting_greenlets,
@@ -688,3 +690,286 @@
     wait_for_event(caller, 2)
     endpoint.close_connections()
     assert read_answer(caller) == BEGUN_STREAM
+
+
+HEALTH_PATH = "/health"
+HEALTH_WAIT_S = 3 * STREAM_SETTLE_S
+"""How long an endpoint leaves a health check unanswered, in seconds: longer than a new
+connection is watched where there is no health path."""
+
+SHORT_TIMEOUT_S = 2 * HEALTH_WAIT_S
+"""Timeout of health checks in place of the usual one, in seconds."""
+
+
+def respond_as(name: str) -> Script:
+    """Return a script that answers a health check in the name of an endpoint."""
+
+    def respond(dialog: Dialog) -> None:
+        head = f"HTTP/1.1 200 OK\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+        dialog.send(head.encode())
+
+    return respond
+
+
+def respond_with(head: str) -> Script:
+    """Return a script that answers a health check with a status and headers."""
+
+    def respond(dialog: Dialog) -> None:
+        dialog.send(f"HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n".encode())
+
+    return respond
+
+
+class NamedStandIn(ProcessStandIn):
+    """An endpoint that answers health checks.
+
+    Args:
+        scripts: What it does with requests.
+
+    Attributes:
+        health: What it does with a health check.
+        health_checks: Those it received.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self.health: Script = respond_as("e-0")
+        self.health_checks: list[bytes] = []
+        super().__init__(*map(self._unless_health, scripts))
+
+    def _unless_health(self, script: Script) -> Script:
+        def run(dialog: Dialog) -> None:
+            if not dialog.request.startswith(f"GET {HEALTH_PATH} ".encode()):
+                script(dialog)
+                return
+            self.health_checks.append(self.requests.pop())
+            self.health(dialog)
+
+        return run
+
+
+def start_checking_entry(*endpoints: EndpointStandIn) -> Entry:
+    """Start an entry whose configuration tells the endpoints' health path."""
+    return start_entry(*endpoints, config=revision(health_path=HEALTH_PATH))
+
+
+def request_and_close(endpoint: NamedStandIn, path: str = "/draft/a") -> Answer:
+    """Return the answer to a request whose endpoint has closed the connection in order."""
+    caller = Caller(start_checking_entry(endpoint))
+    caller.send(path, body=b"prompt")
+    return read_answer(caller)
+
+
+def test_another_process_that_listens_at_the_port_proves_no_end() -> None:
+    """Guards against a new connection that reaches another process from the beginning."""
+    endpoint = NamedStandIn(close_after_stream)
+    endpoint.health = respond_as("e-7")
+    assert request_and_close(endpoint) == Answer(
+        200, WHOLE_STREAM.body, is_reset=True, has_end=False
+    )
+
+
+def test_a_process_that_was_stopped_and_then_killed_proves_no_end() -> None:
+    """Guards against a connection that the kernel accepts while its process is stopped."""
+    endpoint = NamedStandIn(begin_stream)
+
+    def end_unanswered(dialog: Dialog) -> None:
+        eventlet.sleep(HEALTH_WAIT_S)
+        endpoint.close()
+        dialog.reset()
+
+    endpoint.health = end_unanswered
+    caller = Caller(start_checking_entry(endpoint))
+    caller.send("/draft/a", body=b"prompt")
+    wait_for_event(caller, 2)
+    endpoint.close_connections()
+    assert read_answer(caller) == BEGUN_STREAM
+
+
+SUCCESSOR = """
+import socket, sys
+listener = socket.create_server((sys.argv[1], int(sys.argv[2])))
+print("listening", flush=True)
+while True:
+    conn, _ = listener.accept()
+    conn.recv(65536)
+    head = b"HTTP/1.1 200 OK\\r\\nInstance-Id: e-7\\r\\nContent-Length: 0\\r\\n\\r\\n"
+    conn.sendall(head)
+"""
+"""An endpoint that has taken the port of another."""
+
+
+def test_a_stream_of_a_killed_process_whose_port_was_taken_at_once_is_cut() -> None:
+    with running_process() as (process, address):
+        entry = start_checking_entry()
+        entry.apply_endpoint(published("e-0", address))
+        caller = Caller(entry)
+        caller.send("/draft/a", body=b"prompt")
+        wait_for_event(caller, 2)
+        # No greenlet of the entry runs until the successor listens.
+        process.kill()
+        process.wait()
+        with subprocess.Popen(  # noqa: S603
+            [sys.executable, "-c", SUCCESSOR, *address.split(":")],
+            stdout=subprocess.PIPE,
+        ) as successor:
+            try:
+                assert successor.stdout is not None
+                assert successor.stdout.readline()
+                assert read_answer(caller) == BEGUN_STREAM
+            finally:
+                successor.kill()
+
+
+@pytest.mark.parametrize(
+    "health",
+    [
+        respond_as("e-0"),
+        respond_with("503 Service Unavailable\r\nInstance-Id: e-0"),
+        respond_with("503 Service Unavailable\r\nNot-Executed: 1"),
+        respond_with("200 OK"),
+        respond_with("404 Not Found"),
+    ],
+    ids=["healthy", "draining", "rejected", "unnamed", "unknown path"],
+)
+@pytest.mark.parametrize(
+    ("path", "script", "answer"),
+    [
+        ("/once/a", close_after_plain, Answer(200, b"fine")),
+        ("/draft/a", close_after_stream, WHOLE_STREAM),
+    ],
+)
+def test_a_response_of_an_endpoint_that_answers_a_health_check_is_whole(
+    health: Script, path: str, script: Script, answer: Answer
+) -> None:
+    endpoint = NamedStandIn(script)
+    endpoint.health = health
+    assert request_and_close(endpoint, path) == answer
+    assert len(endpoint.health_checks) == 1
+    assert header_of(endpoint.health_checks[0], b"expected-instance") == b"e-0"
+
+
+@pytest.mark.parametrize(
+    "health",
+    [
+        respond_with("421 Misdirected Request"),
+        respond_with("421 Misdirected Request\r\nNot-Executed: 1"),
+        respond_with("502 Bad Gateway"),
+        respond_with("503 Service Unavailable\r\nInstance-Id: e-7\r\nNot-Executed: 1"),
+        lambda dialog: dialog.send(b"ready\r\n\r\n"),
+    ],
+    ids=["421", "421 not run", "proxy", "another is full", "no HTTP"],
+)
+def test_a_health_check_that_does_not_name_the_endpoint_proves_no_end(
+    health: Script,
+) -> None:
+    endpoint = NamedStandIn(close_after_plain)
+    endpoint.health = health
+    assert request_and_close(endpoint, "/once/a").status == 502
+
+
+def test_an_endpoint_that_is_slow_to_answer_a_health_check_is_believed() -> None:
+    endpoint = NamedStandIn(close_after_stream)
+
+    def respond_late(dialog: Dialog) -> None:
+        eventlet.sleep(HEALTH_WAIT_S)
+        respond_as("e-0")(dialog)
+
+    endpoint.health = respond_late
+    assert request_and_close(endpoint) == WHOLE_STREAM
+
+
+def never_respond(dialog: Dialog) -> None:
+    dialog.wait_until_closed()
+
+
+def test_an_endpoint_that_never_answers_a_health_check_is_not_waited_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("dockreach.direct.liveness.HEALTH_TIMEOUT_S", SHORT_TIMEOUT_S)
+    endpoint = NamedStandIn(close_after_stream)
+    endpoint.health = never_respond
+    began_at = clock.now()
+    assert request_and_close(endpoint).is_reset
+    assert SHORT_TIMEOUT_S <= clock.now() - began_at < SHORT_TIMEOUT_S + WHOLE_TIME_S
+    assert SHORT_TIMEOUT_S < HEALTH_TIMEOUT_S
+
+
+@pytest.mark.parametrize("ends_too", [False, True])
+def test_a_connection_that_is_still_open_proves_the_end_of_another(
+    ends_too: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an endpoint whose slots are full, and whose whole streams are cut."""
+    monkeypatch.setattr("dockreach.direct.liveness.HEALTH_TIMEOUT_S", SHORT_TIMEOUT_S)
+    endpoint = NamedStandIn(begin_stream, close_after_stream)
+    endpoint.health = never_respond
+    entry = start_checking_entry(endpoint)
+    older, caller = Caller(entry), Caller(entry)
+    older.send("/draft/a", rid="r-0", body=b"prompt")
+    wait_for_event(older, 2)
+    caller.send("/draft/a", body=b"prompt")
+    wait_for_event(caller, 3)
+    if ends_too:
+        reset(endpoint.dialogs[0].sock)
+    answer = read_answer(caller)
+    assert (answer.body, answer.is_reset) == (WHOLE_STREAM.body, ends_too)
+
+
+def test_a_reset_is_still_known_to_the_reader_of_a_connection_that_was_watched() -> None:
+    endpoint = NamedStandIn(begin_plain)
+    entry = start_checking_entry(endpoint)
+    upstream = sent_upstream(entry)
+    wait_for_request(endpoint)
+    conn = upstream._connection
+    assert conn.is_established()
+    reset(endpoint.dialogs[0].sock)
+    with eventlet.Timeout(2):
+        while conn.is_established():
+            eventlet.sleep(0.001)
+    with pytest.raises(ResponseError, match="reset"):
+        upstream.next_item()
+
+
+def test_streams_that_end_together_cost_one_health_check() -> None:
+    endpoint = NamedStandIn(begin_stream)
+    entry = start_checking_entry()
+    entry.apply_endpoint(published("e-0", endpoint.address, slots=STREAMS))
+    callers = [Caller(entry) for _ in range(STREAMS)]
+    for number, caller in enumerate(callers):
+        caller.send("/draft/a", rid=f"r-{number}", body=b"prompt")
+    wait_for_request(endpoint, STREAMS)
+    endpoint.close_connections()
+    whole = Answer(200, event(1) + event(2))
+    assert [read_answer(caller) for caller in callers] == [whole] * STREAMS
+    assert len(endpoint.health_checks) == entry.ctx.counters.end_probes == 1
+
+
+@pytest.mark.parametrize("path", ["/once/a", "/draft/a"])
+def test_a_response_with_an_end_of_its_own_costs_no_health_check(path: str) -> None:
+    def respond_framed(dialog: Dialog) -> None:
+        if path.startswith("/once"):
+            respond_fine(dialog)
+            return
+        dialog.start_stream()
+        dialog.chunk(event(1))
+        dialog.chunk(b"")
+
+    endpoint = NamedStandIn(respond_framed)
+    assert request_and_close(endpoint, path).has_end
+    assert endpoint.health_checks == []
+
+
+def test_the_connection_of_a_health_check_serves_the_next_request() -> None:
+    endpoint = NamedStandIn(close_after_plain)
+    entry = start_checking_entry(endpoint)
+    for number in range(3):
+        caller = Caller(entry)
+        caller.send("/once/a", rid=f"r-{number}", body=b"prompt")
+        assert read_answer(caller) == Answer(200, b"fine")
+    assert entry.ctx.pool.opened == 4
+
+
+def test_an_endpoint_without_a_free_connection_for_a_health_check_lives() -> None:
+    endpoint = NamedStandIn(close_after_plain)
+    endpoint.further = Dialog.reset
+    assert request_and_close(endpoint, "/once/a") == Answer(200, b"fine")
+    assert endpoint.further_count == 2
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -8,9 +8,10 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from dockreach.direct.endpoints import Published
 from dockreach.direct.http1 import BadRequestError, RawHead, RawRequest
 from dockreach.direct.notice import NO_NOTICE, EndpointNotice, InvalidValue
-from dockreach.direct.requests import ExecutionStatus, ReportedLoad
+from dockreach.direct.requests import ExecutionStatus, ReportedLoad, Responder
 from dockreach.verdict import Reason, Refusal, Verdict
 from dockreach_platform.headers import PlatformAdapter
 
@@ -306,3 +307,50 @@
         *(tokens for _, tokens in found.prefix),
     ]
     assert all(0 <= count < 2**64 for count in counts)
+
+
+def test_a_health_check_names_the_endpoint_that_it_is_for() -> None:
+    endpoint = Published(ENDPOINT, "work", "127.0.0.1:80", "hall1", 4, leaving=False)
+    assert dict(ADAPTER.health_headers(endpoint)) == {
+        b"Host": b"127.0.0.1:80",
+        b"Expected-Instance": b"i-1",
+    }
+
+
+OWN_NAME = (b"Instance-Id", b"i-1")
+OTHER_NAME = (b"Instance-Id", b"i-2")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "responder"),
+    [
+        (200, [OWN_NAME], Responder.EXPECTED),
+        (503, [OWN_NAME], Responder.EXPECTED),
+        (500, [OWN_NAME], Responder.EXPECTED),
+        (503, [NOT_EXECUTED], Responder.EXPECTED),
+        (429, [NOT_EXECUTED], Responder.EXPECTED),
+        (200, [OTHER_NAME], Responder.OTHER),
+        (503, [OTHER_NAME, NOT_EXECUTED], Responder.OTHER),
+        (200, [OWN_NAME, OTHER_NAME], Responder.OTHER),
+        (421, [], Responder.OTHER),
+        (421, [OWN_NAME], Responder.OTHER),
+        (421, [NOT_EXECUTED], Responder.OTHER),
+        (502, [], Responder.FAILURE),
+        (503, [], Responder.FAILURE),
+        (500, [NOT_EXECUTED], Responder.FAILURE),
+        (200, [], Responder.UNNAMED),
+        (200, [(b"Instance-Id", b"")], Responder.UNNAMED),
+        (200, [NOT_EXECUTED], Responder.UNNAMED),
+        (404, [], Responder.UNNAMED),
+    ],
+)
+def test_a_response_to_a_health_check_tells_whose_it_is(
+    status: int, headers: list[tuple[bytes, bytes]], responder: Responder
+) -> None:
+    found = ADAPTER.read_health(response_head(status, *headers), ENDPOINT)
+    assert found.responder is responder
+
+
+def test_a_response_to_a_health_check_tells_how_long_its_connection_is_kept() -> None:
+    head = response_head(200, OWN_NAME, (b"Keep-Alive", b"timeout=5"))
+    assert ADAPTER.read_health(head, ENDPOINT).keep_alive_s == 5.0
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -176,6 +176,25 @@
     assert (found.services["s"].cold_start_s, found.services["s"].cold_rate) == (3.0, 8.3)
 
 
+@pytest.mark.parametrize(
+    ("service", "path"),
+    [
+        ({"health_path": "/health?all=1"}, "/health?all=1"),
+        ({}, ""),
+        ({"health_path": ""}, ""),
+        ({"health_path": "health"}, ""),
+        ({"health_path": "/a b"}, ""),
+        ({"health_path": "/a\r\nHost: b"}, ""),
+        ({"health_path": "/caf\u00e9"}, ""),
+    ],
+)
+def test_a_health_path_that_no_request_can_name_is_left_out(
+    service: dict[str, str], path: str
+) -> None:
+    content = {"version": 7, "services": [{"name": "s", **service}]}
+    assert read_revision(json.dumps(content).encode()).services["s"].health_path == path
+
+
 CONFIG = {
     "version": 7,
     "routes": [
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -38,6 +38,7 @@
 """Tokens a second of those with quotas, which they do not reach."""
 
 SERVICES = ("work-a", "work-b")
+HEALTH_PATH = "/health"
 WORKERS_PER_SERVICE = 3
 
 RESUMABLE_SERVICE = SERVICES[1]
@@ -530,7 +531,8 @@
         },
     ]
     cold = {"cold_start_s": COLD_S, "cold_per_s": COLD_RATE} if has_restarts else {}
-    services = [{"name": name, "max_connections": 200, **cold} for name in SERVICES]
+    common = {"health_path": HEALTH_PATH, "max_connections": 200, **cold}
+    services = [{"name": name, **common} for name in SERVICES]
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
 
 
--- a/tests/soak/worker_process.py
+++ b/tests/soak/worker_process.py
@@ -220,7 +220,7 @@
             self._extra = b""
         if not rid:
             self._read_body(request)
-            self._send(self._head(200, f"Instance-Id: {endpoint.name}\r\n", 0))
+            self._answer_health_check()
             return True
         if request.headers.get("expected-instance") != endpoint.name:
             self._read_body(request)
@@ -237,6 +237,17 @@
         finally:
             endpoint.free_slot()
 
+    def _answer_health_check(self) -> None:
+        """Tell its id, in a slot, or reject the check without it."""
+        if not self._endpoint.take_slot():
+            self._send(self._head(503, "Not-Executed: 1\r\n", 0))
+            return
+        try:
+            time.sleep(random.uniform(*WORK_S))
+            self._send(self._head(200, f"Instance-Id: {self._endpoint.name}\r\n", 0))
+        finally:
+            self._endpoint.free_slot()
+
     def _draw_oddity(self) -> Oddity:
         drawn = self._rng.choice(ODDITIES)
         return drawn if self._rng.random() < self._endpoint.oddity else Oddity.NONE
