--- a/tests/platform/entry_process.py
+++ b/tests/platform/entry_process.py
@@ -15,6 +15,7 @@
 
 MAIN = Path(__file__).resolve().parents[2] / "platform" / "main.py"
 LOAD_TIMEOUT_S = 3.0
+MAX_UNREAD_CONNECTIONS = 40
 
 
 def start_entry_process(path: str) -> subprocess.Popen[bytes]:
@@ -23,6 +24,33 @@
     return subprocess.Popen([sys.executable, str(MAIN)], env=env, stdout=subprocess.PIPE)
 
 
+def send_until_read(port: int, request: bytes) -> bytes:
+    """Send a request, again if the entry closes the connection without reading it.
+
+    Returns:
+        Everything up to the end of the connection.
+
+    Raises:
+        AssertionError: The entry reads none of the connections.
+    """
+    for _ in range(MAX_UNREAD_CONNECTIONS):
+        sock = socket.create_connection((LOCAL, port), timeout=30.0)
+        response = b""
+        try:
+            sock.sendall(request)
+            while data := sock.recv(65536):
+                response += data
+        except ConnectionError:
+            # A busy entry resets some of its new connections.
+            assert not response
+        finally:
+            sock.close()
+        if response:
+            return response
+        eventlet.sleep(0.05)
+    raise AssertionError("the entry read none of the connections")
+
+
 def wait_until_listening(port: int) -> None:
     """Wait until a process accepts connections at a port.
 
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -61,6 +61,13 @@
         eventlet.sleep(0.02)
 
 
+def wait_until_answered(entry: Entry) -> None:
+    for _ in range(200):
+        if not entry.feeds.configuration.consecutive_failures:
+            return
+        eventlet.sleep(0.02)
+
+
 def test_all_pages_are_read(store: StoreStandIn) -> None:
     entry = start_following_entry(store)
     assert entry.is_ready
@@ -138,6 +145,10 @@
     eventlet.sleep(1.0)
     assert 1 <= entry.feeds.configuration.consecutive_failures <= 10
     assert len(store.calls) - calls <= 20
+    # The entry goes on beside the next tests, which count failed calls in the log.
+    for number in range(9):
+        store.delete(f"op/notes/{number}")
+    wait_until_answered(entry)
 
 
 @pytest.mark.parametrize("failure_mode", [503, 429, "reset"])
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -16,13 +16,13 @@
 from dockreach_platform.headers import PlatformAdapter
 
 from ..direct.standins import (
-    Caller,
     EndpointStandIn,
     entry_settings,
     fetch_page,
     respond_fine,
     status_of,
 )
+from .entry_process import send_until_read
 from .store_standin import ENDPOINT_RECORD, StoreStandIn
 
 APPLIED_WITHIN_S = 1.5
@@ -113,10 +113,12 @@
 
 def assert_is_served(entry: Entry, rid: str) -> None:
     """Check that a request is answered by an endpoint."""
-    caller = Caller(entry)
-    caller.send("/once/a", rid=rid)
-    assert status_of(caller.read_response()) == 200
-    caller.close()
+    request = (
+        "POST /once/a HTTP/1.1\r\nHost: tools.example\r\nContent-Length: 0\r\n"
+        f"Request-Id: {rid}\r\nConnection: close\r\n\r\n"
+    )
+    port = entry.settings.callers_address.port
+    assert status_of(send_until_read(port, request.encode())) == 200
 
 
 @pytest.mark.parametrize("name", [*ODD_VALUES, *ODD_TEXTS])
--- a/tests/platform/test_take_ups.py
+++ b/tests/platform/test_take_ups.py
@@ -10,13 +10,12 @@
 
 import eventlet
 import pytest
-from eventlet.green import socket
 
 from dockreach.direct.stream_versions import MIN_STREAM_AGE_S
-from tests.direct.standins import LOCAL, free_port, header_of, status_of
+from tests.direct.standins import free_port, header_of, status_of
 from tests.direct.versioned_engines import STREAM_EVENTS, VersionedEngine, versions_in
 
-from .entry_process import start_entry_process, wait_until_listening
+from .entry_process import send_until_read, start_entry_process, wait_until_listening
 from .store_standin import ENDPOINT_RECORD, StoreStandIn
 from .test_platform_settings import write_settings
 from .test_startup import fields_with_free_ports
@@ -88,17 +87,12 @@
 
     def send(self, extra: str = "") -> bytes:
         """Send a request for a stream; return the response."""
-        sock = socket.create_connection((LOCAL, self.port), timeout=30.0)
-        sock.sendall(
+        return send_until_read(
+            self.port,
             b"POST /brief/a HTTP/1.1\r\nHost: tools.example\r\nRequest-Id: t-1\r\n"
             b"Request-Deadline-Ms: 1900\r\nContent-Length: 0\r\n"
-            b"Connection: close\r\n" + extra.encode() + b"\r\n"
+            b"Connection: close\r\n" + extra.encode() + b"\r\n",
         )
-        response = b""
-        while data := sock.recv(65536):
-            response += data
-        sock.close()
-        return response
 
     def take_up(self, rid: str = "r-0") -> bytes:
         """Continue a stream that began before the entry was started."""
