--- a/tests/soak/rejoined_callers.py
+++ b/tests/soak/rejoined_callers.py
@@ -109,6 +109,7 @@
             again.request_body = request_body(again.rid, len(broken.request_body))
             again.after, again.stream_rid = after, broken.rid
             self._send_alone(again, address, key)
+            again.is_dropped = was_reset(again)
             is_cut = again.status == 200 and not again.is_whole
             if not is_cut and again.status not in RETRIED_STATUSES:
                 return
