--- a/tests/soak/rejoined_faults.py
+++ b/tests/soak/rejoined_faults.py
@@ -32,6 +32,9 @@
 LISTED_S = (0.0, 0.0, 0.5, DRAINING_S)
 """How long a replaced endpoint is listed as draining, in seconds."""
 
+UNLIMITED_KEY = COMPETING_KEYS[-1]
+"""Key of the organisation that sends bursts."""
+
 BURSTS = (8, 20)
 """Numbers of requests that are sent at the same time."""
 
@@ -42,22 +45,22 @@
 """Endpoints that are killed at the same time, at most."""
 
 
-def _with(field: bytes, value: bytes) -> bytes:
+def _with(field: str, value: bytes) -> bytes:
     """Return a record with a value that no encoder writes."""
-    plain = endpoint_record(service=UNUSED_SERVICE, **{field.decode(): "?"})
+    plain = endpoint_record(service=UNUSED_SERVICE, **{field: "?"})
     return plain.replace(b'"?"', value)
 
 
 ODD_RECORDS = (
-    _with(b"more", b"[" * 1100 + b"]" * 1100),
-    _with(b"more", b'{"a":' * 50_000),
-    _with(b"slots", b"9" * 400),
-    _with(b"slots", b"%d" % 2**64),
-    _with(b"sequence", b"%d" % 10**30),
-    _with(b"cold_remaining_ms", b"1e400"),
-    _with(b"address", b'"10.0.0.1:99999"'),
-    _with(b"address", b'"10.0.0.1:-1"'),
-    _with(b"version", b'"\\ud800"'),
+    _with("more", b"[" * 1100 + b"]" * 1100),
+    _with("more", b'{"a":' * 50_000),
+    _with("slots", b"9" * 400),
+    _with("slots", b"%d" % 2**64),
+    _with("sequence", b"%d" % 10**30),
+    _with("cold_remaining_ms", b"1e400"),
+    _with("address", b'"10.0.0.1:99999"'),
+    _with("address", b'"10.0.0.1:-1"'),
+    _with("version", b'"\\ud800"'),
     b"",
     b"null",
     b"\xff\xfe",
@@ -102,9 +105,7 @@
 
 
 def _burst(cluster: RejoinedCluster) -> None:
-    cluster.callers.run_burst(
-        cluster.rng.choice(COMPETING_KEYS[-1:]), cluster.rng.choice(BURSTS)
-    )
+    cluster.callers.run_burst(UNLIMITED_KEY, cluster.rng.choice(BURSTS))
 
 
 def _odd_record(cluster: RejoinedCluster) -> None:
