Count retries of before a restart against the shared budget

In the first window after a start that has a predecessor, an entry takes only the part of its share of the burst that entries leave free otherwise (0.3 of it in place of 0.7), so that both together stay within the burst.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -158,7 +158,10 @@
                 started_at=self.started_at,
                 has_predecessor=settings.has_predecessor,
             ),
-            retry_budget=RetryBudget(settings.retry_policy),
+            retry_budget=RetryBudget(
+                settings.retry_policy,
+                self.started_at if settings.has_predecessor else -math.inf,
+            ),
             pool=ConnectionPool(CONNECT_TIMEOUT_S),
             metrics=Metrics(settings.name),
             hall=settings.hall,
--- a/dockreach/direct/retry_budget.py
+++ b/dockreach/direct/retry_budget.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
 USABLE_FRACTION = 0.7
 """Fraction of the budget that is used; the rest covers retries of peers that this entry
-does not know yet."""
+does not know yet, or that an entry made before it restarted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,10 +31,16 @@
 
     The burst is split evenly over the entries that may be alive; the ratio needs no split,
     since each entry counts only its own requests.
+
+    Args:
+        policy: How many retries are allowed.
+        restarted_at: Monotonic time at which the entry was started, in seconds, if it may
+            have made retries before.
     """
 
-    def __init__(self, policy: RetryPolicy) -> None:
+    def __init__(self, policy: RetryPolicy, restarted_at: float = -math.inf) -> None:
         self.policy = policy
+        self._restarted_at = restarted_at
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
 
@@ -64,8 +71,12 @@
         """
         requests = self._times_in_window(self._requests, service, now)
         retries = self._times_in_window(self._retries, service, now)
-        allowed = self.policy.ratio * len(requests) + self.policy.burst / max(entries, 1)
-        return len(retries) + 1 <= USABLE_FRACTION * allowed
+        is_restarted = now - self._restarted_at < self.policy.window_s
+        burst_fraction = 1 - USABLE_FRACTION if is_restarted else USABLE_FRACTION
+        allowed = USABLE_FRACTION * self.policy.ratio * len(
+            requests
+        ) + burst_fraction * self.policy.burst / max(entries, 1)
+        return len(retries) + 1 <= allowed
 
     def _times_in_window(
         self, times_by_service: dict[str, deque[float]], service: str, now: float
