Print how a test that is listed as known red failed

Change: the summary prints the end of each such failure, where the assertion stands behind the logs.

Checked by hand: a listed test that fails with a long message shows its assertion (temporary test, not committed), and so does one of test_slot_client.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,10 @@
 MAX_KNOWN_RED = 13
 """Maximum number of tests that may be listed at once."""
 
+MAX_SHOWN_CHARACTERS = 2000
+"""Characters at the end of a listed test's failure that are printed: it may not fail again
+soon."""
+
 
 class _KnownRed(NamedTuple):
     """One line: the test's id, the cause of its failure, and the issue that tracks it."""
@@ -70,6 +74,11 @@
         elif red.test in passed:
             note = "passes now, remove it from the list"
         terminalreporter.write_line(f"known red, {note}: {red.test}: {red.cause}")
+    for report in terminalreporter.stats.get("xfailed", []):
+        crash = getattr(report.longrepr, "reprcrash", None)
+        if crash is not None:
+            shown = crash.message[-MAX_SHOWN_CHARACTERS:]
+            terminalreporter.write_line(f"failed as listed: {report.nodeid}: {shown}")
 
 
 def _tests_with(terminalreporter: pytest.TerminalReporter, outcome: str) -> set[str]:
