--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import sys
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -48,6 +49,7 @@
         failure_mode: How calls fail: a status to respond with, ``"silent"`` for no response
             or ``"reset"`` for a reset connection; empty if they succeed.
         page_items: Items in a page.
+        max_watch_bytes: Longest response to a watch; longer ones are never sent.
         trickle_s: Pause after each piece of a response, in seconds; 0 sends it whole.
     """
 
@@ -56,6 +58,7 @@
         self.address = address_of(self._listener)
         self.failure_mode: int | str = ""
         self.page_items = 2
+        self.max_watch_bytes = sys.maxsize
         self.trickle_s = 0.0
         self.calls: list[str] = []
         self.revision = 0
@@ -123,6 +126,10 @@
                 conn.abort()
                 return
             status, body = self._respond(raw.target.decode())
+            if "kv-watch" in raw.target.decode() and (
+                len(msgspec.json.encode(body)) > self.max_watch_bytes
+            ):
+                eventlet.sleep(STALL_S)
             if self._cuts > cuts:
                 conn.abort()
                 return
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -120,6 +120,18 @@
     assert not entry.feeds.configuration.consecutive_failures
 
 
+def test_changes_that_take_the_store_too_long_to_send_are_listed(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store, apply_deadline_s=0.4)
+    store.max_watch_bytes = 2_000_000
+    for version in range(10, 13):
+        store.put("op/config", large_config_record(version))
+    eventlet.sleep(1.5)
+    assert entry.revision is not None
+    assert entry.revision.number == 12
+
+
 def test_a_list_that_is_too_long_for_a_response_is_not_read_without_pause(
     store: StoreStandIn,
 ) -> None:
@@ -132,6 +144,9 @@
     eventlet.sleep(1.0)
     assert 1 <= entry.feeds.configuration.consecutive_failures <= 10
     assert len(store.calls) - calls <= 20
+    store.page_items = 2
+    eventlet.sleep(1.5)
+    assert not entry.feeds.configuration.consecutive_failures
 
 
 @pytest.mark.parametrize("failure_mode", [503, 429, "reset"])
