Check the numbers and addresses of digests, crash reports and notices

Undefined ages of digests, crash reports and notices stayed in tables after their message.

Cause: the encoding allows any number of 64 bits, infinite and undefined ones, and any text for an address.

Change: an entry drops a message whose own numbers or address make no sense (line 720), and leaves out only the part where it is a known peer, a crash report or a notice.

Tests: test_what_is_left_of_any_message_is_valid covers these messages too.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -37,6 +37,7 @@
 from .jobs import Job
 from .listening import listen
 from .loops import run_forever
+from .message_checks import is_valid, without_invalid_parts
 from .notice_tracker import NoticeTracker
 from .peers import PeerTable
 from .pool import ConnectionPool
@@ -108,7 +109,7 @@
         self.evacuated = EvacuatedHalls(self.endpoints)
         self.peers = PeerTable(settings.gossip_address, settings.seeds)
         self.gossip = Gossip(
-            settings.gossip_address, self.peers, self._make_digest, self._on_message
+            settings.gossip_address, self.peers, self._make_digest, self._receive
         )
         self._coordinator_selector = CoordinatorSelector(
             self.peers,
@@ -442,6 +443,14 @@
     def _find_route(self, name: str) -> Route | None:
         return self.revision.routes_by_name.get(name) if self.revision else None
 
+    def _receive(self, message: Message) -> None:
+        """Handle a message from another entry, unless it makes no sense."""
+        if is_valid(message):
+            self._on_message(message)
+        else:
+            kind = type(message).__name__
+            log(Event.DIGEST_REFUSED, f"{kind} with an invalid number or address")
+
     @singledispatchmethod
     def _on_message(self, message: Message) -> None:
         """Handle a message from another entry."""
@@ -457,11 +466,11 @@
 
     @_on_message.register
     def _(self, update: CrashUpdate) -> None:
-        self.ctx.crashes.merge(update.crash_reports)
+        self.ctx.crashes.merge(without_invalid_parts(update).crash_reports)
 
     @_on_message.register
     def _(self, update: NoticeUpdate) -> None:
-        self.ctx.notices.merge(update.notices, update.sender)
+        self.ctx.notices.merge(without_invalid_parts(update).notices, update.sender)
 
     @_on_message.register
     def _(self, report: StreamReport) -> None:
@@ -474,6 +483,7 @@
     @_on_message.register
     def _(self, digest: Digest) -> None:
         now = clock.now()
+        digest = without_invalid_parts(digest)
         change = self.peers.merge(digest, now)
         if not change.is_new:
             return
--- a/dockreach/direct/message_checks.py
+++ b/dockreach/direct/message_checks.py
@@ -1,4 +1,4 @@
-"""Checks the numbers in messages of other entries.
+"""Checks the numbers and addresses in messages of other entries.
 
 The encoding allows numbers that are infinite or not a number. In the queue, the shares and
 the slot forecast one of these would outlast its message: comparisons with it are false, and
@@ -8,9 +8,15 @@
 from __future__ import annotations
 
 import math
+import re
+from collections.abc import Collection
 from functools import singledispatch
 from typing import TypeVar
 
+from ..addresses import ADDRESS_PATTERN
+from .crash_history import CrashReport, ReportedCrash
+from .digest import Address, CrashUpdate, Digest
+from .relayed_notice import NoticeUpdate, RelayedNotice
 from .slot_messages import (
     Denial,
     Grant,
@@ -23,6 +29,7 @@
     SlotState,
     WaitingJob,
 )
+from .stream_messages import StreamQuestion, StreamReport
 
 MAX_LOAD_FIGURE = 100_000
 """Largest figure of a load that makes sense; the platform's adapter has the same bound."""
@@ -34,11 +41,22 @@
 MAX_TOKENS = 10**12
 """Largest number of tokens or events that makes sense; sums of them fit into messages."""
 
-_Message = TypeVar("_Message", bound=SlotState | SlotReply)
+MAX_USED_TOKENS = 10**14
+"""Largest usage in one time bucket that makes sense; the sum of all buckets of all entries
+fits into messages."""
+
+MAX_TOTAL = 2**62
+"""Largest usage of an organisation over all entries that makes sense."""
+
+_ADDRESS = re.compile(ADDRESS_PATTERN)
+
+_Message = TypeVar(
+    "_Message", bound=SlotState | SlotReply | Digest | CrashUpdate | NoticeUpdate
+)
 
 
 def without_invalid_parts(message: _Message) -> _Message:
-    """Remove the parts with invalid numbers from a message; return the message."""
+    """Remove the parts that make no sense from a message; return the message."""
     _remove_invalid_parts(message)
     return message
 
@@ -64,12 +82,86 @@
     reply.denials = [denial for denial in reply.denials if is_valid(denial)]
 
 
+@_remove_invalid_parts.register
+def _(digest: Digest) -> None:
+    digest.known_peers = [peer for peer in digest.known_peers if is_valid(peer)]
+    digest.crash_reports = [row for row in digest.crash_reports if is_valid(row)]
+    digest.notices = [notice for notice in digest.notices if is_valid(notice)]
+
+
+@_remove_invalid_parts.register
+def _(update: CrashUpdate) -> None:
+    update.crash_reports = [row for row in update.crash_reports if is_valid(row)]
+
+
+@_remove_invalid_parts.register
+def _(update: NoticeUpdate) -> None:
+    update.notices = [notice for notice in update.notices if is_valid(notice)]
+
+
 @singledispatch
 def is_valid(part: object) -> bool:
-    """Return whether all numbers in a part of a message make sense."""
+    """Return whether the numbers and the address of a message, or of its part, make sense.
+
+    The parts of a message are checked apart.
+    """
     raise NotImplementedError(type(part))
 
 
+@is_valid.register
+def _(address: Address) -> bool:
+    return bool(_ADDRESS.fullmatch(f"{address.ip}:{address.port}"))
+
+
+@is_valid.register
+def _(digest: Digest) -> bool:
+    return (
+        is_valid(digest.address)
+        and _is_amount(digest.age_s)
+        and 0.0 < digest.capacity < math.inf
+        # Infinite before the first answer of the platform.
+        and digest.configuration_age_s >= 0.0
+        and digest.endpoints_age_s >= 0.0
+        and _are_within(digest.in_flight.values(), 0, MAX_TOKENS)
+        and all(
+            _are_within(buckets, -MAX_USED_TOKENS, MAX_USED_TOKENS)
+            for buckets in digest.used.values()
+        )
+        and _are_within((digest.fleet_used or {}).values(), -MAX_TOTAL, MAX_TOTAL)
+    )
+
+
+@is_valid.register
+def _(message: SlotState | SlotReply | StreamReport | StreamQuestion) -> bool:
+    return is_valid(message.address)
+
+
+@is_valid.register
+def _(message: CrashUpdate | NoticeUpdate) -> bool:
+    del message
+    return True
+
+
+@is_valid.register
+def _(report: CrashReport) -> bool:
+    return _is_past(report.last_seen_age_s) and all(map(is_valid, report.crashes))
+
+
+@is_valid.register
+def _(crash: ReportedCrash) -> bool:
+    return _is_past(crash.request_age_s) and _is_past(crash.crash_age_s)
+
+
+@is_valid.register
+def _(notice: RelayedNotice) -> bool:
+    # Infinite where the time of the request is not known.
+    return (
+        (notice.rate is None or _is_amount(notice.rate))
+        and notice.request_age_s >= -MAX_REPORTED_AGE_S
+        and notice.report_age_s >= -MAX_REPORTED_AGE_S
+    )
+
+
 @is_valid.register
 def _(job: WaitingJob) -> bool:
     return (
@@ -146,6 +238,15 @@
     )
 
 
+def _are_within(values: Collection[int], least: int, most: int) -> bool:
+    return not values or (min(values) >= least and max(values) <= most)
+
+
+def _is_past(age_s: float) -> bool:
+    """Return whether an age makes sense that may grow without a bound."""
+    return -MAX_REPORTED_AGE_S <= age_s < math.inf
+
+
 def _is_count(value: int) -> bool:
     return 0 <= value <= MAX_TOKENS
 
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import json
+import math
 from dataclasses import replace
 
 import eventlet
 import pytest
 
+from dockreach.direct.digest import Address
 from dockreach.direct.entry import Entry
 from dockreach.direct.lapses import LAPSE_GRACE_S
 from dockreach.direct.routing_config import Organisation
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_revision
 
+from .core_builders import address, digest
 from .standins import (
     Caller,
     Dialog,
@@ -240,3 +243,26 @@
     eventlet.sleep(0.2)
     assert entry.ctx.counters.callers_gone == 1
     assert "Traceback" not in capfd.readouterr().err
+
+
+def test_addresses_that_no_socket_takes_do_not_stop_digests(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an entry that sends no digests any more after one from a peer."""
+    entry = Entry(entry_settings(), PlatformAdapter())
+    odd = [Address("10.0.0.9", 70000), Address("10.0.0.9", 0), Address("worker", 80)]
+    entry._receive(digest(address(1), known_peers=[*odd, address(2)]))
+    entry._receive(digest(odd[0], number=2))
+    assert entry.peers.targets() == [address(1), address(2)]
+    entry.gossip.send_now()
+    refused = [vars(row) for row in caplog.records if vars(row)["event"] == 720]
+    assert len(refused) == 1
+
+
+def test_a_digest_whose_numbers_make_no_sense_is_not_used() -> None:
+    """Guards against usage of a peer that this entry cannot pass on in its own digests."""
+    entry = Entry(entry_settings(), PlatformAdapter())
+    entry._receive(digest(address(1), fleet_used={"t": 2**64 - 1}))
+    entry._receive(digest(address(2), age_s=math.nan))
+    entry._receive(digest(address(3)))
+    assert [row.digest.address for row in entry.peers.rows] == [address(3)]
--- a/tests/direct/test_message_checks.py
+++ b/tests/direct/test_message_checks.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import math
+from operator import attrgetter
+from typing import get_args
 
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dockreach.direct import datagrams
+from dockreach.direct.crash_history import CrashReport, ReportedCrash
+from dockreach.direct.digest import Address, CrashUpdate, Digest
 from dockreach.direct.message_checks import is_valid, without_invalid_parts
+from dockreach.direct.relayed_notice import NoticeUpdate, RelayedNotice
 from dockreach.direct.slot_messages import (
     Denial,
     Grant,
@@ -25,7 +31,7 @@
 )
 
 from ..peer_bytes import records
-from .core_builders import address, dispatcher, endpoints
+from .core_builders import address, digest, dispatcher, endpoints
 
 WAITING = WaitingJob(1, "tier-0", (0,), 1000, 10.0, (), 0.0, 0.0, 3.0, 8.0, False, [])
 HELD = HeldJob(2, "e-0", 0, expected_events=10.0, age_s=0.5)
@@ -37,10 +43,16 @@
 SEND = RecentSend("e-0", 0.1)
 GRANT = Grant(1, "e-0", 1000, 0, True, 0.5, 1, 100)
 DENIAL = Denial(1, "shed", "", 0.5, 0.5)
-PARTS = [WAITING, HELD, REFUSAL, LOAD, SAMPLE, SEND, GRANT, DENIAL]
+CRASHED = ReportedCrash("e-0", 2.0, 1.0)
+CRASH = CrashReport(b"same", [CRASHED], [], 0.5)
+NOTICE = RelayedNotice("e-0", 7, 2.5, 1.0, 0.5, False)
+DIGEST = digest(
+    address(1), used={"t": [3, 0, -1]}, fleet_used={"t": 7}, in_flight={"e-0": 2}
+)
+PARTS = [WAITING, HELD, REFUSAL, LOAD, SAMPLE, SEND, GRANT, DENIAL, CRASHED, CRASH, NOTICE]
 
 
-@pytest.mark.parametrize("part", PARTS)
+@pytest.mark.parametrize("part", [*PARTS, DIGEST, DIGEST.address])
 def test_ordinary_numbers_are_valid(part: object) -> None:
     assert is_valid(part)
 
@@ -57,6 +69,9 @@
         (SEND, ("age_s",)),
         (GRANT, ("first_attempt_age_s",)),
         (DENIAL, ("first_attempt_age_s", "retry_after_s")),
+        (CRASHED, ("request_age_s", "crash_age_s")),
+        (CRASH, ("last_seen_age_s",)),
+        (DIGEST, ("age_s", "capacity")),
     ],
 )
 def test_infinite_and_undefined_numbers_are_not(
@@ -90,6 +105,24 @@
         (GRANT, {"load_percent": 2**40}),
         (DENIAL, {"retry_after_s": -1.0}),
         (DENIAL, {"retry_after_s": 1e9}),
+        (CRASH, {"crashes": [ReportedCrash("e-0", math.nan, 1.0)]}),
+        (NOTICE, {"rate": -1.0}),
+        (NOTICE, {"rate": math.nan}),
+        (NOTICE, {"rate": math.inf}),
+        (DIGEST, {"capacity": 0.0}),
+        (DIGEST, {"in_flight": {"e-0": -1}}),
+        (DIGEST, {"in_flight": {"e-0": 1, "e-1": 2**64 - 1}}),
+        (DIGEST, {"used": {"t": [1], "u": [1, 2**63]}}),
+        (DIGEST, {"used": {"t": [-(2**63)]}}),
+        (DIGEST, {"fleet_used": {"t": 2**64 - 1}}),
+        (DIGEST, {"address": Address("10.0.0.1", 70000)}),
+        (DIGEST.address, {"port": 0}),
+        (DIGEST.address, {"port": -1}),
+        (DIGEST.address, {"port": 2**63}),
+        (DIGEST.address, {"ip": "worker.example"}),
+        (DIGEST.address, {"ip": ""}),
+        (DIGEST.address, {"ip": "10.0.0.256"}),
+        (DIGEST.address, {"ip": "10.0.0.1\n"}),
     ],
 )
 def test_absurd_numbers_are_not_valid(
@@ -121,9 +154,12 @@
     assert cleaned.denials == [DENIAL]
 
 
-PARTS_OF: dict[type[SlotState | SlotReply], tuple[str, ...]] = {
+PARTS_OF: dict[type[msgspec.Struct], tuple[str, ...]] = {
     SlotState: ("waiting", "held", "samples", "recent_sends", "refusals", "loads"),
     SlotReply: ("grants", "denials"),
+    Digest: ("known_peers", "crash_reports", "notices"),
+    CrashUpdate: ("crash_reports",),
+    NoticeUpdate: ("notices",),
 }
 
 
@@ -131,7 +167,7 @@
 @settings(max_examples=20, deadline=None)
 @given(st.data())
 def test_what_is_left_of_any_message_is_valid(
-    kind: type[SlotState | SlotReply], data: st.DataObject
+    kind: type[Digest], data: st.DataObject
 ) -> None:
     message = data.draw(records(kind))
     sent = {name: len(getattr(message, name)) for name in PARTS_OF[kind]}
@@ -142,7 +178,22 @@
         assert all(map(is_valid, parts))
 
 
-@pytest.mark.parametrize("part", PARTS)
+def test_times_that_are_not_known_are_infinite() -> None:
+    unknown = msgspec.structs.replace(
+        DIGEST, configuration_age_s=math.inf, endpoints_age_s=math.inf
+    )
+    assert is_valid(unknown)
+    assert is_valid(msgspec.structs.replace(NOTICE, request_age_s=math.inf))
+
+
+@pytest.mark.parametrize("message", get_args(datagrams.Message), ids=attrgetter("__name__"))
+@settings(max_examples=20, deadline=None)
+@given(st.data())
+def test_each_message_is_valid_or_not(message: type[Digest], data: st.DataObject) -> None:
+    assert is_valid(data.draw(records(message))) in (True, False)
+
+
+@pytest.mark.parametrize("part", [*PARTS, DIGEST])
 def test_no_number_of_a_valid_part_is_undefined(part: msgspec.Struct) -> None:
     for field in msgspec.structs.fields(part):
         if field.type is float:
