Read counts in ASCII digits only

What was seen: a ticket whose last part is a superscript digit or has 5,000 digits, and a deadline of 400 digits, were internal errors in place of 400. An engine whose token counts or event ids are no numbers ended the greenlet that relays its response, so the run never ended.

Cause: str.isdigit takes digits that int refuses, int takes up to 4,300 digits, and a division of a large one overflows.

Change: whole_number reads up to 18 ASCII digits. An engine's token count that is none is 0, as without the header; an event id that is none breaks the response off.

Tests: the requests of test_caller_api.py are sent as latin-1, as HTTP has it; they held ASCII only before.

The engine's counts have no test of their own.

--- a/dockreach/_decoding.py
+++ b/dockreach/_decoding.py
@@ -1,7 +1,8 @@
-"""Decoding of bytes from other processes, with errors of this package."""
+"""Decoding of bytes and numbers from other processes, with errors of this package."""
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
@@ -10,6 +11,9 @@
 TOO_DEEP = "too deeply nested"
 """Description of bytes with more levels than a decoder can follow."""
 
+_WHOLE_NUMBER = re.compile("[0-9]{1,18}")
+"""A number that fits into 63 bits."""
+
 _Decoded = TypeVar("_Decoded")
 _Decoded_co = TypeVar("_Decoded_co", covariant=True)
 
@@ -41,3 +45,11 @@
     except RecursionError as exc:
         # Unknown fields are skipped, but with a recursion for each level.
         raise make_error(TOO_DEEP) from exc
+
+
+def whole_number(text: str) -> int | None:
+    """Return the number in a text of at most 18 ASCII digits; ``None`` for other texts.
+
+    `int` and `str.isdigit` accept digits of other scripts and superscripts.
+    """
+    return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
--- a/dockreach/caller_api.py
+++ b/dockreach/caller_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ._decoding import whole_number
 from ._responses import JSON_TYPE, StartResponse, send_refusal
 from .entry_tables import Admit
 from .request_parsing import (
@@ -48,8 +49,9 @@
 
 def read_body(environ: Environ, limit: int) -> bytes | Refusal:
     """Read a request's body, up to `limit` bytes and within the socket's timeout."""
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length and (not length.isdigit() or int(length) > limit):
+    text = environ.get("CONTENT_LENGTH") or ""
+    length = whole_number(text)
+    if text and (length is None or length > limit):
         return not_run_refusal(Reason.TOO_LARGE, f"the body is larger than {limit} bytes")
     try:
         body: bytes = environ["wsgi.input"].read(limit + 1)
@@ -59,7 +61,7 @@
         )
     if len(body) > limit:
         return not_run_refusal(Reason.TOO_LARGE, f"the body is larger than {limit} bytes")
-    if length and len(body) < int(length):
+    if length is not None and len(body) < length:
         return not_run_refusal(
             Reason.BAD_REQUEST, "the body is shorter than its Content-Length"
         )
--- a/dockreach/endpoints.py
+++ b/dockreach/endpoints.py
@@ -18,7 +18,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from . import _green, clock
-from ._decoding import decode
+from ._decoding import decode, whole_number
 from .agent_tables import (
     CacheEvent,
     EngineChunk,
@@ -181,8 +181,8 @@
         _release(conn, rid)
         _resume_after_cut(conn, rid, progress[0])
         return
-    prefill = int(response.headers.get(PREFILL_TOKENS_HEADER, "0"))
-    cached = int(response.headers.get(CACHED_TOKENS_HEADER, "0"))
+    prefill = whole_number(response.headers.get(PREFILL_TOKENS_HEADER, "")) or 0
+    cached = whole_number(response.headers.get(CACHED_TOKENS_HEADER, "")) or 0
     _release(conn, rid)
     ended = EngineEnded(rid, True, total, prefill_tokens=prefill, cached_tokens=cached)
     conn.sink(ended)
@@ -251,11 +251,18 @@
 
 
 def _parse_event(event: bytes, expected: int) -> tuple[int, bytes]:
-    """Return an event's number and its text without the number."""
+    """Return an event's number and its text without the number.
+
+    Raises:
+        _IncompleteResponseError: Its id is not a number.
+    """
     first, _, rest = event.partition(b"\n")
-    if first.startswith(b"id: "):
-        return int(first[4:]), rest
-    return expected, event
+    if not first.startswith(b"id: "):
+        return expected, event
+    number = whole_number(first[4:].decode("latin-1").strip())
+    if number is None:
+        raise _IncompleteResponseError
+    return number, rest
 
 
 def _relay_body(conn: Connection, rid: str, response: Any, number: int) -> int:  # noqa: ANN401
--- a/dockreach/request_parsing.py
+++ b/dockreach/request_parsing.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta
 
-from ._decoding import decode
+from ._decoding import decode, whole_number
 from .claims import KEYED_PREFIX
 from .declarations import Declarations, Organisation
 from .entry_tables import Admit, AttachRun
@@ -156,7 +156,7 @@
         return default_s
     try:
         seconds = int(text) / 1000
-    except ValueError:
+    except (ValueError, OverflowError):
         return not_run_refusal(Reason.BAD_REQUEST, f"{DEADLINE_HEADER} is not an integer")
     if not 0 < seconds <= MAX_DEADLINE_S:
         detail = f"{DEADLINE_HEADER} is not between 1 and {int(MAX_DEADLINE_S * 1000)}"
@@ -291,7 +291,8 @@
 
 def _parse_attach(req: InboundRequest, caller: CallerIdentity) -> AttachRun | Refusal:
     parts = req.header(TICKET_HEADER).split(":")
-    if len(parts) != 3 or not parts[2].isdigit():
+    incarnation = whole_number(parts[-1])
+    if len(parts) != 3 or incarnation is None:
         return not_run_refusal(Reason.BAD_REQUEST, f"{TICKET_HEADER} is not a valid ticket")
     try:
         stream = decode(_COMPLETION, req.body, WireError).stream
@@ -304,6 +305,6 @@
         pool="",
         deadline_s=caller.deadline_s,
         agent=parts[1],
-        incarnation=int(parts[2]),
+        incarnation=incarnation,
         stream=stream,
     )
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -44,7 +44,7 @@
 def post(deployment: Deployment, body: bytes, *headers: str, path: str = "") -> bytes:
     head = [f"POST {path or '/v1/completions'} HTTP/1.1", "Host: x", "Connection: close"]
     head += [*headers, f"Content-Length: {len(body)}", "", ""]
-    return send_raw(deployment, "\r\n".join(head).encode() + body)
+    return send_raw(deployment, "\r\n".join(head).encode("latin-1") + body)
 
 
 def completion_body(**changes: object) -> bytes:
@@ -86,7 +86,10 @@
         ((AUTH, "Dockreach-Tier: king"), 403),
         ((AUTH, "Dockreach-Deadline-Ms: soon"), 400),
         ((AUTH, "Dockreach-Deadline-Ms: -5"), 400),
+        ((AUTH, "Dockreach-Deadline-Ms: " + "9" * 400), 400),
         ((AUTH, "Dockreach-Ticket: rubbish"), 400),
+        ((AUTH, "Dockreach-Ticket: r-1:a-1:\u00b2"), 400),
+        ((AUTH, "Dockreach-Ticket: r-1:a-1:" + "9" * 5000), 400),
         ((AUTH, "Idempotency-Key: " + "k" * 300), 400),
     ],
 )
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -10,6 +10,7 @@
 import pytest
 
 from dockreach import messages
+from dockreach._decoding import whole_number
 from dockreach.direct import datagrams, view
 from dockreach.direct.feeds import CallLimits
 from dockreach.errors import (
@@ -157,3 +158,27 @@
         assert decode(nested(valid, depth))
     except error as exc:
         assert str(exc)
+
+
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        ("0", 0),
+        ("007", 7),
+        ("9" * 18, 10**18 - 1),
+        ("9" * 19, None),
+        ("9" * 5000, None),
+        ("", None),
+        ("-1", None),
+        ("+1", None),
+        ("1_0", None),
+        (" 1", None),
+        ("1\n", None),
+        ("1.0", None),
+        ("\u00b2", None),
+        ("\u0663", None),
+        ("\uff13", None),
+    ],
+)
+def test_only_ascii_digits_are_a_whole_number(text: str, number: int | None) -> None:
+    assert whole_number(text) == number
