Test that no odd record ends an entry's process

A real entry process starts beside 30 odd records; 30 more are written while it serves. It goes on serving, uses a new endpoint, sends nothing to one whose record is deleted, and exits with 0 when it is stopped.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -16,9 +16,17 @@
 import pytest
 from eventlet.green import socket
 
-from tests.direct.standins import LOCAL, Dialog, EndpointStandIn, free_port
+from tests.direct.standins import (
+    LOCAL,
+    Dialog,
+    EndpointStandIn,
+    body_of,
+    free_port,
+    is_complete,
+)
 
 from .store_standin import ENDPOINT_RECORD, StoreStandIn
+from .test_odd_records import ODD_TEXTS, ODD_VALUES, good_record, odd_record
 from .test_platform_settings import write_settings
 from .test_startup import fields_with_free_ports
 
@@ -188,6 +196,43 @@
     assert site.process.wait(timeout=8.0) == 0
 
 
+def _answer(site: _Site) -> bytes:
+    """Send a request to an entry; return the body of the response."""
+    sock = _send_request_when_listening(site.port)
+    data = b""
+    while not is_complete(data) and (received := sock.recv(65536)):
+        data += received
+    sock.close()
+    return body_of(data)
+
+
+def test_no_odd_record_ends_the_process_or_stops_it_from_following(
+    start_site: Callable[..., _Site],
+) -> None:
+    """Guards against processes that end, or keep a gone endpoint, beside an odd record."""
+    site = start_site(lambda dialog: dialog.respond(b"first"))
+    for name in (*ODD_VALUES, *ODD_TEXTS):
+        site.store.put(f"servers/d-{name}", odd_record(name, site.endpoint.address))
+    assert _answer(site) == b"first"
+
+    for name in (*ODD_VALUES, *ODD_TEXTS):
+        site.store.put(f"servers/f-{name}", odd_record(name, site.endpoint.address))
+    second = EndpointStandIn(lambda dialog: dialog.respond(b"second"))
+    site.store.put("servers/e-2", good_record(second.address))
+    site.store.delete("servers/e-1")
+    deadline = time.monotonic() + LOAD_TIMEOUT_S
+    while _answer(site) != b"second":
+        assert time.monotonic() < deadline
+        eventlet.sleep(0.05)
+    site.endpoint.requests.clear()
+    assert [_answer(site) for _ in range(5)] == [b"second"] * 5
+    assert not site.endpoint.requests
+
+    assert site.process.poll() is None
+    site.process.send_signal(signal.SIGTERM)
+    assert site.process.wait(timeout=8.0) == 0
+
+
 CONFIGURATION = {
     "version": 1,
     "routes": [
