--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -5,12 +5,13 @@
 import math
 import secrets
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from functools import partial, singledispatchmethod
 from typing import Any
 
 import eventlet
+from eventlet.event import Event as Signal
 
 from .. import clock
 from ..errors import RevisionError
@@ -39,7 +40,7 @@
 from .loops import run_forever
 from .message_checks import is_valid, without_invalid_parts
 from .notice_tracker import NoticeTracker
-from .peers import PeerTable
+from .peers import RECENT_START_S, PeerTable
 from .pool import ConnectionPool
 from .protocol_adapter import ProtocolAdapter
 from .quarantine import RequestQuarantine
@@ -57,6 +58,7 @@
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
 from .token_quota import QuotaTable
+from .version_coverage import ServedVersion, VersionSource
 from .view import View
 from .view_sync import KnownRevisions, ViewSync
 
@@ -157,7 +159,10 @@
                 started_at=self.started_at,
                 has_predecessor=settings.has_predecessor,
             ),
-            retry_budget=RetryBudget(settings.retry_policy),
+            retry_budget=RetryBudget(
+                settings.retry_policy,
+                self.started_at if settings.has_predecessor else -math.inf,
+            ),
             pool=ConnectionPool(CONNECT_TIMEOUT_S),
             metrics=Metrics(settings.name),
             hall=settings.hall,
@@ -183,8 +188,15 @@
                 settings.hall,
                 self.gossip.send,
                 clock.now,
+                self._endpoints_confirmed_at,
+                lambda: self.settings.apply_deadline_s,
             ),
         )
+        if not settings.has_predecessor:
+            self.endpoints.software_versions.coverage.extend(
+                -math.inf, VersionSource.FIRST_START
+            )
+        self.ctx.entry_count += self.peers.never_seen_count
         self._endpoint_sync = EndpointSync(
             self.ctx, self.peers, self.feeds.endpoints, self.feeds.refusals
         )
@@ -251,6 +263,11 @@
         is_configured = self.revision is not None and self._has_endpoints
         return is_configured and self.stopping_since is None
 
+    @property
+    def has_endpoint_list(self) -> bool:
+        """Whether the platform's list of endpoints was read."""
+        return self._has_endpoints
+
     @property
     def _is_ready_for_callers(self) -> bool:
         """Whether callers that wait during startup can be served now."""
@@ -264,6 +281,7 @@
             return False
         self.revision = revision
         self.send_guard.apply_services(revision.services)
+        self.ctx.liveness.apply_services(revision.services)
         self.dispatcher.apply_organisations(revision.organisations)
         self.ctx.first_attempts.keep_only({route.name for route in revision.routes})
         log(Event.CONFIG_IN_FORCE, revision=revision.number, source=source)
@@ -274,15 +292,21 @@
         """Add an endpoint, or replace its published state."""
         self._endpoint_sync.apply(published)
 
-    def apply_evacuations(self, halls: frozenset[str], orders_revision: int) -> None:
+    def apply_evacuations(
+        self, halls: frozenset[str], orders_revision: int, *, complete_to: int = 0
+    ) -> None:
         """Send no more requests to the endpoints of evacuated data halls.
 
         Args:
             halls: All data halls that the operator wants evacuated.
             orders_revision: The platform's revision up to which operator commands were
                 read.
+            complete_to: The platform's revision up to which this entry itself has read all
+                commands; 0 if a peer told them.
         """
-        if self.evacuated.apply(halls, orders_revision, clock.now()):
+        if self.evacuated.apply(
+            halls, orders_revision, clock.now(), complete_to=complete_to
+        ):
             self.gossip.send_soon()
         self.ctx.scheduler.run_round()
 
@@ -313,8 +337,55 @@
         """
         lapsed_at = clock.now() if after_outage else None
         self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
+        self.ctx.streams.replace_list()
         self.record_endpoints_revision(endpoints_revision)
 
+    def expect_endpoint_history(self) -> None:
+        """Expect the platform's history of endpoints, or word that there is none.
+
+        Until then, the settings are not believed that nothing served before the start.
+        """
+        self.endpoints.software_versions.coverage.revoke_first_start()
+        self.ctx.streams.history = Signal()
+
+    def record_served(self, served: Iterable[ServedVersion]) -> None:
+        """Record versions of endpoints that were listed for a moment, and are not now."""
+        for item in served:
+            self.endpoints.software_versions.record(item.service, item.version, clock.now())
+
+    def apply_endpoint_history(self, served: Collection[ServedVersion] | None) -> None:
+        """Apply the versions of all endpoints that were ever listed.
+
+        Args:
+            served: The versions; ``None`` if the platform has forgotten a part of them.
+        """
+        if served is not None:
+            self.endpoints.software_versions.add_history(served, clock.now())
+        log(
+            Event.ENDPOINT_HISTORY,
+            is_complete=served is not None,
+            versions=len({item.version for item in served or ()}),
+        )
+        self.ctx.streams.finish_history()
+
+    def _endpoints_confirmed_at(self) -> float:
+        """Return up to when this entry has seen all changes of the list of endpoints.
+
+        A peer that the platform has answered since has seen none that this entry has not,
+        unless its revision is higher.
+
+        Returns:
+            The monotonic time in seconds; minus infinity if there is no list yet.
+        """
+        if not self._endpoints_revision:
+            return -math.inf
+        relayed = [
+            row.received_at - row.digest.endpoints_age_s
+            for row in self.peers.fresh(clock.now())
+            if row.digest.endpoints_revision <= self._endpoints_revision
+        ]
+        return max([self.feeds.endpoints.complete_at, *relayed])
+
     def _known_revisions(self) -> KnownRevisions:
         revision = self.revision.number if self.revision else 0
         now = clock.now()
@@ -370,6 +441,7 @@
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
             lapsed_at = view.lapsed_at(clock.now())
             self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
+            self.ctx.streams.replace_list()
             self.record_endpoints_revision(view.endpoints_revision)
 
     def expire_lapsed_endpoints(self) -> None:
@@ -389,6 +461,9 @@
 
     def _make_digest(self) -> Digest:
         now = clock.now()
+        versions = self.endpoints.software_versions
+        # An entry that has just started does not know which versions served before.
+        is_needed = self.peers.has_recently_started
         self._digest_number += 1
         in_flight = {
             row.id: row.in_flight_here for row in self.endpoints if row.in_flight_here
@@ -416,8 +491,9 @@
             usage_bucket=self.ctx.quotas.current_bucket(now),
             accepts_partial=True,
             tracks_streams=True,
-            software_versions=self.endpoints.software_versions.report(now),
+            software_versions=versions.report(now, with_single=is_needed),
             endpoints_answered_s=self.feeds.endpoints.answered_s,
+            versions_known_s=self.ctx.streams.versions_known_s() if is_needed else 0,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
@@ -490,7 +566,9 @@
         previous = change.previous
         self.ctx.crashes.merge(digest.crash_reports)
         self.ctx.notices.merge(digest.notices, digest.name)
-        self.endpoints.software_versions.merge(digest.software_versions, now)
+        self.endpoints.software_versions.merge(
+            digest.software_versions, now, known_s=digest.versions_known_s
+        )
         if previous is None or previous.digest.incarnation != digest.incarnation:
             self._send_startup_report(digest.address)
         if previous is None:
@@ -535,8 +613,7 @@
 
         Software versions that served before it started go with the next digest.
         """
-        if self.endpoints.software_versions.mixed_services(clock.now()):
-            self.gossip.send_soon()
+        self.gossip.send_soon()
         report = self.ctx.crashes.startup_report()
         if report is not None:
             self.gossip.send(report, peer)
@@ -563,6 +640,9 @@
         )
         self.endpoints.has_silent_peers = bool(self.peers.silent(now))
         self.ctx.entry_count = len(self.peers) + 1
+        if now - self.started_at < RECENT_START_S:
+            # Entries that start together take shares of the budgets before they have met.
+            self.ctx.entry_count += self.peers.never_seen_count
         self.ctx.scheduler.refresh_coordinators()
 
     def _run_maintenance(self) -> None:
--- a/dockreach/direct/evacuated_halls.py
+++ b/dockreach/direct/evacuated_halls.py
@@ -24,21 +24,29 @@
     def __init__(self, endpoints: EndpointTable) -> None:
         self._endpoints = endpoints
         self.revision = 0
+        self._complete_to = 0
         self.since: dict[str, float] = {}
 
-    def apply(self, halls: frozenset[str], revision: int, now: float) -> bool:
+    def apply(
+        self, halls: frozenset[str], revision: int, now: float, *, complete_to: int = 0
+    ) -> bool:
         """Apply the operator's commands unless they are older than those already applied.
 
         Args:
             halls: All data halls that are to be evacuated.
             revision: The platform's revision up to which commands were read.
             now: Monotonic time, in seconds.
+            complete_to: The platform's revision up to which this entry itself has read all
+                commands; 0 if a peer told them.
 
         Returns:
             Whether the revision is new, so that peers should be told.
         """
-        if revision < self.revision:
+        # The revision of a command that was withdrawn before this entry was started is not
+        # known, but that it is not older than the list.
+        if revision < self.revision or (not complete_to and revision <= self._complete_to):
             return False
+        self._complete_to = max(complete_to, self._complete_to)
         is_newer = revision > self.revision
         self.revision = revision
         if halls != self._endpoints.evacuated:
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -139,7 +139,9 @@
         since_first_attempt_s = self._ctx.first_attempts.first_attempt_age_s(
             route.name, req.deadline_s
         )
-        service = route.service_for(req.rid)
+        # A stream that is taken up goes on at the service that began it.
+        is_take_up = bool(req.last_event_id and req.stream_rid)
+        service = route.service_for(req.stream_rid if is_take_up else req.rid)
         return RequestPlan(
             route=route,
             service=service,
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -7,15 +7,29 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
+from typing import TypeGuard
+
+from .version_coverage import ServedVersion, VersionCoverage, VersionSource
 
 VERSION_MEMORY_S = 60.0
 """How long a version counts after its last endpoint has gone, in seconds: longer than a
 stream and the attempts to continue it last."""
 
+RETENTION_S = 600.0
+"""How long a version is remembered after that, in seconds: routes with a longer timeout
+have streams that last longer."""
+
 MAX_VERSIONS = 16
 """Maximum number of versions of one service that are remembered."""
 
+MAX_TOLD_VERSIONS = 64
+"""Most versions, of all services, in what other entries are told with each digest."""
+
+MAX_TOLD_CHARACTERS = 64
+"""Longest version that other entries are told."""
+
 VersionAges = dict[str, dict[str, float]]
 """Time since each version was last listed, in seconds, by service and version."""
 
@@ -24,9 +38,19 @@
     """Remembers the software versions of each service's endpoints.
 
     A version is ``None`` where a peer relayed an endpoint's record without it.
+
+    Attributes:
+        coverage: From when on all of them are known.
+        confirmed_at: Monotonic time up to which all changes of the list were seen, in
+            seconds.
     """
 
     def __init__(self) -> None:
+        self.coverage = VersionCoverage()
+        self.confirmed_at = -math.inf
+        self._shared_coverage = VersionCoverage()
+        self._told_at = -math.inf
+        self._history: dict[str, dict[str | None, float]] = {}
         self._listed: dict[str, dict[str | None, float]] = {}
         self._reported: dict[str, dict[str | None, float]] = {}
 
@@ -34,12 +58,98 @@
         """Record that an endpoint with a version is listed here."""
         _remember(self._listed, service, version, now)
 
-    def merge(self, ages: Mapping[str, Mapping[str, float]], now: float) -> None:
-        """Merge the versions that another entry remembers."""
+    def merge(
+        self, ages: Mapping[str, Mapping[str, float]], now: float, *, known_s: int = 0
+    ) -> None:
+        """Merge the versions that another entry remembers.
+
+        Args:
+            ages: Time since each version was last listed, in seconds.
+            now: Monotonic time, in seconds.
+            known_s: For how long these have been all versions of all services, in seconds;
+                0 if they may be a part.
+        """
         for service, versions in ages.items():
             for version, age_s in versions.items():
                 if 0.0 <= age_s <= VERSION_MEMORY_S:
                     _remember(self._reported, service, version, now - age_s)
+        if known_s > 0:
+            since = now - min(known_s, VERSION_MEMORY_S)
+            self.coverage.extend(since, VersionSource.ENTRY)
+            self._shared_coverage.extend(since, VersionSource.ENTRY)
+            self._told_at = now
+
+    def confirm(self, at: float) -> None:
+        """Record that all changes of the list up to a time were seen.
+
+        Args:
+            at: That time, monotonic, in seconds.
+        """
+        self.confirmed_at = max(at, self.confirmed_at)
+
+    def replace_list(self, now: float, max_gap_s: float) -> None:
+        """Record that the list was read anew: changes since the last one were not seen.
+
+        Args:
+            now: Monotonic time, in seconds.
+            max_gap_s: Longest time between two lists in which no version can have served
+                unnoticed, in seconds.
+        """
+        seen_at = max(self.confirmed_at, self._told_at)
+        for coverage in (self.coverage, self._shared_coverage):
+            if max_gap_s < now - seen_at < math.inf:
+                coverage.restart(now)
+            coverage.extend(now, VersionSource.MEMORY)
+        self.confirm(now)
+
+    def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
+        """Record all versions that ever served, as the platform's store tells.
+
+        It does not tell when. They count here as if they had served until now; other
+        entries, which may know better, are not told of them.
+        """
+        for item in served:
+            _remember(self._history, item.service, item.version, now)
+        self.coverage.extend(-math.inf, VersionSource.HISTORY)
+        self._told_at = now
+
+    def known_s(self, now: float, max_gap_s: float) -> int:
+        """Return for how long `report` holds all versions that served, in whole seconds.
+
+        It is 0 if it does not, and at most `VERSION_MEMORY_S`.
+
+        Args:
+            now: Monotonic time, in seconds.
+            max_gap_s: As for `replace_list`.
+        """
+        if now - self.confirmed_at > max_gap_s:
+            return 0
+        recent = [self.recent(service, now) for service in self._services()]
+        untold = [name for names in recent for name in names if not _can_be_told(name)]
+        if untold or sum(map(len, recent)) > MAX_TOLD_VERSIONS:
+            return 0
+        return int(min(self._shared_coverage.age_s(now), VERSION_MEMORY_S))
+
+    def is_only_one(self, service: str, since: float, now: float, max_gap_s: float) -> bool:
+        """Return whether only one version served a service since a time, for certain.
+
+        Args:
+            service: The service.
+            since: That time, monotonic, in seconds.
+            now: Monotonic time, in seconds.
+            max_gap_s: As for `replace_list`.
+        """
+        is_current = now - self.confirmed_at <= max_gap_s
+        if not is_current or not self.coverage.covers(since) or since < now - RETENTION_S:
+            return False
+        known = (self._listed, self._reported, self._history)
+        served = {
+            version
+            for versions in known
+            for version, at in versions.get(service, {}).items()
+            if at >= since
+        }
+        return len(served) <= 1
 
     def recent(self, service: str, now: float) -> set[str | None]:
         """Return the versions that serve a service, or served it lately."""
@@ -62,31 +172,51 @@
 
     def mixed_services(self, now: float) -> list[str]:
         """Return the services of which several versions serve, or served lately."""
-        services = self._listed.keys() | self._reported.keys()
-        return sorted(name for name in services if self.has_several(name, now))
-
-    def report(self, now: float) -> VersionAges:
-        """Return the versions of the services that have several, for other entries."""
-        return {service: self._ages(service, now) for service in self.mixed_services(now)}
+        return [name for name in self._services() if self.has_several(name, now)]
+
+    def _services(self) -> list[str]:
+        return sorted(self._listed.keys() | self._reported.keys())
+
+    def report(self, now: float, *, with_single: bool = False) -> VersionAges:
+        """Return the versions of the services that have several, for other entries.
+
+        Args:
+            now: Monotonic time, in seconds.
+            with_single: Whether to add the services that have one version.
+        """
+        services = self._services() if with_single else self.mixed_services(now)
+        told: VersionAges = {}
+        room = MAX_TOLD_VERSIONS
+        for service in services:
+            ages = self._ages(service, now)
+            if ages and len(ages) <= room:
+                told[service] = ages
+                room -= len(ages)
+        return told
 
     def _ages(self, service: str, now: float) -> dict[str, float]:
         ages: dict[str, float] = {}
         for known in (self._listed, self._reported):
             for version, at in known.get(service, {}).items():
                 age_s = max(now - at, 0.0)
-                if version is not None and age_s <= VERSION_MEMORY_S:
+                if _can_be_told(version) and age_s <= VERSION_MEMORY_S:
                     ages[version] = min(age_s, ages.get(version, age_s))
         return ages
 
     def expire(self, now: float) -> None:
         """Forget versions whose last endpoint went too long ago."""
-        for known in (self._listed, self._reported):
+        for known in (self._listed, self._reported, self._history):
             for service, versions in list(known.items()):
                 _drop_old(versions, now)
                 if not versions:
                     del known[service]
 
 
+def _can_be_told(version: str | None) -> TypeGuard[str]:
+    """Return whether other entries can be told of a version."""
+    return version is not None and len(version) <= MAX_TOLD_CHARACTERS
+
+
 def _remember(
     known: dict[str, dict[str | None, float]],
     service: str,
@@ -102,7 +232,7 @@
 
 def _drop_old(versions: dict[str | None, float], now: float) -> None:
     old: Iterable[str | None] = [
-        version for version, at in versions.items() if now - at > VERSION_MEMORY_S
+        version for version, at in versions.items() if now - at > RETENTION_S
     ]
     for version in old:
         del versions[version]
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -15,12 +15,14 @@
 from dockreach.direct.feeds import CallLimits
 from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.routing_config import ConfigRevision
+from dockreach.direct.version_coverage import ServedVersion, VersionSource
+from dockreach.direct.view import View
 from dockreach.errors import PlatformError
 from dockreach_platform import follower
-from dockreach_platform.follower import StoreFollower
+from dockreach_platform.follower import StoreFollower, served_versions
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_endpoint
-from dockreach_platform.store import HistoryCompactedError, StoreClient
+from dockreach_platform.store import HistoryCompactedError, Item, StoreClient
 from tests.direct.standins import entry_settings
 
 from .store_standin import StoreStandIn, endpoint_record
@@ -69,6 +71,13 @@
         eventlet.sleep(0.02)
 
 
+def wait_until_answered(entry: Entry) -> None:
+    for _ in range(200):
+        if not entry.feeds.configuration.consecutive_failures:
+            return
+        eventlet.sleep(0.02)
+
+
 def test_all_pages_are_read(store: StoreStandIn) -> None:
     entry = start_following_entry(store)
     assert entry.is_ready
@@ -114,6 +123,44 @@
     assert entry.endpoints.get("i-2") is None
 
 
+def large_config_record(version: int) -> bytes:
+    """Return a configuration of 1 MB, mostly of a field that the entry does not use."""
+    return json.dumps({"version": version, "notes": "n" * 1_000_000}).encode()
+
+
+def test_changes_that_are_too_long_for_a_response_are_listed(store: StoreStandIn) -> None:
+    entry = start_following_entry(store)
+    store.delete("servers/i-2")
+    for version in range(10, 20):
+        store.put("op/config", large_config_record(version))
+    eventlet.sleep(1.0)
+    assert entry.revision is not None
+    assert entry.revision.number == 19
+    assert entry.endpoints.get("i-2") is None
+    store.put("op/config", config_record(20))
+    eventlet.sleep(0.6)
+    assert entry.revision.number == 20
+    assert not entry.feeds.configuration.consecutive_failures
+
+
+def test_a_list_that_is_too_long_for_a_response_is_not_read_without_pause(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store)
+    for number in range(9):
+        store.put(f"op/notes/{number}", b"n" * 1_000_000)
+    store.page_items = 10
+    calls = len(store.calls)
+    store.compact_history()
+    eventlet.sleep(1.0)
+    assert 1 <= entry.feeds.configuration.consecutive_failures <= 10
+    assert len(store.calls) - calls <= 20
+    # The entry goes on beside the next tests, which count failed calls in the log.
+    for number in range(9):
+        store.delete(f"op/notes/{number}")
+    wait_until_answered(entry)
+
+
 @pytest.mark.parametrize("failure_mode", [503, 429, "reset"])
 def test_after_an_outage_deleted_endpoints_lapse_and_changes_are_applied(
     store: StoreStandIn, failure_mode: int | str
@@ -485,3 +532,72 @@
     store.put("op/evacuate/z", b"{}")
     entry = start_following_entry(store)
     assert entry.endpoints.evacuated == {"z"}
+
+
+def test_a_version_that_was_listed_only_between_two_calls_is_known(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store)
+    store.put("servers/i-8", server_record())
+    eventlet.sleep(0.05)
+    # Read with one call, as the entry pauses after a call with changes.
+    store.put("servers/i-9", endpoint_record(version="v2"))
+    store.delete("servers/i-9")
+    eventlet.sleep(0.4)
+    assert entry.endpoints.get("i-9") is None
+    assert entry.endpoints.software_versions.recent("s", clock.now()) == {"v1", "v2"}
+
+
+def test_a_list_that_is_read_anew_after_a_gap_leaves_earlier_versions_unknown(
+    store: StoreStandIn,
+) -> None:
+    entry = start_following_entry(store, apply_deadline_s=0.3)
+    coverage = entry.endpoints.software_versions.coverage
+    eventlet.sleep(0.1)
+    assert coverage.covers(0.0)
+    store.failure_mode = 503
+    eventlet.sleep(1.0)
+    store.put("servers/i-9", endpoint_record(version="v2"))
+    store.delete("servers/i-9")
+    store.compact_history()
+    store.failure_mode = ""
+    eventlet.sleep(1.0)
+    assert coverage.source is VersionSource.MEMORY
+    assert not coverage.covers(clock.now() - 2.0)
+
+
+def test_a_deleted_endpoint_without_a_known_record_leaves_versions_open() -> None:
+    deleted = Item("servers/i-1", None, 2)
+    assert served_versions([deleted]) is None
+    record = Item("servers/i-1", endpoint_record(version="v2"), 1)
+    assert served_versions([record, deleted]) == frozenset([ServedVersion("s", "v2")])
+    odd = Item("servers/i-2", endpoint_record(slots=2**64), 3)
+    assert served_versions([odd]) == frozenset()
+
+
+def test_a_peer_that_is_cut_off_brings_no_withdrawn_evacuation_back(
+    store: StoreStandIn,
+) -> None:
+    store.put("op/evacuate/z", b"")
+    evacuated_at = store.revision
+    store.delete("op/evacuate/z")
+    # This entry has just started: it has read that no hall is evacuated, and not why.
+    entry = start_following_entry(store)
+    entry.apply_view(View(0, b"", 0, [], [], ["z"], evacuated_at), "peer")
+    assert not entry.endpoints.evacuated
+
+
+def test_a_forgotten_history_does_not_confirm_the_list_of_endpoints(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = start_following_entry(store)
+    eventlet.sleep(0.5)
+    changed_at = clock.now()
+    store.put("servers/i-new", server_record())
+    store.delete("servers/i-new")
+    store.compact_history()
+    # The watch gets 410, and the list that is to replace it fails.
+    monkeypatch.setattr(store, "_page", lambda *_: (503, {}))
+    eventlet.sleep(0.5)
+    assert entry.feeds.endpoints.consecutive_failures
+    assert entry._endpoints_confirmed_at() <= changed_at
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -62,6 +62,9 @@
 
 _EVENT_NUMBER = re.compile(rb"^id: (\d+)\n[^\0]*?\n\n", re.MULTILINE)
 
+RESUMABLE_ROUTE_KINDS = ("brief", "story")
+"""Kinds of routes whose streams may be resumed."""
+
 ROUTE_KINDS = ("once", "safe", "draft", "brief", "new")
 """Kinds of routes; ``new`` stands for one that a recent configuration added."""
 
@@ -92,7 +95,7 @@
             in seconds; 0 if it did not.
         was_reset: Whether the entry reset its connection, as it does with unread bytes.
         is_dropped: Whether it was pipelined behind a request whose response ended the
-            connection.
+            connection, or sent again elsewhere because its connection was reset.
         http: The caller's version of HTTP.
     """
 
@@ -130,7 +133,7 @@
     def is_broken_stream(self) -> bool:
         """Whether the response is a resumable stream that broke off after an event."""
         return (
-            self.kind == "brief"
+            self.kind in RESUMABLE_ROUTE_KINDS
             and self.status == 200
             and not self.is_whole
             and not self.abandoned_at
