Take no loan to an earlier incarnation for one to this

An entry used more of an organisation's limits than all entries had together (1.17 of them in the state machine of lending): it restarted, asked for a loan, and a late loan to its earlier incarnation had the same number, since each incarnation numbered its requests from 1.

Requests are numbered from the time of the start in microseconds, over all organisations, so that no two incarnations share a number.

--- a/dockreach/limits.py
+++ b/dockreach/limits.py
@@ -32,6 +32,8 @@
 BURST_S = 1.0
 """Size of a rate limit's bucket, in seconds at the limited rate."""
 
+MICROSECONDS_PER_S = 1_000_000
+
 MIN_ASK_INTERVAL_S = 0.5
 """Shortest time between two requests for loans for one organisation."""
 
@@ -62,7 +64,6 @@
         requests_seen: Requests seen since the start, refused ones included.
         refused_since_ask: Requests refused since this entry last asked for a loan.
         last_asked_at: When this entry last asked for a loan.
-        ask_number: Number of that request for a loan.
     """
 
     own_fraction: float
@@ -76,7 +77,6 @@
     requests_seen: int = 0
     refused_since_ask: int = 0
     last_asked_at: float = float("-inf")
-    ask_number: int = 0
 
     def fraction(self, now: float) -> float:
         """Return the fraction of the limits that this entry may use now.
@@ -123,6 +123,14 @@
     shares: dict[str, Share] = field(default_factory=dict)
     asked_at: dict[tuple[str, int], float] = field(default_factory=dict)
     _increase_at: float | None = None
+    _last_number: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Number requests for loans from the start time on.
+
+        A loan to an earlier incarnation may arrive late, and answers no request of this.
+        """
+        self._last_number = int(self.started * MICROSECONDS_PER_S)
 
     def configure(
         self,
@@ -231,9 +239,9 @@
                 continue
             share.refused_since_ask = 0
             share.last_asked_at = now
-            share.ask_number += 1
-            self.asked_at[(name, share.ask_number)] = now
-            found.append(Shortage(name, share.ask_number, share.own_fraction))
+            self._last_number += 1
+            self.asked_at[(name, self._last_number)] = now
+            found.append(Shortage(name, self._last_number, share.own_fraction))
         return found
 
     def lend(self, name: str, wanted: float, now: float) -> float:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -63,6 +63,19 @@
     assert all(delay > 0 for delay in delays)
 
 
+def test_a_loan_to_an_earlier_incarnation_is_not_taken_for_one_to_this() -> None:
+    before = limit_table("n0")
+    before.shares["org"].refused_since_ask = 1
+    (asked,) = before.shortages(10.0)
+    after = LimitTable("n0", started=12.0)
+    after.configure({"org": ORG}, ENTRIES, 12.0)
+    after.shares["org"].refused_since_ask = 1
+    assert after.shortages(20.0)
+    own = after.usable_fraction("org", 20.0)
+    after.borrow(ShareLoan("org", asked.number, 0.1, int(LOAN_LEASE_S * 1000)))
+    assert after.usable_fraction("org", 20.0) == own
+
+
 class Lending(RuleBasedStateMachine):
     """Three entries lend to each other over links that lose and delay messages."""
 
