--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -189,6 +189,7 @@
                 self.gossip.send,
                 clock.now,
                 self._endpoints_confirmed_at,
+                # In this time a version that is listed is known to every entry.
                 lambda: self.settings.apply_deadline_s,
             ),
         )
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -49,7 +49,7 @@
         self.coverage = VersionCoverage()
         self.confirmed_at = -math.inf
         self._shared_coverage = VersionCoverage()
-        self._told_at = -math.inf
+        self._learned_at = -math.inf
         self._history: dict[str, dict[str | None, float]] = {}
         self._listed: dict[str, dict[str | None, float]] = {}
         self._reported: dict[str, dict[str | None, float]] = {}
@@ -66,8 +66,8 @@
         Args:
             ages: Time since each version was last listed, in seconds.
             now: Monotonic time, in seconds.
-            known_s: For how long these have been all versions of all services, in seconds;
-                0 if they may be a part.
+            known_s: For how long the other entry has known all versions, in seconds, if
+                these are all of them; else 0.
         """
         for service, versions in ages.items():
             for version, age_s in versions.items():
@@ -77,7 +77,7 @@
             since = now - min(known_s, VERSION_MEMORY_S)
             self.coverage.extend(since, VersionSource.ENTRY)
             self._shared_coverage.extend(since, VersionSource.ENTRY)
-            self._told_at = now
+            self._learned_at = now
 
     def confirm(self, at: float) -> None:
         """Record that all changes of the list up to a time were seen.
@@ -95,7 +95,7 @@
             max_gap_s: Longest time between two lists in which no version can have served
                 unnoticed, in seconds.
         """
-        seen_at = max(self.confirmed_at, self._told_at)
+        seen_at = max(self.confirmed_at, self._learned_at)
         for coverage in (self.coverage, self._shared_coverage):
             if max_gap_s < now - seen_at < math.inf:
                 coverage.restart(now)
@@ -111,7 +111,7 @@
         for item in served:
             _remember(self._history, item.service, item.version, now)
         self.coverage.extend(-math.inf, VersionSource.HISTORY)
-        self._told_at = now
+        self._learned_at = now
 
     def known_s(self, now: float, max_gap_s: float) -> int:
         """Return for how long `report` holds all versions that served, in whole seconds.
--- a/dockreach/direct/version_coverage.py
+++ b/dockreach/direct/version_coverage.py
@@ -26,7 +26,8 @@
     """The platform's store shows all changes of the list since before."""
 
     FIRST_START = "first_start"
-    """Nothing ran before the entry was started."""
+    """Nothing ran before the entry was started, as its settings say. Where the platform's
+    history is read, that counts instead."""
 
     NOTHING = "nothing"
 
@@ -44,7 +45,7 @@
     source: VersionSource = VersionSource.NOTHING
 
     def extend(self, since: float, source: VersionSource) -> None:
-        """Take over that all versions are known since a time, if that is earlier."""
+        """Record that all versions are known from a time on, if that is earlier."""
         if since < self.since:
             self.since = since
             self.source = source
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -108,7 +108,6 @@
         is_restarted: Whether other versions may have served before they started.
     """
     net = Network()
-    now = clock.now()
     for number in range(entries):
         own = address(number)
         peers = PeerTable(own, ())
@@ -128,7 +127,6 @@
             lambda: net.now if net.is_listed else net.listed_at,
             lambda: MAX_GAP_S,
         )
-    assert now
     net.list_versions(*versions)
     for node in net.nodes.values():
         node.replace_list()
