Follow the changed rules in the edits that show whether tests notice

They name the present text, and two edits are new: one listed version taken for the only one, and an end believed though another endpoint answers.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -355,7 +355,8 @@
     Edit(
         "an outdated operator command changes nothing",
         "direct/evacuated_halls.py",
-        "        if revision < self.revision:\n            return False\n",
+        "        if revision < self.revision or (not complete_to"
+        " and revision <= self._complete_to):\n            return False\n",
         "",
     ),
     Edit(
@@ -489,7 +490,19 @@
     Edit(
         "holders are told of a stream before its first event is passed on",
         "direct/stream_versions.py",
-        "        if self._versions.has_several(published.service, self._clock()):\n",
+        "        if self._may_be_mixed(published.service):\n",
+        "        if False:\n",
+    ),
+    Edit(
+        "one listed version is not taken for the only one that served",
+        "direct/software_versions.py",
+        " or not self.coverage.covers(since)",
+        "",
+    ),
+    Edit(
+        "the end of a response is not believed if another endpoint answers",
+        "direct/liveness.py",
+        "        if health.responder is Responder.OTHER:\n",
         "        if False:\n",
     ),
     Edit(
