Take one version for the only one by evidence from after the take-up

What callers saw: during a release an entry that was cut off from the platform and its peers, or stood still, for a second answered take-ups of streams that another entry had begun at a new version with 200 and events of the old version.

Cause: the list of endpoints counted as current while it was confirmed within the apply deadline. That bounds for how long a version can leave unnoticed, not for how long one can have joined. Entries that were asked for the stream and did not answer counted as not knowing it. A response of the platform was dated by when it was read, also if it had waited in the socket of a process that stood still.

Change: a stream goes on by conclusion only if the list was confirmed since the caller took it up first: by one read of the platform that began later and is shared by all that wait, by an answer of another entry that tells how far its own list was confirmed, or by answers of all entries, none of which has started since. It then keeps to that version. A call confirms the list up to when it was sent. The last line of a take-up names the evidence and its age.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from functools import partial, singledispatchmethod
+from operator import attrgetter
 from typing import Any
 
 import eventlet
@@ -33,7 +34,7 @@
 from .entry_pages import EntryPages
 from .entry_settings import EntrySettings
 from .evacuated_halls import EvacuatedHalls
-from .feeds import OUTAGE_FRACTION, Feed, Feeds
+from .feeds import LIST_GAP_FRACTION, OUTAGE_FRACTION, Feed, Feeds
 from .gossip import Gossip
 from .jobs import Job
 from .listening import listen
@@ -51,6 +52,7 @@
 from .scheduling import Scheduler
 from .send_guard import SendGuard
 from .serving import CallerServer, accept_all
+from .single_flight import SingleFlight
 from .slot_client import SlotClient
 from .slot_messages import SlotReply, SlotState
 from .slot_server import SlotServer
@@ -58,7 +60,7 @@
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
 from .token_quota import QuotaTable
-from .version_coverage import ServedVersion, VersionSource
+from .version_coverage import PLATFORM, Confirmation, ServedVersion, VersionSource
 from .view import View
 from .view_sync import KnownRevisions, ViewSync
 
@@ -188,9 +190,8 @@
                 settings.hall,
                 self.gossip.send,
                 clock.now,
-                self._endpoints_confirmed_at,
-                # In this time a version that is listed is known to every entry.
-                lambda: self.settings.apply_deadline_s,
+                self._endpoints_confirmation,
+                lambda: LIST_GAP_FRACTION * self.settings.apply_deadline_s,
             ),
         )
         if not settings.has_predecessor:
@@ -354,6 +355,28 @@
         for item in served:
             self.endpoints.software_versions.record(item.service, item.version, clock.now())
 
+    def set_list_read(self, read: Callable[[], None]) -> None:
+        """Set how the list of endpoints is confirmed for a stream that goes on.
+
+        Args:
+            read: Reads all changes since `endpoints_revision` from the platform, and calls
+                `record_served` and `confirm_endpoints`; raises `PlatformError`.
+        """
+        self.ctx.streams.list_read = SingleFlight(read, clock.now)
+
+    @property
+    def endpoints_revision(self) -> int:
+        """The platform's revision up to which the endpoint list was read; 0 for none."""
+        return self._endpoints_revision
+
+    def confirm_endpoints(self, at: float) -> None:
+        """Record that the platform told all versions that served up to a time.
+
+        Args:
+            at: That time, monotonic, in seconds: no later than the call was sent.
+        """
+        self.endpoints.software_versions.confirm(at)
+
     def apply_endpoint_history(self, served: Collection[ServedVersion] | None) -> None:
         """Apply the versions of all endpoints that were ever listed.
 
@@ -369,23 +392,21 @@
         )
         self.ctx.streams.finish_history()
 
-    def _endpoints_confirmed_at(self) -> float:
+    def _endpoints_confirmation(self) -> Confirmation:
         """Return up to when this entry has seen all changes of the list of endpoints.
 
         A peer that the platform has answered since has seen none that this entry has not,
         unless its revision is higher.
-
-        Returns:
-            The monotonic time in seconds; minus infinity if there is no list yet.
         """
         if not self._endpoints_revision:
-            return -math.inf
+            return Confirmation(-math.inf, PLATFORM)
         relayed = [
-            row.received_at - row.digest.endpoints_age_s
+            Confirmation(row.received_at - row.digest.endpoints_age_s, row.digest.name)
             for row in self.peers.fresh(clock.now())
             if row.digest.endpoints_revision <= self._endpoints_revision
         ]
-        return max([self.feeds.endpoints.complete_at, *relayed])
+        own = Confirmation(self.feeds.endpoints.complete_at, PLATFORM)
+        return max(own, *relayed, key=attrgetter("at")) if relayed else own
 
     def _known_revisions(self) -> KnownRevisions:
         revision = self.revision.number if self.revision else 0
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -39,6 +39,10 @@
 """Time without a response after which endpoints are fetched from peers, as a fraction of
 the same time: longer than a single call may take."""
 
+LIST_GAP_FRACTION = 1.5
+"""Time in which a version that is listed is known to every entry, as a fraction of the same
+time. A call shows the state from its start on, and the next one may wait as long again."""
+
 FIRST_RETRY_DELAY_S = 0.1
 """Delay from the start of a failed call to its retry, in seconds; doubles with each failure
 up to `MAX_RETRY_DELAY_S`. A call that took longer is retried immediately."""
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -38,7 +38,7 @@
     StreamEnd,
     UpstreamRequest,
 )
-from .version_coverage import VersionSource
+from .version_coverage import VersionEvidence, VersionSource
 
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.5
 """Silence before the first event of a stream, in objectives, after which a resumable one is
@@ -147,6 +147,11 @@
         """
         return self._slots.version_source
 
+    @property
+    def version_evidence(self) -> VersionEvidence | None:
+        """By what one software version was taken for the only one, if it was."""
+        return self._slots.version_evidence
+
     @property
     def response_end(self) -> str:
         """How the end of the last response was known; empty if it has not ended."""
--- a/dockreach/direct/message_checks.py
+++ b/dockreach/direct/message_checks.py
@@ -16,6 +16,7 @@
 from ..addresses import ADDRESS_PATTERN
 from .crash_history import CrashReport, ReportedCrash
 from .digest import Address, CrashUpdate, Digest
+from .peers import MAX_PEERS
 from .relayed_notice import NoticeUpdate, RelayedNotice
 from .slot_messages import (
     Denial,
@@ -29,7 +30,7 @@
     SlotState,
     WaitingJob,
 )
-from .stream_messages import StreamQuestion, StreamReport
+from .stream_messages import StreamQuestion, StreamReport, VersionSummary
 
 MAX_LOAD_FIGURE = 100_000
 """Largest figure of a load that makes sense; the platform's adapter has the same bound."""
@@ -132,10 +133,31 @@
 
 
 @is_valid.register
-def _(message: SlotState | SlotReply | StreamReport | StreamQuestion) -> bool:
+def _(message: SlotState | SlotReply | StreamQuestion) -> bool:
     return is_valid(message.address)
 
 
+@is_valid.register
+def _(report: StreamReport) -> bool:
+    return is_valid(report.address) and (
+        report.versions is None or is_valid(report.versions)
+    )
+
+
+@is_valid.register
+def _(summary: VersionSummary) -> bool:
+    return (
+        0 <= summary.known_s <= MAX_REPORTED_AGE_S
+        # Infinite before the first list.
+        and summary.confirmed_age_s >= 0.0
+        and _is_amount(summary.running_s)
+        and 0 < summary.entry_count <= MAX_PEERS + 1
+        and all(
+            _is_amount(age_s) for ages in summary.ages.values() for age_s in ages.values()
+        )
+    )
+
+
 @is_valid.register
 def _(message: CrashUpdate | NoticeUpdate) -> bool:
     del message
--- a/dockreach/direct/request_summary.py
+++ b/dockreach/direct/request_summary.py
@@ -191,7 +191,13 @@
         """Return the log fields of a request that continues a stream."""
         req = self._req
         source = self._forwarder.version_source if self._forwarder else None
-        fields = {} if source is None else {"version_known_from": source.value}
+        fields: dict[str, Any] = {}
+        if source is not None:
+            fields["version_known_from"] = source.value
+        evidence = self._forwarder.version_evidence if self._forwarder else None
+        if evidence is not None:
+            fields["version_evidence_ms"] = round(evidence.age_s * 1000)
+            fields["version_evidence_by"] = evidence.by
         if not req.last_event_id:
             return fields
         return {
--- a/dockreach/direct/slot_acquirer.py
+++ b/dockreach/direct/slot_acquirer.py
@@ -16,7 +16,7 @@
     UnknownVersion,
 )
 from .upstream_request import UpstreamRequest
-from .version_coverage import VersionSource
+from .version_coverage import VersionEvidence, VersionSource
 
 
 class SlotAcquirer:
@@ -32,6 +32,8 @@
         has_attempted: Whether an upstream request has ended; a probe is sent once.
         version_source: From what it is known at which software version the stream has to go
             on; ``None`` while it has not begun.
+        version_evidence: By what that version was taken for the only one; ``None`` if it
+            was known already.
     """
 
     def __init__(
@@ -49,6 +51,8 @@
         self._origin: StreamOrigin | None = None
         self.has_attempted = False
         self.version_source: VersionSource | None = None
+        self.version_evidence: VersionEvidence | None = None
+        self._is_concluded = False
 
     def acquire(self, job: Job) -> EndpointRow | Refusal:
         """Wait for the slot of an endpoint that may run the request."""
@@ -104,10 +108,8 @@
                 self._req.stream_rid, job.service, _max_age_s(job)
             )
             self._set_source(found.source)
-        elif self._must_know_version(job):
-            found = UnknownVersion("its endpoint has restarted")
         else:
-            return None
+            found = self._ctx.streams.find_only_version(job.service, _max_age_s(job))
         if isinstance(found, UnknownVersion):
             return Refusal(
                 Verdict.NOT_RUN,
@@ -116,6 +118,8 @@
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
             )
         job.software_version = found.version
+        self._is_concluded = found.is_concluded
+        self.version_evidence = found.evidence
         return None
 
     def _set_source(self, source: VersionSource) -> None:
@@ -133,12 +137,12 @@
     def _must_know_version(self, job: Job) -> bool:
         """Return whether the stream goes on, but not at a known software version.
 
-        It may go on anywhere if only one version served since it can have begun.
+        The only one that served may have no name, and another one may have appeared since.
         """
         return (
             self._goes_on
             and job.software_version is None
-            and not self._ctx.streams.is_only_version(job.service, _max_age_s(job))
+            and self._ctx.streams.serves_several(job.service, _max_age_s(job))
         )
 
     def record_origin(self, upstream: UpstreamRequest) -> None:
@@ -148,13 +152,12 @@
             return
         published = upstream.row.published
         version = upstream.job.software_version
-        is_take_up = bool(self._req.last_event_id)
         self._origin = self._ctx.streams.begin(
             self._req.stream_rid or self._req.rid,
             published,
             sent_at=upstream.sent_at,
             software_version=published.software_version if version is None else version,
-            is_concluded=is_take_up and version is None,
+            is_concluded=self._is_concluded,
         )
 
     def end_stream(self) -> None:
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -11,7 +11,13 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeGuard
 
-from .version_coverage import ServedVersion, VersionCoverage, VersionSource
+from .version_coverage import (
+    PLATFORM,
+    Confirmation,
+    ServedVersion,
+    VersionCoverage,
+    VersionSource,
+)
 
 VERSION_MEMORY_S = 60.0
 """How long a version counts after its last endpoint has gone, in seconds: longer than a
@@ -41,13 +47,12 @@
 
     Attributes:
         coverage: From when on all of them are known.
-        confirmed_at: Monotonic time up to which all changes of the list were seen, in
-            seconds.
+        confirmation: Up to when all changes of the list were seen.
     """
 
     def __init__(self) -> None:
         self.coverage = VersionCoverage()
-        self.confirmed_at = -math.inf
+        self.confirmation = Confirmation(-math.inf, PLATFORM)
         self._shared_coverage = VersionCoverage()
         self._learned_at = -math.inf
         self._history: dict[str, dict[str | None, float]] = {}
@@ -79,13 +84,45 @@
             self._shared_coverage.extend(since, VersionSource.ENTRY)
             self._learned_at = now
 
-    def confirm(self, at: float) -> None:
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time up to which all changes of the list were seen, in seconds."""
+        return self.confirmation.at
+
+    def confirm(self, at: float, by: str = PLATFORM) -> None:
         """Record that all changes of the list up to a time were seen.
 
         Args:
-            at: That time, monotonic, in seconds.
+            at: That time, monotonic, in seconds: no later than the list was sent.
+            by: Who read it, as in `Confirmation`.
         """
-        self.confirmed_at = max(at, self.confirmed_at)
+        if at > self.confirmation.at:
+            self.confirmation = Confirmation(at, by)
+
+    def merge_answer(
+        self,
+        ages: Mapping[str, Mapping[str, float]],
+        now: float,
+        *,
+        known_s: int,
+        until: float,
+        by: str,
+    ) -> None:
+        """Merge what another entry answered to a question of this one.
+
+        Args:
+            ages: Time since each version was last listed, in seconds.
+            now: Monotonic time, in seconds.
+            known_s: For how long the other entry has known all versions, in seconds, if
+                these are all of them; else 0.
+            until: Monotonic time up to which the other entry has seen all changes of the
+                list, in seconds.
+            by: The other entry.
+        """
+        self.merge(ages, now, known_s=known_s)
+        # A gap between the two lists may hide a version.
+        if known_s > 0 and now - known_s <= self.confirmed_at:
+            self.confirm(until, by)
 
     def replace_list(self, now: float, max_gap_s: float) -> None:
         """Record that the list was read anew: changes since the last one were not seen.
@@ -122,34 +159,57 @@
             now: Monotonic time, in seconds.
             max_gap_s: As for `replace_list`.
         """
-        if now - self.confirmed_at > max_gap_s:
-            return 0
+        return 0 if now - self.confirmed_at > max_gap_s else self.complete_s(now)
+
+    def can_tell_all(self, now: float) -> bool:
+        """Return whether `report` holds all versions that are known here."""
         recent = [self.recent(service, now) for service in self._services()]
         untold = [name for names in recent for name in names if not _can_be_told(name)]
-        if untold or sum(map(len, recent)) > MAX_TOLD_VERSIONS:
+        return not untold and sum(map(len, recent)) <= MAX_TOLD_VERSIONS
+
+    def complete_s(self, now: float) -> int:
+        """Return for how long `report` holds all versions up to the last confirmation.
+
+        Returns:
+            Whole seconds until now, at most `VERSION_MEMORY_S`; 0 if it does not.
+        """
+        if not self.can_tell_all(now):
             return 0
         return int(min(self._shared_coverage.age_s(now), VERSION_MEMORY_S))
 
-    def is_only_one(self, service: str, since: float, now: float, max_gap_s: float) -> bool:
-        """Return whether only one version served a service since a time, for certain.
+    def covers(self, since: float, now: float) -> bool:
+        """Return whether all versions are known from a time to the last confirmation.
 
         Args:
-            service: The service.
             since: That time, monotonic, in seconds.
             now: Monotonic time, in seconds.
-            max_gap_s: As for `replace_list`.
         """
-        is_current = now - self.confirmed_at <= max_gap_s
-        if not is_current or not self.coverage.covers(since) or since < now - RETENTION_S:
-            return False
+        return self.coverage.covers(since) and since >= now - RETENTION_S
+
+    def served(self, service: str, since: float) -> set[str | None]:
+        """Return the versions that are known to have served a service since a time."""
         known = (self._listed, self._reported, self._history)
-        served = {
+        return {
             version
             for versions in known
             for version, at in versions.get(service, {}).items()
             if at >= since
         }
-        return len(served) <= 1
+
+    def is_only_one(self, service: str, since: float, until: float, now: float) -> bool:
+        """Return whether only one version served a service for a time, for certain.
+
+        How long a record outlives its endpoint does not bound for how long one that was
+        added is not seen. So the list must have been confirmed at the end of that time.
+
+        Args:
+            service: The service.
+            since: Begin of that time, monotonic, in seconds.
+            until: Its end.
+            now: Monotonic time, in seconds.
+        """
+        is_known = self.confirmed_at >= until and self.covers(since, now)
+        return is_known and len(self.served(service, since)) == 1
 
     def recent(self, service: str, now: float) -> set[str | None]:
         """Return the versions that serve a service, or served it lately."""
--- a/dockreach/direct/stream_messages.py
+++ b/dockreach/direct/stream_messages.py
@@ -35,6 +35,26 @@
     software_version: str | None
 
 
+class VersionSummary(msgspec.Struct, array_like=True):
+    """All software versions that an entry knows, at the time of its answer.
+
+    Attributes:
+        ages: Time since each version was last listed, in seconds, by service and version.
+        known_s: For how long these are all versions that served, up to the last
+            confirmation of its list, in whole seconds until now; 0 if it cannot tell.
+        confirmed_age_s: Time since the moment up to which it has seen all changes of the
+            list, in seconds; infinite if it has no list.
+        running_s: For how long its process has run, in seconds.
+        entry_count: Number of entries that it knows, itself included.
+    """
+
+    ages: dict[str, dict[str, float]]
+    known_s: int
+    confirmed_age_s: float
+    running_s: float
+    entry_count: int
+
+
 class StreamReport(msgspec.Struct, array_like=True, tag=6):
     """What an entry knows of some streams, after an event or a question.
 
@@ -42,11 +62,16 @@
         address: The sender.
         streams: Streams that it knows.
         unknown: Keys that it was asked for and does not know.
+        number: Number of the question that it answers; 0 for none.
+        versions: The software versions that it knows; ``None`` if it was not asked, or
+            cannot tell all of them.
     """
 
     address: Address
     streams: list[BegunStream]
     unknown: list[bytes] = []
+    number: int = 0
+    versions: VersionSummary | None = None
 
 
 class StreamQuestion(msgspec.Struct, array_like=True, tag=7):
@@ -55,7 +80,10 @@
     Attributes:
         address: Where the answer goes.
         keys: The streams' keys.
+        number: Number of the question at its sender, which the answer repeats; 0 if the
+            answer need not tell the software versions.
     """
 
     address: Address
     keys: list[bytes]
+    number: int = 0
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -5,10 +5,16 @@
 before it passes on its first event: rendezvous hashing of the stream's key selects these
 holders, which the entry that the caller turns to asks first. While one version serves, and
 the entry knows that no other one served lately, it tells nothing.
+
+An entry may be cut off or stand still while a version appears. It takes one version for the
+only one that can have begun a stream only if evidence from after the take-up says so: the
+platform, an entry that has read the list since, or all entries together. No answer is no
+evidence.
 """
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -23,9 +29,16 @@
 from .digest import Address
 from .endpoints import RECORD_LAG_S, Published
 from .peers import PeerTable
+from .single_flight import SingleFlight
 from .software_versions import SoftwareVersions
-from .stream_messages import BegunStream, StreamQuestion, StreamReport, stream_key
-from .version_coverage import VersionSource
+from .stream_messages import (
+    BegunStream,
+    StreamQuestion,
+    StreamReport,
+    VersionSummary,
+    stream_key,
+)
+from .version_coverage import ALL_ENTRIES, Confirmation, VersionEvidence, VersionSource
 
 HOLDERS = 3
 """Entries that are told of a stream, besides the one that began it."""
@@ -57,6 +70,10 @@
 ANSWER_TIMEOUT_S = 0.15
 """Time after the last question until the version counts as unknown, in seconds."""
 
+LIST_TIMEOUT_S = 0.1
+"""How long a stream waits for the platform's list before other entries are asked too, in
+seconds: some dozens of the platform's usual response times."""
+
 HISTORY_TIMEOUT_S = 0.25
 """How long a stream waits for the store's history of endpoints, in seconds: some dozens of
 its usual response times."""
@@ -66,12 +83,19 @@
     """The software version at which a stream has to go on.
 
     Attributes:
-        version: The version; ``None`` for any, as only one served since it can have begun.
+        version: The version; ``None`` for any, as the only one that served since it can
+            have begun has no name.
         source: From what that is known.
+        evidence: By what that version was taken for the only one; ``None`` if it was known
+            already.
+        is_concluded: Whether it follows from what served, and is not known of the stream
+            itself.
     """
 
     version: str | None
     source: VersionSource
+    evidence: VersionEvidence | None = None
+    is_concluded: bool = False
 
 
 class UnknownVersion(NamedTuple):
@@ -127,13 +151,19 @@
     """A question to other entries that is not answered yet.
 
     Attributes:
+        number: Its number; 0 if answers need not tell software versions.
+        sent_at: Monotonic time before it was sent first, in seconds.
         asked: Entries that were asked.
         unaware: Entries that do not know the stream.
+        summaries: The software versions that entries told in their answers.
         waiter: Set once the answer is known, or all have answered that they do not know.
     """
 
+    number: int
+    sent_at: float
     asked: set[Address]
     unaware: set[Address]
+    summaries: dict[Address, VersionSummary] = field(default_factory=dict)
     waiter: Any = field(default_factory=Waiter)
 
     def finish(self) -> None:
@@ -142,6 +172,30 @@
             self.waiter.send(None)
 
 
+class _TakenUp(NamedTuple):
+    """A stream that goes on.
+
+    Attributes:
+        key: Its key; empty if its caller did not name it.
+        service: Its service.
+        max_age_s: How long ago it may have begun, in seconds.
+        seen_at: Monotonic time at which its caller took it up first, in seconds.
+    """
+
+    key: bytes
+    service: str
+    max_age_s: float
+    seen_at: float
+
+    def begun_after(self, max_gap_s: float) -> float:
+        """Return since when the versions count that may have begun it.
+
+        Args:
+            max_gap_s: For how long an entry may not know that a version has left.
+        """
+        return self.seen_at - self.max_age_s - max_gap_s
+
+
 class StreamVersions:
     """Remembers at which software version streams began, and asks other entries.
 
@@ -151,12 +205,13 @@
         hall: The data hall of this entry.
         send: Sends a message to another entry; it may be lost.
         clock: Returns the monotonic time, in seconds.
-        list_confirmed_at: Returns up to when all changes of the list of endpoints were
-            seen, in monotonic seconds.
-        max_gap_s: Returns for how long the list may be unconfirmed before versions may have
-            served unnoticed, in seconds.
+        list_confirmation: Returns up to when all changes of the list of endpoints were
+            seen, and by whom.
+        max_gap_s: Returns in which time a version that is listed is known to every entry,
+            and none that is listed can have left unnoticed, in seconds.
 
     Attributes:
+        list_read: Confirms the list by a call to the platform; ``None`` if there is none.
         history: Set once the store's history of endpoints was read, or will not be;
             ``None`` if nobody reads it.
     """
@@ -168,11 +223,14 @@
         hall: str,
         send: Callable[[StreamReport | StreamQuestion, Address], None],
         clock: Callable[[], float],
-        list_confirmed_at: Callable[[], float],
+        list_confirmation: Callable[[], Confirmation],
         max_gap_s: Callable[[], float],
     ) -> None:
+        self.list_read: SingleFlight | None = None
         self.history: Any = None
-        self._list_confirmed_at = list_confirmed_at
+        self._started_at = clock()
+        self._numbers = itertools.count(1)
+        self._list_confirmation = list_confirmation
         self._max_gap_s = max_gap_s
         self._versions = versions
         self._peers = peers
@@ -245,7 +303,7 @@
 
     def confirm_list(self) -> None:
         """Note up to when all changes of the list of endpoints were seen."""
-        self._versions.confirm(self._list_confirmed_at())
+        self._versions.confirm(*self._list_confirmation())
 
     def versions_known_s(self) -> int:
         """Return for how long all software versions have been known, in whole seconds."""
@@ -257,30 +315,23 @@
         if self.history is not None and not self.history.ready():
             self.history.send(None)
 
-    def is_only_version(
-        self, service: str, max_age_s: float, seen_at: float = math.inf
-    ) -> bool:
-        """Return whether only one version served since a stream began, for certain.
+    def serves_several(self, service: str, max_age_s: float) -> bool:
+        """Return whether several versions are known to have served since a stream began.
 
         Args:
             service: The stream's service.
-            max_age_s: How long the stream may have run by then, in seconds.
-            seen_at: Monotonic time at which its caller took it up first, in seconds; now if
-                omitted.
+            max_age_s: How long the stream may have run, in seconds.
         """
-        self.confirm_list()
-        now, max_gap_s = self._clock(), self._max_gap_s()
-        since = min(now, seen_at) - max_age_s - max_gap_s
-        return self._versions.is_only_one(service, since, now, max_gap_s)
+        since = self._clock() - max_age_s - self._max_gap_s()
+        return len(self._versions.served(service, since)) > 1
 
     def find(
         self, stream_rid: str, service: str, max_age_s: float
     ) -> KnownVersion | UnknownVersion:
         """Return the software version at which a stream has to go on.
 
-        What is known of the stream itself outweighs what follows from the list, which lags:
-        its holders are asked even if one version is listed. Only if several versions may
-        have begun it, all entries are.
+        What is known of the stream itself outweighs what follows from the list: its holders
+        are asked even if one version is listed.
 
         Args:
             stream_rid: Id of the attempt that brought its first event; empty if the caller
@@ -289,68 +340,155 @@
             max_age_s: How long ago it may have begun, in seconds.
         """
         key = stream_key(stream_rid) if stream_rid else b""
-        seen_at = self._refused.get(key, self._clock())
+        now = self._clock()
+        stream = _TakenUp(key, service, max_age_s, self._refused.get(key, now))
         if key and self._certain(key) is None:
-            self._ask(key, asks_all=not self.is_only_version(service, max_age_s, seen_at))
-        origin = self._known.get(key) if key else None
-        version = None if origin is None else origin.software_version
-        if origin is not None and not origin.is_concluded and version is not None:
-            return KnownVersion(version, origin.source)
+            self._ask(stream, (self._holders(key), HOLDERS_ANSWER_S))
+        if (known := self._known_version(key)) is not None:
+            return known
         self._await_history()
-        if self.is_only_version(service, max_age_s, seen_at):
-            return KnownVersion(None, self._versions.coverage.source)
-        if origin is not None and version is not None:
-            return KnownVersion(version, origin.source)
+        concluded = self._conclude(stream)
+        if (known := self._known_version(key)) is not None:
+            return known
+        if concluded is not None:
+            return concluded
+        origin = self._known.get(key) if key else None
+        if origin is not None and origin.software_version is not None:
+            return KnownVersion(
+                origin.software_version, origin.source, is_concluded=origin.is_concluded
+            )
         if key:
-            self._refused[key] = seen_at
+            self._refused[key] = stream.seen_at
         return _unknown(stream_rid, origin)
 
+    def find_only_version(
+        self, service: str, max_age_s: float
+    ) -> KnownVersion | UnknownVersion:
+        """Return the only version that served since a stream of this entry began.
+
+        Args:
+            service: The stream's service.
+            max_age_s: How long ago it may have begun, in seconds.
+        """
+        stream = _TakenUp(b"", service, max_age_s, self._clock())
+        return self._conclude(stream) or UnknownVersion("its endpoint has restarted")
+
+    def _known_version(self, key: bytes) -> KnownVersion | None:
+        """Return the version that is known of a stream itself; ``None`` if it is not."""
+        origin = self._certain(key) if key else None
+        if origin is None or origin.software_version is None:
+            return None
+        return KnownVersion(origin.software_version, origin.source)
+
+    def _conclude(self, stream: _TakenUp) -> KnownVersion | None:
+        """Return the only version that can have begun a stream; ``None`` if not certain.
+
+        Other entries are asked as long as that is not certain, and may know the stream.
+        """
+        if not self.serves_several(stream.service, stream.max_age_s):
+            concluded = self._only_version(stream)
+            if concluded is not None:
+                return concluded
+            if self.list_read is not None:
+                self.list_read.wait(stream.seen_at, LIST_TIMEOUT_S)
+                concluded = self._only_version(stream)
+                if concluded is not None:
+                    return concluded
+        if not stream.key:
+            return None
+        question = self._ask(
+            stream,
+            (self._answering_peers(), ASK_AGAIN_S),
+            (self._answering_peers(), ANSWER_TIMEOUT_S),
+        )
+        concluded = self._only_version(stream)
+        if concluded is None and self._is_exhaustive(question, stream):
+            concluded = self._concluded(stream, question.sent_at, ALL_ENTRIES)
+        return concluded
+
+    def _only_version(self, stream: _TakenUp) -> KnownVersion | None:
+        """Return the only version since a stream began, if the list was confirmed since."""
+        self.confirm_list()
+        now = self._clock()
+        since = stream.begun_after(self._max_gap_s())
+        if not self._versions.is_only_one(stream.service, since, stream.seen_at, now):
+            return None
+        return self._concluded(stream, *self._versions.confirmation)
+
+    def _concluded(self, stream: _TakenUp, at: float, by: str) -> KnownVersion:
+        since = stream.begun_after(self._max_gap_s())
+        (version,) = self._versions.served(stream.service, since)
+        evidence = VersionEvidence(self._clock() - at, by)
+        source = self._versions.coverage.source
+        return KnownVersion(version, source, evidence, is_concluded=True)
+
+    def _is_exhaustive(self, question: _Question, stream: _TakenUp) -> bool:
+        """Return whether the answers leave one version that can have begun a stream.
+
+        Whoever began it after the last confirmation of the list runs now, as no entry has
+        started since, and has told which versions it lists.
+        """
+        now, confirmed_at = self._clock(), self._versions.confirmed_at
+        since = stream.begun_after(self._max_gap_s())
+        others, summaries = self._peers.targets(), question.summaries
+        if not others or not summaries.keys() >= set(others):
+            return False
+        started_at = [now - summary.running_s for summary in summaries.values()]
+        return (
+            max([self._started_at, *started_at]) <= confirmed_at
+            and max(summary.entry_count for summary in summaries.values())
+            <= len(others) + 1
+            and self._versions.covers(since, now)
+            and len(self._versions.served(stream.service, since)) == 1
+        )
+
     def _await_history(self) -> None:
         """Wait until the store's history of endpoints was read, or will not be."""
         if self.history is not None and not self.history.ready():
             with eventlet.Timeout(HISTORY_TIMEOUT_S, False):
                 self.history.wait()
 
-    def _ask(self, key: bytes, *, asks_all: bool) -> None:
-        """Ask other entries for a stream, its likely holders first, and wait.
+    def _ask(self, stream: _TakenUp, *rounds: tuple[Iterable[Address], float]) -> _Question:
+        """Ask other entries for a stream, and wait until one knows it or none does.
 
         Args:
-            key: The stream's key.
-            asks_all: Whether to ask all entries if no holder knows it.
+            stream: The stream.
+            *rounds: Whom to ask one after another, and for how long to wait, in seconds.
         """
+        key = stream.key
         while (pending := self._questions.get(key)) is not None:
             pending.waiter.wait()
+        question = _Question(next(self._numbers), self._clock(), set(), set())
+        for targets, timeout_s in rounds:
             if self._certain(key) is not None:
-                return
-        unaware: set[Address] = set()
-        self._ask_once(key, self._holders(key), unaware, HOLDERS_ANSWER_S)
-        for timeout_s in (ASK_AGAIN_S, ANSWER_TIMEOUT_S) if asks_all else ():
-            if self._certain(key) is not None:
-                return
-            self._ask_once(key, self._tracking_peers(), unaware, timeout_s)
+                break
+            self._ask_once(key, question, targets, timeout_s)
+        return question
 
     def _ask_once(
         self,
         key: bytes,
+        question: _Question,
         targets: Iterable[Address],
-        unaware: set[Address],
         timeout_s: float,
     ) -> None:
-        """Ask some entries, and wait until one knows the stream or none does.
+        """Ask the entries that have not answered yet, and wait.
 
         Args:
             key: The stream's key.
+            question: The question.
             targets: The entries.
-            unaware: Entries that have said that they do not know it; others are added.
             timeout_s: How long to wait, in seconds.
         """
-        asked = set(targets) - unaware
-        if not asked:
+        question.asked = set(targets) - question.unaware
+        if not question.asked:
             return
-        question = self._questions[key] = _Question(asked, unaware)
+        question.waiter = Waiter()
+        self._questions[key] = question
+        message = StreamQuestion(self._peers.own_address, [key], question.number)
         try:
-            for address in asked:
-                self._send(StreamQuestion(self._peers.own_address, [key]), address)
+            for address in question.asked:
+                self._send(message, address)
             with eventlet.Timeout(timeout_s, False):
                 question.waiter.wait()
         finally:
@@ -362,8 +500,24 @@
         known = {key: self._certain(key) for key in question.keys}
         streams = [_begun(origin) for origin in known.values() if origin is not None]
         unknown = [key for key, origin in known.items() if origin is None]
-        self._send(
-            StreamReport(self._peers.own_address, streams, unknown), question.address
+        report = StreamReport(self._peers.own_address, streams, unknown)
+        if question.number:
+            report.number = question.number
+            report.versions = self._summary()
+        self._send(report, question.address)
+
+    def _summary(self) -> VersionSummary | None:
+        """Return all software versions that are known; ``None`` if they cannot be told."""
+        self.confirm_list()
+        now = self._clock()
+        if not self._versions.can_tell_all(now):
+            return None
+        return VersionSummary(
+            self._versions.report(now, with_single=True),
+            self._versions.complete_s(now),
+            now - self._versions.confirmed_at,
+            now - self._started_at,
+            len(self._peers.targets()) + 1,
         )
 
     def _certain(self, key: bytes) -> StreamOrigin | None:
@@ -381,10 +535,26 @@
         for key in report.unknown:
             question = self._questions.get(key)
             if question is not None:
+                self._merge_answer(report, question)
                 question.unaware.add(report.address)
                 if question.asked <= question.unaware:
                     question.finish()
 
+    def _merge_answer(self, report: StreamReport, question: _Question) -> None:
+        """Take over the software versions that an entry tells in its answer."""
+        summary = report.versions
+        if summary is None or report.number != question.number:
+            return
+        question.summaries[report.address] = summary
+        self._versions.merge_answer(
+            summary.ages,
+            self._clock(),
+            known_s=summary.known_s,
+            # It was answered after it was sent, and may have been on the way since.
+            until=question.sent_at - summary.confirmed_age_s,
+            by=f"{report.address.ip}:{report.address.port}",
+        )
+
     def _take_over(self, stream: BegunStream) -> None:
         known = self._certain(stream.key)
         if known is None:
@@ -445,6 +615,15 @@
                 part = streams[start : start + MAX_STREAMS_PER_REPORT]
                 self._send(StreamReport(self._peers.own_address, part), address)
 
+    def _answering_peers(self) -> list[Address]:
+        """Return all other entries but those that are known not to answer questions."""
+        rows = {address: self._peers.get(address) for address in self._peers.targets()}
+        return [
+            address
+            for address, row in rows.items()
+            if row is None or row.digest.tracks_streams
+        ]
+
     def _tracking_peers(self) -> dict[Address, str]:
         """Return the data halls of the entries that answer, by address."""
         return {
--- a/dockreach/direct/version_coverage.py
+++ b/dockreach/direct/version_coverage.py
@@ -12,6 +12,12 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+PLATFORM = "platform"
+"""Names the platform where evidence may also come from an entry."""
+
+ALL_ENTRIES = "all_entries"
+"""Names all other entries together."""
+
 
 class VersionSource(enum.StrEnum):
     """From what an entry knows at which software version a stream has to go on."""
@@ -70,6 +76,30 @@
         return max(now - self.since, 0.0)
 
 
+class Confirmation(NamedTuple):
+    """Up to when all changes of the list of endpoints were seen.
+
+    Attributes:
+        at: That time, monotonic, in seconds; minus infinity if there is no list.
+        by: Who read the list then: `PLATFORM`, or the name or address of another entry.
+    """
+
+    at: float
+    by: str
+
+
+class VersionEvidence(NamedTuple):
+    """By what one software version was taken for the only one that served.
+
+    Attributes:
+        age_s: Time since the newest evidence, in seconds.
+        by: Who gave it: `PLATFORM`, `ALL_ENTRIES`, or one entry's name or address.
+    """
+
+    age_s: float
+    by: str
+
+
 class ServedVersion(NamedTuple):
     """A software version at which an endpoint was listed.
 
--- a/tests/direct/test_request_summary.py
+++ b/tests/direct/test_request_summary.py
@@ -17,6 +17,7 @@
     start_entry,
     status_of,
 )
+from .versioned_engines import VersionedEngine, start_fleet, take_up_stream
 
 SILENCE_S = 0.3
 """For how long the endpoint is silent before the end, in seconds."""
@@ -170,3 +171,14 @@
     caller = Caller(start_entry(EndpointStandIn(script)))
     caller.send(path, rid="r-end", body=b"prompt")
     assert last_line(caplog, "r-end")["end"] == end
+
+
+def test_the_last_line_of_a_take_up_names_the_evidence_for_its_only_version(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "dockreach")
+    (entry,) = start_fleet([VersionedEngine("e-1", "v1")], entries=1)
+    take_up_stream(entry, "r-taken-up", stream_rid="r-0")
+    line = last_line(caplog, "r-taken-up")
+    assert line["version_evidence_by"] == "platform"
+    assert 0 <= line["version_evidence_ms"] < 1000
