Confirm the list of endpoints only up to the sending of a call

What callers saw: after an entry had stood still for some seconds, a stream that another entry had begun at a version that joined meanwhile went on at the old version.

Cause: the follower stamped the list as complete with the time after the response was read. A watch that was answered without changes before the version joined waited in the socket, and confirmed the list at the moment at which the entry went on. Peers were told the same with the age of the last response, and a peer's view confirmed the list at once, however old the peer's own knowledge was.

Change: all changes are known up to the time at which the call was sent. Digests tell that time on their own (`endpoints_complete_s`); a view confirms nothing by itself. The time from which versions are known after a list was read anew stays that of the response, the later of the two.

--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -55,6 +55,8 @@
             known, `feeds.FAILING` while calls fail.
         versions_known_s: For how long the sender has known all software versions that
             served, in whole seconds, while an entry has started recently; else 0.
+        endpoints_complete_s: Time since the moment up to which the sender knows all changes
+            of the endpoint list from the platform itself, in seconds.
     """
 
     name: str
@@ -83,6 +85,7 @@
     software_versions: dict[str, dict[str, float]] = {}
     endpoints_answered_s: int = 0
     versions_known_s: int = 0
+    endpoints_complete_s: float = math.inf
 
 
 class CrashUpdate(msgspec.Struct, array_like=True, tag=4):
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -328,6 +328,7 @@
         endpoints_revision: int,
         *,
         after_outage: bool = False,
+        complete_at: float | None = None,
     ) -> None:
         """Replace the list of endpoints.
 
@@ -335,10 +336,12 @@
             published: All endpoints that the platform lists.
             endpoints_revision: The platform's revision of the list.
             after_outage: Whether records of running endpoints may be missing.
+            complete_at: Monotonic time up to which the list holds all changes, in seconds;
+                now if omitted.
         """
         lapsed_at = clock.now() if after_outage else None
         self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
-        self.ctx.streams.replace_list()
+        self.ctx.streams.replace_list(complete_at)
         self.record_endpoints_revision(endpoints_revision)
 
     def expect_endpoint_history(self) -> None:
@@ -372,8 +375,8 @@
     def _endpoints_confirmed_at(self) -> float:
         """Return up to when this entry has seen all changes of the list of endpoints.
 
-        A peer that the platform has answered since has seen none that this entry has not,
-        unless its revision is higher.
+        A peer that has seen all changes up to a later time has seen none that this entry
+        has not, unless its revision is higher.
 
         Returns:
             The monotonic time in seconds; minus infinity if there is no list yet.
@@ -381,7 +384,7 @@
         if not self._endpoints_revision:
             return -math.inf
         relayed = [
-            row.received_at - row.digest.endpoints_age_s
+            row.received_at - row.digest.endpoints_complete_s
             for row in self.peers.fresh(clock.now())
             if row.digest.endpoints_revision <= self._endpoints_revision
         ]
@@ -442,7 +445,8 @@
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
             lapsed_at = view.lapsed_at(clock.now())
             self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
-            self.ctx.streams.replace_list()
+            # Its sender may be behind itself: digests tell up to when it knows all changes.
+            self.ctx.streams.replace_list(-math.inf)
             self.record_endpoints_revision(view.endpoints_revision)
 
     def expire_lapsed_endpoints(self) -> None:
@@ -495,6 +499,7 @@
             software_versions=versions.report(now, with_single=is_needed),
             endpoints_answered_s=self.feeds.endpoints.answered_s,
             versions_known_s=self.ctx.streams.versions_known_s() if is_needed else 0,
+            endpoints_complete_s=now - self.feeds.endpoints.complete_at,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -88,8 +88,10 @@
             seconds; ``None`` before the first response.
         unanswered_since: Monotonic time from which the platform did not respond, in
             seconds; ``None`` once the copy is up to date again.
+        called_at: Monotonic time at which the last call was sent, in seconds.
         complete_at: Monotonic time up to which all changes have been applied, in seconds;
-            minus infinity before the first list.
+            minus infinity before the first list. It is when a call was sent: the response
+            may have been on its way, or unread, for any part of the time until it was read.
         follows_outage: Whether changes are still being read that were made in an outage.
     """
 
@@ -100,6 +102,7 @@
     max_gap_s: float = 2.4
     answered_since: float | None = None
     unanswered_since: float | None = None
+    called_at: float = -math.inf
     complete_at: float = -math.inf
     follows_outage: bool = False
 
@@ -142,7 +145,8 @@
         )
 
     def mark_caught_up(self) -> None:
-        """Record that all changes made during an outage have been read."""
+        """Record that all changes were applied that were made before the last call."""
+        self.complete_at = self.called_at
         self.consecutive_failures = 0
         self.unanswered_since = None
         self.follows_outage = False
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -87,20 +87,24 @@
         """
         self.confirmed_at = max(at, self.confirmed_at)
 
-    def replace_list(self, now: float, max_gap_s: float) -> None:
+    def replace_list(
+        self, now: float, max_gap_s: float, *, complete_at: float | None = None
+    ) -> None:
         """Record that the list was read anew: changes since the last one were not seen.
 
         Args:
             now: Monotonic time, in seconds.
             max_gap_s: Longest time between two lists in which no version can have served
                 unnoticed, in seconds.
+            complete_at: Monotonic time up to which the list holds all changes, in seconds;
+                now if omitted.
         """
         seen_at = max(self.confirmed_at, self._learned_at)
         for coverage in (self.coverage, self._shared_coverage):
             if max_gap_s < now - seen_at < math.inf:
                 coverage.restart(now)
             coverage.extend(now, VersionSource.MEMORY)
-        self.confirm(now)
+        self.confirm(now if complete_at is None else complete_at)
 
     def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
         """Record all versions that ever served, as the platform's store tells.
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -238,10 +238,17 @@
         if self._running.get(origin.key) is origin:
             del self._running[origin.key]
 
-    def replace_list(self) -> None:
-        """Note that the list of endpoints was read anew."""
+    def replace_list(self, complete_at: float | None = None) -> None:
+        """Note that the list of endpoints was read anew.
+
+        Args:
+            complete_at: Monotonic time up to which it holds all changes, in seconds; now if
+                omitted.
+        """
         self.confirm_list()
-        self._versions.replace_list(self._clock(), self._max_gap_s())
+        self._versions.replace_list(
+            self._clock(), self._max_gap_s(), complete_at=complete_at
+        )
 
     def confirm_list(self) -> None:
         """Note up to when all changes of the list of endpoints were seen."""
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -22,13 +23,14 @@
 from dockreach_platform.follower import StoreFollower, served_versions
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_endpoint
-from dockreach_platform.store import HistoryCompactedError, Item, StoreClient
+from dockreach_platform.store import HistoryCompactedError, Item, ItemBatch, StoreClient
 from tests.direct.standins import entry_settings
 
 from .store_standin import StoreStandIn, endpoint_record
 
 LIMITS = CallLimits(wait_s=0.1, read_timeout_s=1.0)
 MAX_WAIT_S = 5.0
+STOPPED_S = 0.7
 
 
 def server_record(state: str = "ready") -> bytes:
@@ -613,3 +615,47 @@
     eventlet.sleep(0.5)
     assert entry.feeds.endpoints.consecutive_failures
     assert entry._endpoints_confirmed_at() <= changed_at
+
+
+def read_late(monkeypatch: pytest.MonkeyPatch, call: str) -> list[float]:
+    """Let entries stand still for a while before they read responses for endpoints.
+
+    Returns:
+        The times at which the responses arrived, in monotonic seconds.
+    """
+    arrived: list[float] = []
+    original = getattr(StoreClient, call)
+
+    def read(client: StoreClient, prefix: str, *args: object) -> ItemBatch:
+        batch: ItemBatch = original(client, prefix, *args)
+        if prefix == "servers/":
+            arrived.append(clock.now())
+            time.sleep(STOPPED_S)
+        return batch
+
+    monkeypatch.setattr(StoreClient, call, read)
+    return arrived
+
+
+@pytest.mark.parametrize("call", ["list", "watch"])
+def test_a_response_that_waited_to_be_read_confirms_the_list_only_up_to_its_call(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    arrived = read_late(monkeypatch, call)
+    entry = start_following_entry(store)
+    wait_until(lambda: bool(arrived))
+    entry.ctx.streams.confirm_list()
+    assert entry._endpoints_confirmed_at() <= arrived[-1]
+    assert entry.endpoints.software_versions.confirmed_at <= arrived[-1]
+    assert entry._make_digest().endpoints_complete_s >= STOPPED_S
+
+
+def test_a_view_of_a_peer_does_not_confirm_the_list(store: StoreStandIn) -> None:
+    entry = start_following_entry(store)
+    before = clock.now()
+    store.failure_mode = 503
+    eventlet.sleep(1.5)
+    view = entry.view()
+    view.endpoints_revision += 1
+    entry.apply_view(view, "peer")
+    assert entry.endpoints.software_versions.confirmed_at <= before
--- /dev/null
+++ b/tests/platform/test_stopped_entries.py
@@ -0,0 +1,71 @@
+"""Entry processes that stood still while endpoints of another version joined.
+
+Failure: streams went on at another software version than the one that had begun them.
+
+How it comes about: the entry was stopped in a long poll, which the store answered without
+changes, and then the version joined. The response waited in the socket. The entry read it
+as soon as it went on, took the list of endpoints for confirmed at that moment, and
+concluded that one version had served all along.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import eventlet
+import pytest
+
+from tests.direct.standins import header_of, status_of
+from tests.direct.versioned_engines import STREAM_EVENTS, versions_in
+
+from .test_take_ups import APPLY_DEADLINE_S, Site
+
+ANSWERED_S = 0.8 * APPLY_DEADLINE_S
+"""Time after which any watch was answered that was pending when the entry was stopped."""
+
+MAX_WAIT_S = 5.0
+
+
+@pytest.fixture(name="site")
+def _site(tmp_path: Path) -> Iterator[Site]:
+    site = Site(tmp_path)
+    yield site
+    for process in site.processes:
+        process.kill()
+        process.communicate()
+
+
+def wait_for_long_poll(site: Site) -> None:
+    """Wait until the entry has just begun to wait for changes of the endpoints."""
+    calls = len(site.store.calls)
+    with eventlet.Timeout(MAX_WAIT_S):
+        while not any(map(_is_long_poll, site.store.calls[calls:])):
+            eventlet.sleep(0.005)
+
+
+def _is_long_poll(call: str) -> bool:
+    return "kv-watch" in call and "servers" in call and not call.endswith("wait_ms=0")
+
+
+@pytest.mark.parametrize("stopped_s", [2.0, 3.5])
+def test_a_stream_is_not_taken_up_by_what_was_answered_before_the_entry_went_on(
+    site: Site, stopped_s: float
+) -> None:
+    site.list_endpoint("e-1", "v1")
+    site.start_entry(bootstrap=True)
+    assert versions_in(site.send()) == ["v1"] * STREAM_EVENTS
+    wait_for_long_poll(site)
+    pid = site.processes[0].pid
+    os.kill(pid, signal.SIGSTOP)
+    eventlet.sleep(ANSWERED_S)
+    site.list_endpoint("e-2", "v2")
+    site.store.failure_mode = "silent"
+    eventlet.sleep(stopped_s - ANSWERED_S)
+    os.kill(pid, signal.SIGCONT)
+    eventlet.sleep(0.1)
+    response = site.take_up()
+    assert status_of(response) == 503, versions_in(response)
+    assert float(header_of(response, b"retry-after") or 0) > 0
