Notice that an entry stood still, and date responses of the platform by it

What callers saw: an entry that had been stopped for seconds vouched for the platform: its last response, which had waited in the socket, counted as of the moment of its reading, in its own decisions (whether to poll, whether to fetch from peers) and in its digests, by which others end the grace period of lapsed endpoints.

Cause: after a stop the event loop reads sockets before any timer fires, and nothing told a reader that time had passed.

Whoever takes what it reads for evidence of a time asks first for the arrival: the time of reading, or the beginning of the stall if there was one while it was awaited. A feed's last response uses it; the time since which the platform has answered stays the time of reading, as the later of the two is the safe one.

In normal operation the stamp is the time of reading, as before.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -54,6 +54,7 @@
 from .slot_client import SlotClient
 from .slot_messages import SlotReply, SlotState
 from .slot_server import SlotServer
+from .stalls import Stalls
 from .status_pages import serve_page
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
@@ -106,7 +107,11 @@
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
         self._digest_number = 0
-        self.feeds = Feeds(endpoints=Feed(max_gap_s=_record_margin_s(settings)))
+        self.stalls = Stalls(clock.now)
+        self.feeds = Feeds(
+            configuration=Feed(stalls=self.stalls),
+            endpoints=Feed(max_gap_s=_record_margin_s(settings), stalls=self.stalls),
+        )
         self.endpoints = EndpointTable()
         self.evacuated = EvacuatedHalls(self.endpoints)
         self.peers = PeerTable(settings.gossip_address, settings.seeds)
@@ -217,6 +222,7 @@
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, partial(serve_page, page=pages.metrics))
         self._view_sync.start()
+        eventlet.spawn(run_forever, self.stalls.run)
         eventlet.spawn(run_forever, self._run_maintenance)
         eventlet.spawn(run_forever, self.admission.measure)
         log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_predecessor)
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -25,6 +25,7 @@
 from .send_guard import SendGuard
 from .slot_client import SlotClient
 from .slot_server import SlotServer
+from .stalls import Stalls
 from .status_pages import NOT_FOUND, Page
 from .version_coverage import VersionSource
 
@@ -48,6 +49,7 @@
     revision: ConfigRevision | None
     ctx: Context
     feeds: Feeds
+    stalls: Stalls
     endpoints: EndpointTable
     peers: PeerTable
     gossip: Gossip
@@ -128,6 +130,7 @@
         yield from entry.ctx.ends.samples()
         now = clock.now()
         yield from entry.feeds.samples(now, entry.started_at)
+        yield from entry.stalls.samples()
         gauges = {
             "peers": len(entry.peers),
             "endpoints": len(entry.endpoints),
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -14,9 +14,11 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from .. import clock
 from ..backoff import backoff_after
 from ..metrics import Sample
 from .record_refusals import RecordRefusals
+from .stalls import Stalls
 
 MAX_WAIT_FRACTION = 0.6
 """Longest wait for a change (long poll), as a fraction of the time within which a change
@@ -81,7 +83,8 @@
         failed_calls: Failed calls since the start.
         consecutive_failures: Failed calls in a row; 0 once the copy is up to date again.
         last_response_at: Monotonic time of the last response, in seconds; ``None``
-            before the first.
+            before the first. If the process stood still during the call, the earliest time
+            at which it can have arrived.
         max_gap_s: Longest time between two responses in which no record of a running
             endpoint can have expired, in seconds.
         answered_since: Monotonic time of the first response since the last outage, in
@@ -93,6 +96,7 @@
             minus infinity before the first list. It is when a call was sent: the response
             may have been on its way, or unread, for any part of the time until it was read.
         follows_outage: Whether changes are still being read that were made in an outage.
+        stalls: When this process stood still.
     """
 
     calls: int = 0
@@ -105,6 +109,7 @@
     called_at: float = -math.inf
     complete_at: float = -math.inf
     follows_outage: bool = False
+    stalls: Stalls = field(default_factory=lambda: Stalls(clock.now))
 
     def record_response(self, now: float) -> None:
         """Record that a call was answered."""
@@ -112,7 +117,7 @@
         self.follows_outage |= self._was_out(now)
         if self.follows_outage or self._was_idle(now):
             self.answered_since = now
-        self.last_response_at = now
+        self.last_response_at = self.stalls.arrival(self.called_at, now).at
 
     def _was_out(self, now: float) -> bool:
         """Return whether calls failed for so long that it counts as an outage.
@@ -140,9 +145,8 @@
             return FAILING
         if self.last_response_at is None or self.answered_since is None:
             return 0
-        return min(
-            int(self.last_response_at - self.answered_since), MAX_REPORTED_ANSWERED_S
-        )
+        answered_s = max(int(self.last_response_at - self.answered_since), 0)
+        return min(answered_s, MAX_REPORTED_ANSWERED_S)
 
     def mark_caught_up(self) -> None:
         """Record that all changes were applied that were made before the last call."""
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -25,6 +25,7 @@
     STOPPING = 103
     STOPPED = 104
     PAUSED = 105
+    STOOD_STILL = 106
     PEER_UP = 200
     PEER_DOWN = 201
     VM_GONE = 202
@@ -80,6 +81,7 @@
 
 _LEVELS: dict[Event, int] = {
     Event.PAUSED: logging.WARNING,
+    Event.STOOD_STILL: logging.WARNING,
     Event.PEER_DOWN: logging.WARNING,
     Event.CONFIG_REFUSED: logging.WARNING,
     Event.CONFIG_CONFLICT: logging.ERROR,
