Date digests by when they can have arrived, not by when they were read

What callers saw: after an entry had stood still, its list of endpoints counted as confirmed by peers' digests of before, so that a stream could go on at a version of which the list was out of date; peers that had ended meanwhile counted as alive.

Cause: a datagram was dated by the clock after it was read, though it may have waited in the socket for as long as the entry stood still.

Change: gossip reads the non-blocking socket itself and notes when it was empty. A digest has three times: that of the empty socket, which bounds evidence about the endpoint list and the periods in which the platform answered from below; that of its reading, from which usage, ages and a peer's time-out count, as the later time is the safe one; and the one for freshness, which is the reading unless the process stood still for half a second or more. Peers of which only a digest that waited is known are not fresh, but still asked as coordinators, and their requests still counted, so that endpoints are not overloaded after a stall.

--- a/dockreach/direct/coordinator_selection.py
+++ b/dockreach/direct/coordinator_selection.py
@@ -88,7 +88,7 @@
         """Return the coordinator of a service; ``None`` if it is this entry."""
         if self._is_independent:
             return None
-        rows = [row for row in self._peers.fresh(now) if self._may_coordinate(row, now)]
+        rows = [row for row in self._peers.heard(now) if self._may_coordinate(row, now)]
         capacities = {row.digest.address: row.digest.capacity for row in rows}
         ages = {row.digest.address: _age_s(row, now) for row in rows}
         if not self.is_leaving:
@@ -153,7 +153,7 @@
 
 
 def _age_s(row: PeerRow, now: float) -> float:
-    return row.digest.age_s + now - row.received_at
+    return row.digest.age_s + now - row.sent_before
 
 
 @lru_cache(maxsize=4096)
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -40,7 +40,7 @@
 from .loops import run_forever
 from .message_checks import is_valid, without_invalid_parts
 from .notice_tracker import NoticeTracker
-from .peers import RECENT_START_S, PeerTable
+from .peers import MAX_DATAGRAM_DELAY_S, RECENT_START_S, PeerTable
 from .pool import ConnectionPool
 from .protocol_adapter import ProtocolAdapter
 from .quarantine import RequestQuarantine
@@ -54,7 +54,7 @@
 from .slot_client import SlotClient
 from .slot_messages import SlotReply, SlotState
 from .slot_server import SlotServer
-from .stalls import Stalls
+from .stalls import Arrival, Stalls
 from .status_pages import serve_page
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
@@ -116,7 +116,11 @@
         self.evacuated = EvacuatedHalls(self.endpoints)
         self.peers = PeerTable(settings.gossip_address, settings.seeds)
         self.gossip = Gossip(
-            settings.gossip_address, self.peers, self._make_digest, self._receive
+            settings.gossip_address,
+            self.peers,
+            self._make_digest,
+            self._receive,
+            self.stalls,
         )
         self._coordinator_selector = CoordinatorSelector(
             self.peers,
@@ -390,7 +394,7 @@
         if not self._endpoints_revision:
             return -math.inf
         relayed = [
-            row.received_at - row.digest.endpoints_complete_s
+            row.sent_after - row.digest.endpoints_complete_s
             for row in self.peers.fresh(clock.now())
             if row.digest.endpoints_revision <= self._endpoints_revision
         ]
@@ -531,55 +535,58 @@
     def _find_route(self, name: str) -> Route | None:
         return self.revision.routes_by_name.get(name) if self.revision else None
 
-    def _receive(self, message: Message) -> None:
+    def _receive(self, message: Message, arrival: Arrival) -> None:
         """Handle a message from another entry, unless it makes no sense."""
         if is_valid(message):
-            self._on_message(message)
+            self._on_message(message, arrival)
         else:
             kind = type(message).__name__
             log(Event.DIGEST_REFUSED, f"{kind} with an invalid number or address")
 
     @singledispatchmethod
-    def _on_message(self, message: Message) -> None:
+    def _on_message(self, message: Message, arrival: Arrival) -> None:
         """Handle a message from another entry."""
         raise NotImplementedError(type(message))
 
     @_on_message.register
-    def _(self, state: SlotState) -> None:
+    def _(self, state: SlotState, _: Arrival) -> None:
         self.ctx.scheduler.handle_state(state)
 
     @_on_message.register
-    def _(self, reply: SlotReply) -> None:
+    def _(self, reply: SlotReply, _: Arrival) -> None:
         self.ctx.scheduler.handle_reply(reply)
 
     @_on_message.register
-    def _(self, update: CrashUpdate) -> None:
+    def _(self, update: CrashUpdate, _: Arrival) -> None:
         self.ctx.crashes.merge(without_invalid_parts(update).crash_reports)
 
     @_on_message.register
-    def _(self, update: NoticeUpdate) -> None:
+    def _(self, update: NoticeUpdate, _: Arrival) -> None:
         self.ctx.notices.merge(without_invalid_parts(update).notices, update.sender)
 
     @_on_message.register
-    def _(self, report: StreamReport) -> None:
+    def _(self, report: StreamReport, _: Arrival) -> None:
         self.ctx.streams.handle_report(report)
 
     @_on_message.register
-    def _(self, question: StreamQuestion) -> None:
+    def _(self, question: StreamQuestion, _: Arrival) -> None:
         self.ctx.streams.handle_question(question)
 
     @_on_message.register
-    def _(self, digest: Digest) -> None:
-        now = clock.now()
+    def _(self, digest: Digest, arrival: Arrival) -> None:
+        now = arrival.read_at
         digest = without_invalid_parts(digest)
-        change = self.peers.merge(digest, now)
+        change = self.peers.merge(digest, now, arrival)
         if not change.is_new:
             return
         previous = change.previous
         self.ctx.crashes.merge(digest.crash_reports)
         self.ctx.notices.merge(digest.notices, digest.name)
         self.endpoints.software_versions.merge(
-            digest.software_versions, now, known_s=digest.versions_known_s
+            digest.software_versions,
+            now,
+            known_s=digest.versions_known_s,
+            sent_after=arrival.after - MAX_DATAGRAM_DELAY_S,
         )
         if previous is None or previous.digest.incarnation != digest.incarnation:
             self._send_startup_report(digest.address)
@@ -588,7 +595,7 @@
         elif previous.digest.incarnation != digest.incarnation:
             self.ctx.quotas.keep_ended_peers([previous])
         # The requests of a silent peer are not counted, so they are not subtracted either.
-        was_counted = previous is not None and self.peers.is_fresh(previous, now)
+        was_counted = previous is not None and self.peers.is_heard(previous, now)
         old_in_flight = (
             self._in_flight_not_granted_here(previous.digest)
             if previous is not None and was_counted
--- a/dockreach/direct/gossip.py
+++ b/dockreach/direct/gossip.py
@@ -7,6 +7,7 @@
 
 import eventlet
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from .. import clock
 from ..errors import WireError
@@ -17,6 +18,7 @@
 from .loops import run_forever
 from .partial_digests import DigestVariants, partial_digest
 from .peers import PeerTable
+from .stalls import Arrival, Stalls
 
 IDLE_INTERVAL_S = 0.25
 """Interval between digests while nothing changes, in seconds."""
@@ -36,7 +38,8 @@
         own_address: Where to listen.
         peers: The table of peers, whose addresses digests are sent to.
         make_digest: Returns this entry's digest.
-        on_message: Called with each received message.
+        on_message: Called with each received message, and when it arrived.
+        stalls: When this process stood still.
     """
 
     def __init__(
@@ -44,11 +47,14 @@
         own_address: Address,
         peers: PeerTable,
         make_digest: Callable[[], Digest],
-        on_message: Callable[[Message], None],
+        on_message: Callable[[Message, Arrival], None],
+        stalls: Stalls,
     ) -> None:
         self._peers = peers
         self._make_digest = make_digest
         self._on_message = on_message
+        self._stalls = stalls
+        self._empty_at = clock.now()
         self._variants = DigestVariants(peers)
         self._wake_up: Any = eventlet.event.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -110,10 +116,24 @@
     def _receive_next(self) -> None:
         self._share.begin_step()
         try:
-            data, _ = self._sock.recvfrom(RECV_BYTES)
+            data = self._read()
+            arrival = self._stalls.arrival(self._empty_at, clock.now())
             self._share.add_bytes(len(data))
             message = decode(data)
         except (OSError, WireError) as exc:
             log(Event.DIGEST_REFUSED, str(exc))
             return
-        self._on_message(message)
+        self._on_message(message, arrival)
+
+    def _read(self) -> bytes:
+        """Wait for a datagram; note when none was there."""
+        while True:
+            # Read before the attempt: a datagram may arrive right after it.
+            tried_at = clock.now()
+            try:
+                data: bytes = self._sock.fd.recvfrom(RECV_BYTES)[0]
+            except BlockingIOError:
+                self._empty_at = tried_at
+                trampoline(self._sock, read=True)
+            else:
+                return data
--- a/dockreach/direct/lapses.py
+++ b/dockreach/direct/lapses.py
@@ -45,8 +45,10 @@
     for row in peers:
         digest = row.digest
         if digest.endpoints_answered_s > 0:
-            last = row.received_at - digest.endpoints_age_s - MAX_DATAGRAM_DELAY_S
-            since = last - digest.endpoints_answered_s
+            # The digest may have waited to be read: the period is what is certain.
+            latest = row.sent_before - MAX_DATAGRAM_DELAY_S - digest.endpoints_age_s
+            last = row.sent_after - digest.endpoints_age_s
+            since = latest - digest.endpoints_answered_s
             periods.append(AnsweredPeriod(digest.hall, since, last + record_margin_s))
     return periods
 
--- a/dockreach/direct/peers.py
+++ b/dockreach/direct/peers.py
@@ -10,6 +10,7 @@
 
 from .digest import Address, Digest
 from .round_robin import RoundRobin
+from .stalls import Arrival
 
 FRESH_S = 0.8
 """A peer that has sent no digest for longer may be unreachable, in seconds: three intervals
@@ -62,11 +63,33 @@
     """One other entry.
 
     Attributes:
-        received_at: Monotonic time at which its last digest was received, in seconds.
+        received_at: Monotonic time at which its last digest was received, in seconds. If
+            this process stood still meanwhile, the earliest time at which it can have
+            arrived: the peer may be gone since.
+        early_s: How much earlier it may have arrived, in seconds.
+        late_s: How much later it may have arrived, in seconds.
     """
 
     digest: Digest
     received_at: float
+    early_s: float = 0.0
+    late_s: float = 0.0
+
+    @classmethod
+    def at(cls, arrival: Arrival, digest: Digest) -> PeerRow:
+        """Return the row of a peer whose digest arrived at a time."""
+        early_s = arrival.at - arrival.after
+        return cls(digest, arrival.at, early_s, arrival.read_at - arrival.at)
+
+    @property
+    def sent_after(self) -> float:
+        """Earliest time at which the digest can have been sent, monotonic, in seconds."""
+        return self.received_at - self.early_s - MAX_DATAGRAM_DELAY_S
+
+    @property
+    def sent_before(self) -> float:
+        """Latest time at which the digest can have been sent, monotonic, in seconds."""
+        return self.received_at + self.late_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +147,19 @@
         limit_s = self._fresh_limit_s
         return [row for row in self._rows.values() if now - row.received_at <= limit_s]
 
+    def is_heard(self, row: PeerRow, now: float) -> bool:
+        """Return whether a digest of the peer was read recently, which may have waited.
+
+        The peer of a digest that waited while this process stood still may be gone. Its
+        requests count until that is certain, and it may be asked: an answer is news.
+        """
+        return now - row.sent_before <= self._fresh_limit_s
+
+    def heard(self, now: float) -> list[PeerRow]:
+        """Return the peers from which a digest was read recently."""
+        limit_s = self._fresh_limit_s
+        return [row for row in self._rows.values() if now - row.sent_before <= limit_s]
+
     @property
     def rows(self) -> list[PeerRow]:
         """All peers that have neither left nor timed out."""
@@ -145,8 +181,17 @@
         found.update(dict.fromkeys(self._discovered))
         return list(found)
 
-    def merge(self, digest: Digest, now: float) -> MergeResult:
-        """Merge a received digest into the table; return what it changed."""
+    def merge(
+        self, digest: Digest, now: float, arrival: Arrival | None = None
+    ) -> MergeResult:
+        """Merge a received digest into the table; return what it changed.
+
+        Args:
+            digest: The digest.
+            now: Monotonic time, in seconds.
+            arrival: When it arrived; just now if omitted.
+        """
+        arrival = arrival or Arrival.prompt(now)
         if digest.address == self.own_address:
             return MergeResult(is_new=False)
         self._discover(digest.known_peers, now)
@@ -157,14 +202,14 @@
             return MergeResult(is_new=False)
         if row is None:
             if len(self._rows) < MAX_PEERS:
-                self._rows[digest.address] = PeerRow(digest, now)
+                self._rows[digest.address] = PeerRow.at(arrival, digest)
             self._discovered.pop(digest.address, None)
             return MergeResult(is_new=True)
-        previous = PeerRow(row.digest, row.received_at)
-        if not _is_newer(digest, previous, now):
+        previous = row
+        if not _is_newer(digest, previous, arrival.at):
             return MergeResult(is_new=False)
-        row.digest = _with_earlier_usage(digest, previous.digest)
-        row.received_at = now
+        complete = _with_earlier_usage(digest, previous.digest)
+        self._rows[digest.address] = PeerRow.at(arrival, complete)
         return MergeResult(is_new=True, previous=previous)
 
     def _discover(self, addresses: Iterable[Address], now: float) -> None:
@@ -179,7 +224,7 @@
         removed = []
         for address, row in list(self._rows.items()):
             limit = FRESH_S if row.digest.leaving else PEER_TIMEOUT_S
-            if now - row.received_at > limit:
+            if now - row.sent_before > limit:
                 removed.append(self._rows.pop(address))
         for address, since in list(self._discovered.items()):
             if now - since > PEER_TIMEOUT_S:
@@ -214,14 +259,14 @@
         now: float,
         in_flight_of: Callable[[Digest], dict[str, int]] = attrgetter("in_flight"),
     ) -> dict[str, int]:
-        """Return the requests in flight from all fresh peers, by endpoint.
+        """Return the requests in flight from all peers that were heard, by endpoint.
 
         Args:
             now: Monotonic time, in seconds.
             in_flight_of: Returns the requests of a digest to count; by default all.
         """
         counts: dict[str, int] = {}
-        for row in self.fresh(now):
+        for row in self.heard(now):
             for endpoint, count in in_flight_of(row.digest).items():
                 counts[endpoint] = counts.get(endpoint, 0) + count
         return counts
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -59,7 +59,12 @@
         _remember(self._listed, service, version, now)
 
     def merge(
-        self, ages: Mapping[str, Mapping[str, float]], now: float, *, known_s: int = 0
+        self,
+        ages: Mapping[str, Mapping[str, float]],
+        now: float,
+        *,
+        known_s: int = 0,
+        sent_after: float | None = None,
     ) -> None:
         """Merge the versions that another entry remembers.
 
@@ -68,6 +73,8 @@
             now: Monotonic time, in seconds.
             known_s: For how long the other entry has known all versions, in seconds, if
                 these are all of them; else 0.
+            sent_after: Earliest monotonic time at which it can have told them, in seconds;
+                now if omitted.
         """
         for service, versions in ages.items():
             for version, age_s in versions.items():
@@ -77,7 +84,8 @@
             since = now - min(known_s, VERSION_MEMORY_S)
             self.coverage.extend(since, VersionSource.ENTRY)
             self._shared_coverage.extend(since, VersionSource.ENTRY)
-            self._learned_at = now
+            learned_at = now if sent_after is None else sent_after
+            self._learned_at = max(learned_at, self._learned_at)
 
     def confirm(self, at: float) -> None:
         """Record that all changes of the list up to a time were seen.
--- a/dockreach/direct/stalls.py
+++ b/dockreach/direct/stalls.py
@@ -22,9 +22,11 @@
 """Time between two beats, in seconds: a sixteenth of the age at which a peer counts as
 silent."""
 
-MIN_STALL_S = 0.25
+MIN_STALL_S = 0.5
 """Shortest time between two beats for which the process is taken to have stood still, in
-seconds. A busy event loop delays a beat by less."""
+seconds: less than the age at which a peer counts as silent, and more than a busy event loop
+delays a beat. Evidence that must be certain is dated by `Arrival.after`, whatever the
+length of a stall."""
 
 MAX_STALLS = 64
 """Stalls that are remembered: more than pass in the longest call."""
--- a/dockreach/direct/token_quota.py
+++ b/dockreach/direct/token_quota.py
@@ -267,7 +267,7 @@
             fresh_only: Whether to count only this entry and reachable peers.
         """
         self._ended_peers = [
-            row for row in self._ended_peers if now - row.received_at <= self._window_s
+            row for row in self._ended_peers if now - row.sent_before <= self._window_s
         ]
         own = self._own_usage.get(name)
         empty = [0] * (math.ceil(self._window_s / BUCKET_S) + 1)
@@ -545,8 +545,8 @@
 
 
 def _add_reported(total: list[int], row: PeerRow, name: str, now: float) -> None:
-    """Add the usage a peer reported, shifted by the time since it was received."""
-    shift = int((now - row.received_at) / BUCKET_S)
+    """Add the usage a peer reported, shifted by the least time since it was sent."""
+    shift = int((now - row.sent_before) / BUCKET_S)
     for index, amount in enumerate(row.digest.used.get(name, ())):
         if index + shift >= len(total):
             return
--- a/tests/direct/test_coordinator_selection.py
+++ b/tests/direct/test_coordinator_selection.py
@@ -7,10 +7,12 @@
 from dockreach.direct.coordinator_selection import (
     MIN_COORDINATOR_AGE_S,
     UNRESPONSIVE_S,
+    CoordinationMode,
     CoordinatorSelector,
 )
 from dockreach.direct.digest import Address
 from dockreach.direct.peers import FRESH_S, PeerTable
+from dockreach.direct.stalls import Arrival
 
 from .core_builders import OWN, address, digest, peers
 
@@ -100,3 +102,31 @@
         selector_.coordinator_of(f"s-{n}", 100.0) for n in range(50)
     }
     assert None not in selected
+
+
+def test_an_entry_that_stood_still_asks_the_same_coordinator_and_grants_with_care() -> None:
+    """Guards against entries that count themselves alone, or sure, just after a stop."""
+    table = peers()
+    waited = Arrival(after=100.0, at=100.0, read_at=105.0)
+    for number in range(3):
+        table.merge(digest(address(number), age_s=50.0), 105.0, waited)
+    before, after = selector(three_peers()), selector(table)
+    services = [f"s-{number}" for number in range(50)]
+    coordinators = [after.coordinator_of(name, 105.0) for name in services]
+    assert coordinators == [before.coordinator_of(name, 100.0) for name in services]
+    own = [
+        name for name, found in zip(services, coordinators, strict=True) if found is None
+    ]
+    assert own
+    assert {before.mode(name, 100.0) for name in own} == {CoordinationMode.COORDINATOR}
+    assert CoordinationMode.COORDINATOR not in {after.mode(name, 105.0) for name in own}
+
+
+def test_the_age_of_an_entry_is_not_overstated_by_a_digest_that_waited() -> None:
+    """Guards against a coordinator that has measured nothing yet."""
+    table = peers()
+    waited = Arrival(after=100.0, at=100.0, read_at=105.0)
+    young = digest(address(0), age_s=MIN_COORDINATOR_AGE_S / 2)
+    table.merge(young, 105.0, waited)
+    services = [f"s-{number}" for number in range(50)]
+    assert {selector(table).coordinator_of(name, 105.0) for name in services} == {None}
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -9,10 +9,12 @@
 import eventlet
 import pytest
 
-from dockreach.direct.digest import Address
+from dockreach import clock
+from dockreach.direct.digest import Address, Digest
 from dockreach.direct.entry import Entry
 from dockreach.direct.lapses import LAPSE_GRACE_S
 from dockreach.direct.routing_config import Organisation
+from dockreach.direct.stalls import Arrival
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_revision
 
@@ -31,6 +33,10 @@
 )
 
 
+def receive(entry: Entry, message: Digest) -> None:
+    entry._receive(message, Arrival.prompt(clock.now()))
+
+
 def respond_ok(dialog: Dialog) -> None:
     dialog.respond(b"fine")
 
@@ -251,8 +257,8 @@
     """Guards against an entry that sends no digests any more after one from a peer."""
     entry = Entry(entry_settings(), PlatformAdapter())
     odd = [Address("10.0.0.9", 70000), Address("10.0.0.9", 0), Address("worker", 80)]
-    entry._receive(digest(address(1), known_peers=[*odd, address(2)]))
-    entry._receive(digest(odd[0], number=2))
+    receive(entry, digest(address(1), known_peers=[*odd, address(2)]))
+    receive(entry, digest(odd[0], number=2))
     assert entry.peers.targets() == [address(1), address(2)]
     entry.gossip.send_now()
     refused = [vars(row) for row in caplog.records if vars(row)["event"] == 720]
@@ -262,7 +268,7 @@
 def test_a_digest_whose_numbers_make_no_sense_is_not_used() -> None:
     """Guards against usage of a peer that this entry cannot pass on in its own digests."""
     entry = Entry(entry_settings(), PlatformAdapter())
-    entry._receive(digest(address(1), fleet_used={"t": 2**64 - 1}))
-    entry._receive(digest(address(2), age_s=math.nan))
-    entry._receive(digest(address(3)))
+    receive(entry, digest(address(1), fleet_used={"t": 2**64 - 1}))
+    receive(entry, digest(address(2), age_s=math.nan))
+    receive(entry, digest(address(3)))
     assert [row.digest.address for row in entry.peers.rows] == [address(3)]
--- a/tests/direct/test_lapses.py
+++ b/tests/direct/test_lapses.py
@@ -86,3 +86,12 @@
 )
 def test_peers_never_extend_the_grace_period(periods: list[AnsweredPeriod]) -> None:
     assert grace_end(LAPSED_AT, HALL, periods) <= LAPSED_AT + LAPSE_GRACE_S
+
+
+def test_a_digest_that_waited_vouches_only_for_the_time_that_is_certain() -> None:
+    """Guards against running endpoints that are dropped after an outage in a stop."""
+    row = peer(answered_s=5, age_s=0.5, received_at=101.0)
+    row.early_s, row.late_s = 0.1, 5.0
+    (period,) = answered_periods([row], record_margin_s=2.4)
+    assert period.since == pytest.approx(105.5 - MAX_DATAGRAM_DELAY_S - 5)
+    assert period.until == pytest.approx(100.4 - MAX_DATAGRAM_DELAY_S + 2.4)
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -14,6 +14,7 @@
     STABLE_ADDRESSES_PER_DIGEST,
     PeerTable,
 )
+from dockreach.direct.stalls import Arrival
 
 from .core_builders import OWN, address, digest, peers
 
@@ -131,3 +132,22 @@
     for _ in range(20):
         table.in_flight(1.1)
     assert time.process_time() - started < 1.0
+
+
+def test_a_peer_that_was_silent_only_as_this_entry_stood_still_does_not_time_out() -> None:
+    """Guards against losing all peers, and their part of the limits, after a long stop."""
+    table = peers()
+    waited = Arrival(after=100.0, at=100.0, read_at=100.0 + 2 * PEER_TIMEOUT_S)
+    table.merge(digest(address(1)), waited.read_at, waited)
+    assert table.expire(waited.read_at) == []
+    assert table.silent(waited.read_at)
+    assert not table.fresh(waited.read_at)
+
+
+def test_a_restart_is_known_by_when_digests_can_have_been_sent() -> None:
+    """Guards against taking a restarted peer for older than what waited from before."""
+    table = peers()
+    waited = Arrival(after=100.0, at=100.0, read_at=105.0)
+    table.merge(digest(address(1), incarnation=1, age_s=0.5), 105.0, waited)
+    restarted = digest(address(1), incarnation=2, age_s=2.0)
+    assert table.merge(restarted, 105.2).is_new
--- a/tests/direct/test_token_quota.py
+++ b/tests/direct/test_token_quota.py
@@ -15,6 +15,7 @@
     PeerTable,
 )
 from dockreach.direct.retry_schedule import PROMISE_GRACE_S
+from dockreach.direct.stalls import Arrival
 from dockreach.direct.token_quota import (
     ADMIT_FACTOR,
     BUCKET_S,
@@ -520,3 +521,13 @@
     assert promises.total(20.0) == 2005
     assert promises.total(21.0 + 2 * PROMISE_GRACE_S - 0.1) == 5
     assert promises.total(30.0) == 0
+
+
+def test_usage_in_a_digest_that_waited_counts_as_long_as_it_may_be_in_the_window() -> None:
+    """Guards against an entry that admits too much just after it stood still."""
+    table = peers()
+    waited = Arrival(after=100.0, at=100.0, read_at=107.0)
+    name = organisation().name
+    table.merge(digest(address(1), used={name: [0, 0, 5000]}), 107.0, waited)
+    quotas = new_quota_table(table)
+    assert quotas.used(name, 107.0 + WINDOW_S / 2) == 5000
