Say when an entry is out of step, and when it is back in step

What operators saw: nothing. An entry whose list of endpoints nobody had confirmed for seconds looked like any other, and lines of streams that it refused or joined did not tell why.

Measured: an entry process that was stopped for 3 s logs 106, 308 and 309 with their times; on the code before, no such events exist.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -36,6 +36,7 @@
 from .feeds import OUTAGE_FRACTION, Feed, Feeds
 from .gossip import Gossip
 from .jobs import Job
+from .list_confirmation import MAX_AGE_FRACTION, ListConfirmation
 from .listening import listen
 from .loops import run_forever
 from .message_checks import is_valid, without_invalid_parts
@@ -210,6 +211,9 @@
         self._endpoint_sync = EndpointSync(
             self.ctx, self.peers, self.feeds.endpoints, self.feeds.refusals
         )
+        self.list_confirmation = ListConfirmation(
+            self._endpoints_confirmed_at, self._max_unconfirmed_s
+        )
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
         self.admission = ConnectionAdmission(clock.now, meter)
@@ -400,6 +404,11 @@
         ]
         return max([self.feeds.endpoints.complete_at, *relayed])
 
+    def _max_unconfirmed_s(self) -> float:
+        """Return for how long the list may be unconfirmed in operation, in seconds."""
+        longest_s = MAX_AGE_FRACTION * self.settings.apply_deadline_s
+        return longest_s + self.peers.digest_interval_s
+
     def _known_revisions(self) -> KnownRevisions:
         revision = self.revision.number if self.revision else 0
         now = clock.now()
@@ -676,6 +685,7 @@
         self.ctx.notices.expire(now)
         self.ctx.pool.expire()
         self.endpoints.refresh_software_versions(now)
+        self.list_confirmation.check(now)
         self.ctx.streams.report_running()
         self._recount_in_flight(now)
 
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -20,6 +20,7 @@
 from .feeds import Feeds
 from .gossip import Gossip
 from .http1 import RawHead, ResponseLimit
+from .list_confirmation import ListConfirmation
 from .peers import PeerTable
 from .routing_config import ConfigRevision
 from .send_guard import SendGuard
@@ -50,6 +51,7 @@
     ctx: Context
     feeds: Feeds
     stalls: Stalls
+    list_confirmation: ListConfirmation
     endpoints: EndpointTable
     peers: PeerTable
     gossip: Gossip
@@ -131,6 +133,7 @@
         now = clock.now()
         yield from entry.feeds.samples(now, entry.started_at)
         yield from entry.stalls.samples()
+        yield from entry.list_confirmation.samples(now)
         gauges = {
             "peers": len(entry.peers),
             "endpoints": len(entry.endpoints),
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -38,6 +38,8 @@
     SETTINGS_IN_FORCE = 305
     SETTINGS_REFUSED = 306
     PLATFORM_CALL_FAILED = 307
+    OUT_OF_STEP = 308
+    BACK_IN_STEP = 309
     ENGINE_SUSPECT = 500
     ENGINE_RECOVERED = 501
     ENGINE_UNREACHABLE = 502
@@ -87,6 +89,7 @@
     Event.CONFIG_CONFLICT: logging.ERROR,
     Event.PLATFORM_DOWN: logging.WARNING,
     Event.PLATFORM_CALL_FAILED: logging.WARNING,
+    Event.OUT_OF_STEP: logging.WARNING,
     Event.SETTINGS_REFUSED: logging.ERROR,
     Event.ENGINE_SUSPECT: logging.WARNING,
     Event.ENGINE_UNREACHABLE: logging.WARNING,
--- a/tests/platform/test_stopped_entries.py
+++ b/tests/platform/test_stopped_entries.py
@@ -10,10 +10,12 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import eventlet
 import pytest
@@ -69,3 +71,27 @@
     response = site.take_up()
     assert status_of(response) == 503, versions_in(response)
     assert float(header_of(response, b"retry-after") or 0) > 0
+
+
+def log_lines(site: Site) -> list[dict[str, Any]]:
+    """End the entry; return the log lines that it wrote."""
+    (process,) = site.processes
+    process.terminate()
+    return [json.loads(line) for line in process.stdout.readlines()]
+
+
+def test_an_entry_that_stood_still_says_for_how_long_and_when_it_is_in_step_again(
+    site: Site,
+) -> None:
+    site.list_endpoint("e-1", "v1")
+    site.start_entry(bootstrap=True)
+    wait_for_long_poll(site)
+    pid = site.processes[0].pid
+    os.kill(pid, signal.SIGSTOP)
+    eventlet.sleep(3.0)
+    os.kill(pid, signal.SIGCONT)
+    eventlet.sleep(2 * APPLY_DEADLINE_S)
+    lines = {line["event"]: line for line in log_lines(site)}
+    assert lines[106]["still_ms"] >= 2800
+    assert lines[308]["unconfirmed_ms"] >= 2 * APPLY_DEADLINE_S * 1000
+    assert lines[309]["unconfirmed_ms"] >= lines[308]["unconfirmed_ms"]
