--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -496,8 +496,20 @@
     Edit(
         "one listed version is not taken for the only one that served",
         "direct/software_versions.py",
-        " or not self.coverage.covers(since)",
-        "",
+        "is_known = self.confirmed_at >= until and self.covers(since, now)",
+        "is_known = self.confirmed_at >= until",
+    ),
+    Edit(
+        "one version is taken for the only one by evidence from after the take-up",
+        "direct/software_versions.py",
+        "is_known = self.confirmed_at >= until and self.covers(since, now)",
+        "is_known = self.covers(since, now)",
+    ),
+    Edit(
+        "a call confirms the list up to when it was sent",
+        "direct/feeds.py",
+        "        self.complete_at = self.called_at\n",
+        "        self.complete_at = clock.now()\n",
     ),
     Edit(
         "the end of a response is not believed if another endpoint answers",
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -70,9 +70,9 @@
 ANSWER_TIMEOUT_S = 0.15
 """Time after the last question until the version counts as unknown, in seconds."""
 
-LIST_TIMEOUT_S = 0.1
-"""How long a stream waits for the platform's list before other entries are asked too, in
-seconds: some dozens of the platform's usual response times."""
+LIST_TIMEOUT_S = 0.25
+"""How long a stream waits for the platform's list before all other entries are asked too,
+in seconds: the platform takes as long on slow days."""
 
 HISTORY_TIMEOUT_S = 0.25
 """How long a stream waits for the store's history of endpoints, in seconds: some dozens of
@@ -296,10 +296,17 @@
         if self._running.get(origin.key) is origin:
             del self._running[origin.key]
 
-    def replace_list(self) -> None:
-        """Note that the list of endpoints was read anew."""
+    def replace_list(self, complete_at: float | None = None) -> None:
+        """Note that the list of endpoints was read anew.
+
+        Args:
+            complete_at: Monotonic time up to which it holds all changes, in seconds; now if
+                omitted.
+        """
         self.confirm_list()
-        self._versions.replace_list(self._clock(), self._max_gap_s())
+        self._versions.replace_list(
+            self._clock(), self._max_gap_s(), complete_at=complete_at
+        )
 
     def confirm_list(self) -> None:
         """Note up to when all changes of the list of endpoints were seen."""
