Do not go on with a stream at a process that names itself another endpoint

What callers saw: nothing yet. A take-up, or a resume inside one response, that is meant for a known software version is sent to an endpoint whose record here names that version; the record may lag behind the process at its address. A process that ran the request in place of refusing it, and named itself in `Instance-Id`, had its events joined to those of the other version, and counted as the version of the record where it began a stream.

Cause: the name in a response's head was read only beside status 421 and in health checks.

Change: a response that names another endpoint is not joined to a stream that its caller has a part of; the record's endpoint counts as ended, as after 421. Where such a process begins a stream, the stream's version is not known.

--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -475,6 +475,7 @@
             time_left_s=max(self._deadline - self._ctx.now(), 0.0),
             resume_after=self._sequence.last_id or self._req.last_event_id,
         )
+        upstream.goes_on = bool(self._sequence.last_id)
         upstream.send(headers)
 
     def _record_timeout(self, upstream: UpstreamRequest) -> Attempt:
@@ -571,7 +572,11 @@
         raise TypeError(f"no item of a response: {item!r} of {upstream.row.id}")
 
     @_deliver.register
-    def _deliver_events(self, item: EventBatch, upstream: UpstreamRequest) -> None:
+    def _deliver_events(
+        self, item: EventBatch, upstream: UpstreamRequest
+    ) -> Attempt | None:
+        if upstream.is_of_other and upstream.goes_on:
+            return self._reject_other(upstream)
         now = item.at
         events = item.events
         if item.is_first:
@@ -590,9 +595,12 @@
             self._caller.send_data(b"".join(event.data for event in selection.events))
         if selection.error is not None:
             raise selection.error
+        return None
 
     @_deliver.register
     def _deliver_end(self, item: StreamEnd, upstream: UpstreamRequest) -> Attempt:
+        if upstream.is_of_other and upstream.goes_on:
+            return self._reject_other(upstream)
         self._sequence.check_end(upstream.events)
         self._start_stream(item.head)
         self._caller.send_data(item.remainder)
@@ -655,6 +663,16 @@
         detail = "another endpoint uses the address"
         return Attempt(AttemptOutcome.MISDIRECTED, row.id, detail)
 
+    def _reject_other(self, upstream: UpstreamRequest) -> Attempt:
+        """Record that a process ran what was meant for the endpoint of the record.
+
+        Its software version is not known, so that nothing of it may be joined.
+        """
+        row = upstream.row
+        row.mark_address_reused(self._ctx.now())
+        detail = "another endpoint uses the address, and ran the request"
+        return Attempt(AttemptOutcome.LOST, row.id, detail)
+
     def _is_free(self, attempt: Attempt) -> bool:
         """Return whether an attempt does not count against those that the route allows.
 
--- a/dockreach/direct/requests.py
+++ b/dockreach/direct/requests.py
@@ -132,6 +132,8 @@
         keep_alive_s: How long the endpoint keeps the idle connection open, in seconds;
             ``None`` if not given.
         notice: Other status headers of the endpoint.
+        names_other: Whether it names another endpoint than the one that the request was
+            meant for: the record lags behind the process at its address.
     """
 
     status: int
@@ -143,3 +145,4 @@
     load: ReportedLoad | None | InvalidValue
     keep_alive_s: float | None
     notice: EndpointNotice = NO_NOTICE
+    names_other: bool = False
--- a/dockreach/direct/slot_acquirer.py
+++ b/dockreach/direct/slot_acquirer.py
@@ -153,7 +153,7 @@
             self._req.stream_rid or self._req.rid,
             published,
             sent_at=upstream.sent_at,
-            software_version=published.software_version if version is None else version,
+            software_version=upstream.software_version if version is None else version,
             is_concluded=is_take_up and version is None,
         )
 
--- a/dockreach/direct/upstream_request.py
+++ b/dockreach/direct/upstream_request.py
@@ -115,6 +115,7 @@
         pace: Measures the interval between its events.
         result: What was read ahead: the next item, or why there is none.
         end: How the end of the response is known; ``None`` before it was read.
+        goes_on: Whether it was sent to go on after events that the caller has.
     """
 
     def __init__(
@@ -142,6 +143,7 @@
         self.pace = EventGapMeter(row)
         self.result: Item | ResponseError | None = None
         self.end: ResponseEnd | None = None
+        self.goes_on = False
         self._max_idle = max_idle
         self._conn: EndpointConnection | None = None
         self._end_check: LivenessCheck | None = None
@@ -164,6 +166,16 @@
         """Status of the response; 0 before its head was read."""
         return self._raw_head.status
 
+    @property
+    def is_of_other(self) -> bool:
+        """Whether the response names another endpoint than the one of the record."""
+        return self._head is not None and self._head.names_other
+
+    @property
+    def software_version(self) -> str | None:
+        """Software version of the process that answers; ``None`` if it is not known."""
+        return None if self.is_of_other else self.row.published.software_version
+
     @property
     def may_be_refused(self) -> bool:
         """Whether all that came is a refusal that may be of an earlier request."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -389,3 +389,22 @@
 def test_a_response_to_a_health_check_tells_how_long_its_connection_is_kept() -> None:
     head = response_head(200, OWN_NAME, (b"Keep-Alive", b"timeout=5"))
     assert ADAPTER.read_health(head, ENDPOINT).keep_alive_s == 5.0
+
+
+@pytest.mark.parametrize(
+    ("names", "is_other"),
+    [
+        ((), False),
+        ((b"",), False),
+        ((ENDPOINT.encode(),), False),
+        ((b"i-other",), True),
+        ((ENDPOINT.encode(), b"i-other"), True),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 500])
+def test_a_response_tells_whether_it_names_another_endpoint(
+    status: int, names: tuple[bytes, ...], *, is_other: bool
+) -> None:
+    headers = [(b"Instance-Id", name) for name in names]
+    head = ADAPTER.read_response(response_head(status, *headers), ENDPOINT)
+    assert head.names_other is is_other
