Soak: profiles of traffic of small deployments, and a table of broken order

Callers speak HTTP/1.1 alone and retry once, some three times.

Each run prints a table of the streams that broke their order: kind, way, and the last fault before it, with how often.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from .cluster import DEFAULT_ENTRIES
 from .entries import ROOT
+from .profiles import PROFILES, Profile, ProfileName
 from .run import run_soak
 from .theme import Theme
 
@@ -90,6 +91,12 @@
     default=ROOT,
     help="Root of the code that entries run.",
 )
+@click.option(
+    "--profile",
+    "profile_name",
+    type=click.Choice([name.value for name in ProfileName]),
+    help="With --rejoined, the size and the traffic of a small deployment.",
+)
 @click.option("--parallel", default=PARALLEL_RUNS, help="Soaks at the same time.")
 @click.option("--one", type=int, help="Run only this seed, in this process.")
 def main(
@@ -99,20 +106,29 @@
     entries: int,
     theme: Theme | None,
     code: Path,
+    profile_name: str | None,
     parallel: int,
     one: int | None,
 ) -> None:
     """Run soaks with new seeds, some in parallel; exit with 1 if one fails."""
     chosen = theme or Theme.ORDINARY
+    profile = PROFILES[ProfileName(profile_name)] if profile_name else None
+    if profile is not None:
+        if chosen is not Theme.REJOINED:
+            raise click.UsageError("--profile needs --rejoined")
+        entries = profile.entries
     if one is not None:
-        sys.exit(_run_one(one, seconds, entries, chosen, code))
+        sys.exit(_run_one(one, seconds, entries, chosen, code, profile))
     start = secrets.randbelow(10**6) if first is None else first
     remaining = list(range(start, start + seeds))
     failed = []
     while remaining:
         count = max(parallel * DEFAULT_ENTRIES // entries, 1)
         batch, remaining = remaining[:count], remaining[count:]
-        running = [(seed, _spawn(seed, seconds, entries, chosen, code)) for seed in batch]
+        running = [
+            (seed, _spawn(seed, seconds, entries, chosen, code, profile_name))
+            for seed in batch
+        ]
         for seed, process in running:
             output, _ = process.communicate()
             click.echo(output.decode(), nl=False)
@@ -125,11 +141,18 @@
 
 
 def _spawn(
-    seed: int, seconds: float, entries: int, theme: Theme, code: Path
+    seed: int,
+    seconds: float,
+    entries: int,
+    theme: Theme,
+    code: Path,
+    profile_name: str | None,
 ) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-W", "ignore", "-m", "tests.soak"]
     options = ["--one", str(seed), "--seconds", str(seconds), "--entries", str(entries)]
     options += ["--code", str(code)]
+    if profile_name:
+        options += ["--profile", profile_name]
     if theme is not Theme.ORDINARY:
         options.append(f"--{theme}")
     return subprocess.Popen(
@@ -137,9 +160,18 @@
     )
 
 
-def _run_one(seed: int, seconds: float, entries: int, theme: Theme, code: Path) -> int:
+def _run_one(
+    seed: int,
+    seconds: float,
+    entries: int,
+    theme: Theme,
+    code: Path,
+    profile: Profile | None,
+) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        result = run_soak(seed, seconds, Path(folder), entries, theme=theme, code=code)
+        result = run_soak(
+            seed, seconds, Path(folder), entries, theme=theme, code=code, profile=profile
+        )
     stalled = (
         f", own process stalled for {result.stalled_s:.1f} s" if result.stalled_s else ""
     )
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -62,7 +62,7 @@
 
 _EVENT_NUMBER = re.compile(rb"^id: (\d+)\n[^\0]*?\n\n", re.MULTILINE)
 
-RESUMABLE_ROUTE_KINDS = ("brief", "story")
+RESUMABLE_ROUTE_KINDS = ("brief", "story", "summary")
 """Kinds of routes whose streams may be resumed."""
 
 ROUTE_KINDS = ("once", "safe", "draft", "brief", "new")
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -177,6 +177,7 @@
         self.workers_per_service = WORKERS_PER_SERVICE
         self.slots = OVERLOAD_SLOTS if theme.has_overload else SLOTS
         self.silent_fraction = 0.0
+        self.caller_count = LONG_STREAM_CALLERS
         self._seed = seed
         if theme.has_silences:
             self.silent_fraction = SILENT_FRACTION
@@ -209,7 +210,7 @@
         self.callers.max_pause_s *= callers / CALLERS
         keys = ("key-limited", "key-free", "key-free")
         if self.theme.has_long_streams:
-            callers = LONG_STREAM_CALLERS
+            callers = self.caller_count
         if self.theme.has_overload:
             callers, keys = OVERLOAD_CALLERS, COMPETING_KEYS
         for number in range(callers):
@@ -278,7 +279,7 @@
                 *_competing_organisations(),
             ]
         if self.theme.has_long_streams:
-            content["routes"] += _long_stream_routes()
+            content["routes"] += self._more_routes()
         if self.theme.has_silences:
             _draw_limits(content, random.Random(f"{self._seed} {self._version}"))
             if not self.silent_fraction:
@@ -287,6 +288,10 @@
         self.store.put("op/config", text)
         self.observations.route_changes.append((time.monotonic(), service))
 
+    def _more_routes(self) -> list[dict[str, Any]]:
+        """Return the routes of long streams."""
+        return _long_stream_routes()
+
     def draw_retry_budget(self, entry: EntryProcess) -> None:
         """Draw whether an entry may retry, from its next settings on."""
         burst = self.rng.choice(RETRY_BURSTS)
@@ -548,7 +553,7 @@
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
 
 
-def _long_stream_routes() -> list[dict[str, object]]:
+def _long_stream_routes() -> list[dict[str, Any]]:
     more: dict[str, object] = {"timeout_ms": LONG_TIMEOUT_S * 1000}
     return [
         _route("report", "streaming", SERVICES[0], **more),
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -21,7 +21,7 @@
 OWN_FAILURES = (502, 504)
 """Statuses with which only entries end requests that may have run."""
 
-AT_MOST_ONCE_KINDS = ("once", "draft", "report", "grade")
+AT_MOST_ONCE_KINDS = ("once", "draft", "report", "grade", "outline", "chat")
 """Kinds of routes whose requests must not run more than once."""
 
 STORE = "store"
@@ -141,6 +141,7 @@
         rids: The ids of all requests that callers made.
         worker_versions: The software version of each endpoint, where they have one.
         power_cuts: Times at which all entries were killed at once.
+        injected: The time and the name of each fault.
     """
 
     outcomes: list[Outcome]
@@ -164,6 +165,7 @@
     rids: set[str] = field(default_factory=set)
     worker_versions: dict[str, str] = field(default_factory=dict)
     power_cuts: list[float] = field(default_factory=list)
+    injected: list[tuple[float, str]] = field(default_factory=list)
 
     def version_counts(self) -> Iterator[tuple[float, float, dict[str, int]]]:
         """Return spans of time, each with the number of endpoints by software version."""
--- a/tests/soak/process_callers.py
+++ b/tests/soak/process_callers.py
@@ -43,6 +43,7 @@
     """All callers, which use no proxy: what an entry does to a connection, they see."""
 
     kinds: tuple[str, ...] = field(default=KINDS)
+    http10_fraction: float = HTTP10_FRACTION
 
     def run_caller(self, key: str) -> None:
         """Send requests as one caller until the soak stops."""
@@ -75,7 +76,7 @@
         outcome.deadline_s, outcome.timeout_s = DEADLINE_S, PATIENCE_S
         if self.rng.random() < ABANDONED_FRACTION:
             outcome.timeout_s = self.rng.uniform(0.0, MAX_ABANDON_S)
-        if self.rng.random() < HTTP10_FRACTION:
+        if self.rng.random() < self.http10_fraction:
             outcome.http = "1.0"
         return outcome
 
--- a/tests/soak/process_cluster.py
+++ b/tests/soak/process_cluster.py
@@ -20,7 +20,7 @@
 from .workers import SLOTS
 
 MAX_PROCESSES = 12
-"""Endpoints that run at a time, draining ones among them."""
+"""Endpoints that run at a time by default, draining ones among them."""
 
 ODDITIES = (0.1, 0.3, 0.5)
 """Fractions of the requests that an endpoint treats in an odd way; one is drawn for it."""
@@ -38,6 +38,7 @@
     Attributes:
         processes: The endpoints that are published as ready, by name.
         same_port_chance: Chance that the successor of an endpoint takes its port at once.
+        max_processes: Endpoints that run at a time, draining ones among them.
     """
 
     callers_type: ClassVar[type[ProcessCallers]] = ProcessCallers
@@ -57,6 +58,7 @@
         self._is_calm = False
         self.processes: dict[str, WorkerProcess] = {}
         self.same_port_chance = SAME_PORT_CHANCE
+        self.max_processes = MAX_PROCESSES
         self.callers = self.callers_type(
             self._entry_addresses,
             self._newest_applied_version,
@@ -84,7 +86,7 @@
             service: Its service.
             port: The port on which it listens; 0 lets the system choose.
         """
-        while sum(worker.is_running for worker in self._started) >= MAX_PROCESSES:
+        while sum(worker.is_running for worker in self._started) >= self.max_processes:
             eventlet.sleep(POLL_S)
         if self.callers.is_stopped:
             return
--- a/tests/soak/process_invariants.py
+++ b/tests/soak/process_invariants.py
@@ -15,10 +15,11 @@
     not_recovered,
     overlaps_any,
 )
+from .stream_shapes import SHAPES
 from .worker_content import StreamEvent, decode_events, plain_body, stream_length
 from .worker_facts import Fact, FactKind
 
-STREAM_KINDS = ("draft", "brief", "report", "grade", "story")
+STREAM_KINDS = ("draft", "brief", "report", "grade", "story", *SHAPES)
 """Kinds of routes whose responses are streams."""
 
 ANSWER_SLACK_S = 1.0
--- a/tests/soak/rejoined_callers.py
+++ b/tests/soak/rejoined_callers.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from .clients import Outcome
+from .clients import RESUMABLE_ROUTE_KINDS, Outcome
 from .process_callers import ProcessCallers
 from .worker_content import is_long, request_body
 
@@ -40,6 +40,9 @@
 """Results after which a caller tries again; 0 for a closed connection."""
 
 
+MAX_TAKE_UPS = 1000
+"""How often a caller tries that at most; usually its time is up before."""
+
 MAX_TURNS = 5
 """How often a caller turns to another entry with a request that was not read."""
 
@@ -67,14 +70,17 @@
         outcome.request_body = request_body(outcome.rid, self.rng.choice(BODY_BYTES))
         if is_long(outcome.rid) and not outcome.is_abandoned_early:
             outcome.deadline_s, outcome.timeout_s = LONG_DEADLINE_S, LONG_PATIENCE_S
-        if outcome.kind == "story" and self.rng.random() < BROKEN_OFF_FRACTION:
+        if (
+            outcome.kind in RESUMABLE_ROUTE_KINDS
+            and self.rng.random() < BROKEN_OFF_FRACTION
+        ):
             outcome.timeout_s = self.rng.uniform(*BROKEN_OFF_S)
         return outcome
 
     def _follow_up(self, outcome: Outcome, key: str) -> None:
         """Take up a stream, broken off by its caller or not, or turn to another entry."""
-        is_cut = outcome.kind == "story" and outcome.status == 200 and not outcome.is_whole
-        if is_cut and outcome.last_event > 0:
+        is_stream = outcome.kind in RESUMABLE_ROUTE_KINDS and outcome.status == 200
+        if is_stream and not outcome.is_whole and outcome.last_event > 0:
             self._take_up_broken(outcome, key)
         elif was_reset(outcome):
             self._send_elsewhere(outcome, key)
@@ -97,14 +103,20 @@
                 return
             unread = again
 
+    def _draw_take_ups(self) -> int:
+        """Return how often a caller tries to take a broken stream up."""
+        return MAX_TAKE_UPS
+
     def _take_up_broken(self, broken: Outcome, key: str) -> None:
         """Take a broken stream up at other entries until it is whole, or time is up."""
         until = time.monotonic() + TAKE_UP_S
-        after, entry = broken.last_event, broken.entry
-        while time.monotonic() < until and not self.is_stopped:
+        after, entry, kind = broken.last_event, broken.entry, broken.kind
+        left = self._draw_take_ups()
+        while left and time.monotonic() < until and not self.is_stopped:
+            left -= 1
             others = [pair for pair in self.addresses() if pair[0] != entry]
             entry, address = self.rng.choice(others or self.addresses())
-            again = Outcome(self.make_rid("story"), "story", entry, time.monotonic())
+            again = Outcome(self.make_rid(kind), kind, entry, time.monotonic())
             again.deadline_s, again.timeout_s = LONG_DEADLINE_S, LONG_PATIENCE_S
             again.request_body = request_body(again.rid, len(broken.request_body))
             again.after, again.stream_rid = after, broken.rid
--- a/tests/soak/rejoined_invariants.py
+++ b/tests/soak/rejoined_invariants.py
@@ -5,6 +5,7 @@
 import enum
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from .clients import Outcome
 from .invariants import (
@@ -32,15 +33,42 @@
     JOINED_VERSIONS = "joined versions"
 
 
+@dataclass(frozen=True, slots=True)
+class OrderCase:
+    """One fault of a stream.
+
+    Attributes:
+        rid: The request whose response shows it.
+        kind: The kind of route.
+        at: Monotonic time at which the response ended, or at which the request was sent
+            that joined another version, in seconds.
+    """
+
+    rid: str
+    kind: str
+    fault: OrderFault
+    at: float
+
+
 def order_faults(observed: Observations) -> Counter[str]:
     """Return the number of each fault of streams, by kind of route and way."""
-    found: Counter[str] = Counter()
+    return Counter(f"{case.kind} {case.fault}" for case in order_cases(observed))
+
+
+def order_cases(observed: Observations) -> Iterator[OrderCase]:
+    """Yield each fault of a stream; a stream counts once a way."""
     for row in observed.outcomes:
-        found.update(f"{row.kind} {fault}" for fault in _row_faults(row))
+        for fault in _row_faults(row):
+            yield OrderCase(row.rid, row.kind, fault, row.ended_at)
     for attempts in _chains(observed.outcomes).values():
         if len(_versions(observed, attempts)) > 1:
-            found[f"{attempts[0].kind} {OrderFault.JOINED_VERSIONS}"] += 1
-    return found
+            row = next(
+                row
+                for number, row in enumerate(attempts, start=1)
+                if len(_versions(observed, attempts[:number])) > 1
+            )
+            fault = OrderFault.JOINED_VERSIONS
+            yield OrderCase(row.rid, row.kind, fault, row.sent_at)
 
 
 def rejoined_violations(observed: Observations, facts: list[Fact]) -> list[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,8 @@
 from .faults import FAULTS, THEME_FAULTS, Fault
 from .process_cluster import ProcessCluster
 from .process_faults import PROCESS_FAULTS
+from .profile_cluster import ProfileCluster
+from .profiles import Profile
 from .rejoined_cluster import RejoinedCluster
 from .rejoined_faults import REJOINED_FAULTS
 from .theme import Theme
@@ -81,6 +83,7 @@
     *,
     theme: Theme = Theme.ORDINARY,
     code: Path = ROOT,
+    profile: Profile | None = None,
 ) -> Result:
     """Run one soak.
 
@@ -91,10 +94,14 @@
         entries: Number of entries.
         theme: The special behaviour that it tests.
         code: Root of the code that entries run, such as a clone of an earlier version.
+        profile: The deployment whose size and traffic the theme of long streams has; it
+            determines the number of entries.
     """
     with reserved_net() as net:
         cluster: Cluster
-        if theme is Theme.REJOINED:
+        if theme is Theme.REJOINED and profile is not None:
+            cluster = ProfileCluster(seed, net, folder, profile)
+        elif theme is Theme.REJOINED:
             cluster = RejoinedCluster(seed, net, folder, entries)
         elif theme.has_processes:
             cluster = ProcessCluster(seed, net, folder, entries)
@@ -178,7 +185,9 @@
 def _run_repeatedly(cluster: Cluster, fault: Fault, count: int) -> None:
     """Inject a fault several times; repetitions end by themselves and may overlap."""
     running = []
+    name = fault.__name__.strip("_")
     for _ in range(count):
+        cluster.observations.injected.append((time.monotonic(), name))
         running.append(eventlet.spawn(fault, cluster))
         eventlet.sleep(cluster.rng.uniform(0.0, MAX_REPEAT_INTERVAL_S))
     for greenlet in running:
--- a/tests/soak/worker_content.py
+++ b/tests/soak/worker_content.py
@@ -7,6 +7,8 @@
 import zlib
 from dataclasses import dataclass
 
+from .stream_shapes import shape_of
+
 FEWEST_EVENTS = 4
 MORE_EVENTS = 20
 """A stream has from `FEWEST_EVENTS` on fewer than this many events more."""
@@ -43,6 +45,9 @@
 
 def stream_length(stream: str) -> int:
     """Return the number of events of a stream."""
+    shape = shape_of(stream)
+    if shape is not None:
+        return shape.length(stream)
     drawn = zlib.crc32(stream.encode())
     if is_long(stream):
         more = -MEAN_LONG_EVENTS * math.log(1 - drawn / (1 << 32))
--- a/tests/soak/worker_process.py
+++ b/tests/soak/worker_process.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .stream_shapes import SHAPES, shape_of
 from .worker_content import encode_event, is_long, plain_body, request_body, stream_length
 from .worker_facts import FactKind, FactLog
 
@@ -57,7 +58,9 @@
 """Chances of an early response, of a resumed run that repeats events, of a head of
 HTTP/1.0, and of a response in odd pieces."""
 
-STREAM_PATHS = ("/draft/", "/brief/", "/report/", "/grade/", "/story/")
+STREAM_PATHS = ("/draft/", "/brief/", "/report/", "/grade/", "/story/") + tuple(
+    f"/{kind}/" for kind in SHAPES
+)
 REASONS = {
     200: "OK",
     408: "Request Timeout",
@@ -345,7 +348,7 @@
         size = sum(map(len, events))
         self._send(self._start(rid, framing, is_http10, size, "event-stream"))
         exit_at = self._rng.choice(numbers or (0,)) if oddity is Oddity.EXIT else None
-        gap_s = self._rng.uniform(*(LONG_EVENT_GAP_S if is_long(stream) else EVENT_GAP_S))
+        gap_s = self._rng.uniform(*_gap_bounds_s(stream))
         for number, event in zip(numbers, events, strict=True):
             time.sleep(gap_s)
             self._raise_if_closed()
@@ -414,6 +417,14 @@
         self._sock.sendall(data)
 
 
+def _gap_bounds_s(stream: str) -> tuple[float, float]:
+    """Return the shortest and longest time between a stream's events, in seconds."""
+    shape = shape_of(stream)
+    if shape is not None:
+        return shape.gap_s
+    return LONG_EVENT_GAP_S if is_long(stream) else EVENT_GAP_S
+
+
 def listen(ip: str, port: int) -> socket.socket:
     """Listen on a port, or on any if it stays in use; 0 lets the system choose."""
     for _ in range(BIND_TRIES if port else 0):
