Soak of entries that are out of step beside a release

Streams that another entry had begun at a new software version could be taken up at the old one by an entry that was cut off or stood still. No soak showed it: entries lost their path to the store alone, and never that to each other.

Each entry's datagrams now arrive through a relay, and its connections to the store go through a path that can fall silent without a reset, one way or both. Beside that, endpoints of another version join, callers begin streams at the other entries, break them off, and take them up at the entry that is out of step.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,20 +12,25 @@
 
 from .cluster import DEFAULT_ENTRIES
 from .entries import ROOT
+from .out_of_step_cluster import ENTRIES
 from .run import run_soak
 from .theme import Theme
 
 PARALLEL_RUNS = 4
 """Soaks that run at the same time: each has four busy processes."""
 
+DEFAULT_SECONDS = 10.0
+THEME_SECONDS = {Theme.OUT_OF_STEP: 8.0}
+"""How long faults are injected, in seconds."""
+
+THEME_ENTRIES = {Theme.OUT_OF_STEP: ENTRIES}
+
 
 @click.command()
 @click.option("--seeds", default=8, help="Number of soaks.")
 @click.option("--first", type=int, help="First seed; random if left out.")
-@click.option("--seconds", default=10.0, help="How long faults are injected.")
-@click.option(
-    "--entries", default=DEFAULT_ENTRIES, help="Entries per soak; many run alone."
-)
+@click.option("--seconds", type=float, help="How long faults are injected.")
+@click.option("--entries", type=int, help="Entries per soak; many run alone.")
 @click.option("--lives", "theme", flag_value=Theme.RESTARTS, type=Theme, help="Restarts.")
 @click.option(
     "--deadly",
@@ -83,6 +88,13 @@
     type=Theme,
     help="Long streams, and kills of all entries beside a change of software.",
 )
+@click.option(
+    "--out-of-step",
+    "theme",
+    flag_value=Theme.OUT_OF_STEP,
+    type=Theme,
+    help="Entries that are cut off or stand still beside a release.",
+)
 @click.option("--all", "theme", flag_value=Theme.ALL, type=Theme, help="All three.")
 @click.option(
     "--code",
@@ -95,8 +107,8 @@
 def main(
     seeds: int,
     first: int | None,
-    seconds: float,
-    entries: int,
+    seconds: float | None,
+    entries: int | None,
     theme: Theme | None,
     code: Path,
     parallel: int,
@@ -104,6 +116,8 @@
 ) -> None:
     """Run soaks with new seeds, some in parallel; exit with 1 if one fails."""
     chosen = theme or Theme.ORDINARY
+    seconds = seconds or THEME_SECONDS.get(chosen, DEFAULT_SECONDS)
+    entries = entries or THEME_ENTRIES.get(chosen, DEFAULT_ENTRIES)
     if one is not None:
         sys.exit(_run_one(one, seconds, entries, chosen, code))
     start = secrets.randbelow(10**6) if first is None else first
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -9,7 +9,7 @@
 import time
 from collections import Counter
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import eventlet
 
@@ -130,6 +130,9 @@
         theme: The special behaviour that the soak tests.
     """
 
+    entry_type: ClassVar[type[EntryProcess]] = EntryProcess
+    store_path_type: ClassVar[type[Proxy]] = Proxy
+
     def __init__(
         self,
         seed: int,
@@ -154,9 +157,11 @@
         self.observations = Observations(
             [], self._endpoint_log, token_limit, QUOTA_WINDOW_S
         )
-        self.store_proxies = [Proxy(self.store.address) for _ in range(entries)]
+        self.store_proxies = [
+            self.store_path_type(self.store.address) for _ in range(entries)
+        ]
         self.entries = [
-            EntryProcess(number, net, proxy.address, folder)
+            self.entry_type(number, net, proxy.address, folder)
             for number, proxy in enumerate(self.store_proxies)
         ]
         self.caller_proxies = [Proxy(f"{entry.ip}:{FRONT_PORT}") for entry in self.entries]
@@ -283,10 +288,14 @@
             _draw_limits(content, random.Random(f"{self._seed} {self._version}"))
             if not self.silent_fraction:
                 content["limits"]["idle_timeout_ms"] = max(IDLE_TIMEOUTS_MS)
+        self._extend(content)
         text = json.dumps(content).encode()
         self.store.put("op/config", text)
         self.observations.route_changes.append((time.monotonic(), service))
 
+    def _extend(self, content: dict[str, Any]) -> None:
+        """Add to a configuration what only one kind of cluster needs."""
+
     def draw_retry_budget(self, entry: EntryProcess) -> None:
         """Draw whether an entry may retry, from its next settings on."""
         burst = self.rng.choice(RETRY_BURSTS)
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -141,6 +141,9 @@
             "platform": {"address": self._store_address},
         }
 
+    def _command(self) -> list[str]:
+        return [sys.executable, str(self.code / "platform" / "main.py")]
+
     def start(self) -> None:
         """Start the process."""
         self.write_settings()
@@ -148,7 +151,7 @@
         self._is_exit_expected = False
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(self.code / "platform" / "main.py")],
+                self._command(),
                 env={
                     "PATH": os.environ["PATH"],
                     "DOCKREACH_CONFIG": str(self._settings_path),
--- a/tests/soak/process_cluster.py
+++ b/tests/soak/process_cluster.py
@@ -20,7 +20,7 @@
 from .workers import SLOTS
 
 MAX_PROCESSES = 12
-"""Endpoints that run at a time, draining ones among them."""
+"""Endpoints that run at a time by default, draining ones among them."""
 
 ODDITIES = (0.1, 0.3, 0.5)
 """Fractions of the requests that an endpoint treats in an odd way; one is drawn for it."""
@@ -38,9 +38,11 @@
     Attributes:
         processes: The endpoints that are published as ready, by name.
         same_port_chance: Chance that the successor of an endpoint takes its port at once.
+        max_processes: Endpoints that run at a time, draining ones among them.
     """
 
     callers_type: ClassVar[type[ProcessCallers]] = ProcessCallers
+    oddities: ClassVar[tuple[float, ...]] = ODDITIES
 
     def __init__(
         self,
@@ -57,6 +59,7 @@
         self._is_calm = False
         self.processes: dict[str, WorkerProcess] = {}
         self.same_port_chance = SAME_PORT_CHANCE
+        self.max_processes = MAX_PROCESSES
         self.callers = self.callers_type(
             self._entry_addresses,
             self._newest_applied_version,
@@ -84,13 +87,19 @@
             service: Its service.
             port: The port on which it listens; 0 lets the system choose.
         """
-        while sum(worker.is_running for worker in self._started) >= MAX_PROCESSES:
+        worker = self._start_process(service, port)
+        if worker is not None:
+            self._list_process(worker)
+
+    def _start_process(self, service: str, port: int = 0) -> WorkerProcess | None:
+        """Start an endpoint as soon as few enough run; ``None`` if callers stop before."""
+        while sum(worker.is_running for worker in self._started) >= self.max_processes:
             eventlet.sleep(POLL_S)
         if self.callers.is_stopped:
-            return
+            return None
         self._workers_started += 1
         name = f"i-{self._workers_started}"
-        oddity = 0.0 if self._is_calm else self.rng.choice(ODDITIES)
+        oddity = 0.0 if self._is_calm else self.rng.choice(self.oddities)
         worker = WorkerProcess(
             name,
             service,
@@ -104,7 +113,11 @@
         worker.wait_until_listening()
         if self._is_calm:
             worker.calm_down()
-        self.processes[name] = worker
+        return worker
+
+    def _list_process(self, worker: WorkerProcess) -> None:
+        """Publish an endpoint that listens."""
+        self.processes[worker.name] = worker
         self._publish_process(worker, "ready")
 
     def _publish_process(self, worker: WorkerProcess, state: str) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,8 @@
 from .cluster import DEFAULT_ENTRIES, Cluster
 from .entries import ROOT, reserved_net
 from .faults import FAULTS, THEME_FAULTS, Fault
+from .out_of_step_cluster import OutOfStepCluster
+from .out_of_step_faults import OUT_OF_STEP_FAULTS
 from .process_cluster import ProcessCluster
 from .process_faults import PROCESS_FAULTS
 from .rejoined_cluster import RejoinedCluster
@@ -25,6 +27,7 @@
     **THEME_FAULTS,
     Theme.PROCESSES: PROCESS_FAULTS,
     Theme.REJOINED: REJOINED_FAULTS,
+    Theme.OUT_OF_STEP: OUT_OF_STEP_FAULTS,
 }
 
 MAX_FAULT_INTERVALS_S = (0.8, 2.0, 5.0)
@@ -32,6 +35,9 @@
 faults overlap all the time; in others there are gaps in which invariants with a time limit
 apply."""
 
+THEME_FAULT_INTERVALS_S = {Theme.OUT_OF_STEP: (0.8, 1.6)}
+"""The same where faults take effect together, or only once for each service."""
+
 FAULT_KIND_COUNTS = (2, 8)
 """Smallest and largest number of kinds of faults in one soak, for the same reason."""
 
@@ -96,6 +102,8 @@
         cluster: Cluster
         if theme is Theme.REJOINED:
             cluster = RejoinedCluster(seed, net, folder, entries)
+        elif theme is Theme.OUT_OF_STEP:
+            cluster = OutOfStepCluster(seed, net, folder, entries)
         elif theme.has_processes:
             cluster = ProcessCluster(seed, net, folder, entries)
         else:
@@ -158,7 +166,8 @@
     start = time.monotonic()
     names = []
     running = []
-    max_interval_s = cluster.rng.choice(MAX_FAULT_INTERVALS_S)
+    intervals_s = THEME_FAULT_INTERVALS_S.get(cluster.theme, MAX_FAULT_INTERVALS_S)
+    max_interval_s = cluster.rng.choice(intervals_s)
     kinds = list(ALL_THEME_FAULTS.get(cluster.theme, ()))
     if not kinds:
         kinds = cluster.rng.sample(FAULTS, cluster.rng.randint(*FAULT_KIND_COUNTS))
--- a/tests/soak/theme.py
+++ b/tests/soak/theme.py
@@ -47,6 +47,11 @@
     """Endpoints and entries are processes, streams are long, and all entries are killed at
     once while endpoints of one software version follow those of another."""
 
+    OUT_OF_STEP = "out-of-step"
+    """Endpoints and entries are processes, and entries are cut off from each other and from
+    the store, or stand still, while endpoints of another software version join; callers
+    take streams up at just these entries."""
+
     ALL = "all"
     """Restarts, crashing requests and notices at once."""
 
@@ -73,12 +78,12 @@
     @property
     def has_processes(self) -> bool:
         """Whether endpoints are processes of their own."""
-        return self in (Theme.PROCESSES, Theme.REJOINED)
+        return self in (Theme.PROCESSES, Theme.REJOINED, Theme.OUT_OF_STEP)
 
     @property
     def has_long_streams(self) -> bool:
         """Whether there are routes of long streams, which callers take up patiently."""
-        return self is Theme.REJOINED
+        return self in (Theme.REJOINED, Theme.OUT_OF_STEP)
 
     @property
     def has_overload(self) -> bool:
