--- a/tests/soak/test_out_of_step_invariants.py
+++ b/tests/soak/test_out_of_step_invariants.py
@@ -135,6 +135,15 @@
     assert check(first, unread) == []
 
 
+def test_only_a_stall_shortly_before_excuses_a_refusal() -> None:
+    late = refusal(RECOVERED_AT + 1.0)
+    observed = observe(begun(10.0), late)
+    for start, is_excused in ((RECOVERED_AT, True), (RECOVERED_AT - 5.0, False)):
+        observed.disruptions = [Span("", start, start + 0.5)]
+        found = out_of_step_violations(observed, [], [OLD], FAULTS_ENDED_AT)
+        assert (found == []) == is_excused
+
+
 def test_take_ups_are_counted_by_versions_and_by_the_state_of_the_entry() -> None:
     observed = observe(
         begun(1.0),
