--- a/tests/soak/out_of_step_cluster.py
+++ b/tests/soak/out_of_step_cluster.py
@@ -5,6 +5,7 @@
 import contextlib
 import signal
 import time
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, ClassVar
@@ -28,7 +29,7 @@
 ENTRIES = 5
 """Entries by default, of which up to two are out of step at a time."""
 
-SERVICES = 10
+SERVICES = 12
 """Services of resumable streams; endpoints of other versions of all but one follow. A
 version counts for a minute, so that an entry can be misled once by each."""
 
@@ -37,7 +38,7 @@
 """One in so many seeds runs many endpoints."""
 
 ENDPOINTS_PER_SERVICE = 2
-MAX_PROCESSES = 50
+MAX_PROCESSES = 60
 MANY_ENDPOINTS_PER_SERVICE = 4
 MANY_PROCESSES = 90
 """Endpoints that run at a time, draining ones among them."""
@@ -99,6 +100,7 @@
         self.listings: list[Listing] = []
         self.out_of_step: list[Span] = []
         self.faults_ended_at = 0.0
+        self._chosen: Counter[str] = Counter()
         self._network = PeerNetwork(
             self.entries, [_own_ip(entry) for entry in self.entries]
         )
@@ -205,18 +207,28 @@
 
     # Faults of entries.
 
-    def draw_entry(self, *, overlaps: bool = True) -> EntryProcess | None:
-        """Draw an entry to fall out of step; more than half stay in step.
+    @contextlib.contextmanager
+    def chosen_entry(self, *, overlaps: bool = True) -> Iterator[EntryProcess | None]:
+        """Choose an entry to fall out of step; more than half are never chosen at a time.
 
         Args:
-            overlaps: Whether it may be one that is out of step already.
+            overlaps: Whether it may be one that is chosen already.
 
-        Returns:
+        Yields:
             The entry; ``None`` if others are out of step for too long.
         """
+        entry = self._choose_entry(overlaps=overlaps)
+        name = "" if entry is None else entry.name
+        self._chosen[name] += 1
+        try:
+            yield entry
+        finally:
+            self._chosen[name] -= 1
+
+    def _choose_entry(self, *, overlaps: bool) -> EntryProcess | None:
         until = time.monotonic() + MAX_WAIT_S
         while time.monotonic() < until:
-            late = [one for one in self.entries if self.callers.out_of_step[one.name]]
+            late = [one for one in self.entries if self._chosen[one.name]]
             if late and overlaps and self.rng.random() < OVERLAP_CHANCE:
                 return self.rng.choice(late)
             if not late or len(late) < (len(self.entries) - 1) // 2:
--- a/tests/soak/out_of_step_faults.py
+++ b/tests/soak/out_of_step_faults.py
@@ -20,7 +20,7 @@
 from .out_of_step_network import Cut, Way
 from .process_faults import _kill_process, _pause_process
 
-WAYS = (*(Way.BOTH,) * 3, Way.IN, Way.OUT)
+WAYS = (*(Way.BOTH,) * 4, Way.IN, Way.OUT)
 CUT_S = (0.3, 1.2, 1.8, 1.8, 2.5)
 """For how long paths are cut, in seconds."""
 
@@ -39,8 +39,11 @@
 LISTED_AFTER_S = (0.05, 0.2, 0.5, 0.8)
 """How long after an entry fell out of step they may be listed, in seconds."""
 
-STREAMS = (6, 12)
-"""Streams of the service that are begun then."""
+RELEASED_SERVICES = (1, 2, 3)
+"""Services of which endpoints of another version join at the same time."""
+
+STREAMS = (5, 8)
+"""Streams of each service that are begun then."""
 
 BREAK_S = (0.1, 0.8)
 """After how long endpoints or entries that serve them may be killed, in seconds."""
@@ -96,33 +99,45 @@
 
 def _lose_step(cluster: OutOfStepCluster) -> None:
     """Let an entry fall out of step beside nothing else."""
-    entry = cluster.draw_entry()
-    if entry is not None:
-        cluster.rng.choice(LOSSES_OF_STEP)(cluster, entry)
+    with cluster.chosen_entry() as entry:
+        if entry is not None:
+            cluster.rng.choice(LOSSES_OF_STEP)(cluster, entry)
 
 
 def _lose_step_beside_a_release(cluster: OutOfStepCluster) -> None:
     """Let an entry fall out of step while endpoints of another version join and break."""
+    with cluster.chosen_entry(overlaps=False) as entry:
+        if entry is not None:
+            _release_without(cluster, entry)
+
+
+def _release_without(cluster: OutOfStepCluster, entry: EntryProcess) -> None:
+    """Release other versions of some services while an entry is out of step."""
     rng = cluster.rng
-    entry = cluster.draw_entry(overlaps=False)
-    if entry is None:
-        return
-    service = cluster.draw_service()
-    newcomers = cluster.start_newcomers(service, rng.choice((1, 2, 2)))
+    newcomers = {}
+    for _ in range(rng.choice(RELEASED_SERVICES)):
+        service = cluster.draw_service()
+        newcomers[service] = cluster.start_newcomers(service, rng.choice((1, 2, 2)))
+    loss = rng.choice(LOSSES_OF_STEP)
     if rng.random() < LISTED_BEFORE_CHANCE:
-        cluster.list_newcomers(newcomers)
+        for workers in newcomers.values():
+            cluster.list_newcomers(workers)
         eventlet.sleep(rng.uniform(*LISTED_BEFORE_S))
-        trouble = eventlet.spawn(rng.choice(LOSSES_OF_STEP), cluster, entry)
+        trouble = eventlet.spawn(loss, cluster, entry)
     else:
-        trouble = eventlet.spawn(rng.choice(LOSSES_OF_STEP), cluster, entry)
+        trouble = eventlet.spawn(loss, cluster, entry)
         eventlet.sleep(rng.choice(LISTED_AFTER_S))
-        cluster.list_newcomers(newcomers)
-    cluster.drain_older(service, rng.choice(KEPT_OLDER))
+        for workers in newcomers.values():
+            cluster.list_newcomers(workers)
+    for service in newcomers:
+        cluster.drain_older(service, rng.choice(KEPT_OLDER))
     eventlet.sleep(rng.uniform(0.0, 0.2))
-    path = f"/story/{service}/"
-    cluster.callers.run_streams(UNLIMITED_KEY, path, rng.choice(STREAMS))
+    for service in newcomers:
+        path = f"/story/{service}/"
+        cluster.callers.run_streams(UNLIMITED_KEY, path, rng.choice(STREAMS))
     eventlet.sleep(rng.uniform(*BREAK_S))
-    _break_streams(cluster, entry, [worker.name for worker in newcomers])
+    names = [worker.name for workers in newcomers.values() for worker in workers]
+    _break_streams(cluster, entry, names)
     trouble.wait()
 
 
