--- a/tests/soak/process_cluster.py
+++ b/tests/soak/process_cluster.py
@@ -42,6 +42,7 @@
     """
 
     callers_type: ClassVar[type[ProcessCallers]] = ProcessCallers
+    oddities: ClassVar[tuple[float, ...]] = ODDITIES
 
     def __init__(
         self,
@@ -86,13 +87,19 @@
             service: Its service.
             port: The port on which it listens; 0 lets the system choose.
         """
+        worker = self._start_process(service, port)
+        if worker is not None:
+            self._list_process(worker)
+
+    def _start_process(self, service: str, port: int = 0) -> WorkerProcess | None:
+        """Start an endpoint as soon as few enough run; ``None`` if callers stop before."""
         while sum(worker.is_running for worker in self._started) >= self.max_processes:
             eventlet.sleep(POLL_S)
         if self.callers.is_stopped:
-            return
+            return None
         self._workers_started += 1
         name = f"i-{self._workers_started}"
-        oddity = 0.0 if self._is_calm else self.rng.choice(ODDITIES)
+        oddity = 0.0 if self._is_calm else self.rng.choice(self.oddities)
         worker = WorkerProcess(
             name,
             service,
@@ -106,7 +113,11 @@
         worker.wait_until_listening()
         if self._is_calm:
             worker.calm_down()
-        self.processes[name] = worker
+        return worker
+
+    def _list_process(self, worker: WorkerProcess) -> None:
+        """Publish an endpoint that listens."""
+        self.processes[worker.name] = worker
         self._publish_process(worker, "ready")
 
     def _publish_process(self, worker: WorkerProcess, state: str) -> None:
