Take messages on slots for lost that waited for longer than a lease

What callers saw: just after a coordinator had stood still, slots stayed empty for up to a second; just after a client had, its requests could go to a slot that others had been given.

Cause: states and replies that had waited in the socket were handled as if just sent. The jobs of such a state had long been served elsewhere, and the lease of such a grant had expired.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -54,7 +54,7 @@
 from .serving import CallerServer, accept_all
 from .slot_client import SlotClient
 from .slot_messages import SlotReply, SlotState
-from .slot_server import SlotServer
+from .slot_server import LEASE_S, SlotServer
 from .stalls import Arrival, Stalls
 from .status_pages import serve_page
 from .stream_messages import StreamQuestion, StreamReport
@@ -558,12 +558,14 @@
         raise NotImplementedError(type(message))
 
     @_on_message.register
-    def _(self, state: SlotState, _: Arrival) -> None:
-        self.ctx.scheduler.handle_state(state)
+    def _(self, state: SlotState, arrival: Arrival) -> None:
+        if not _has_lapsed(arrival):
+            self.ctx.scheduler.handle_state(state)
 
     @_on_message.register
-    def _(self, reply: SlotReply, _: Arrival) -> None:
-        self.ctx.scheduler.handle_reply(reply)
+    def _(self, reply: SlotReply, arrival: Arrival) -> None:
+        if not _has_lapsed(arrival):
+            self.ctx.scheduler.handle_reply(reply)
 
     @_on_message.register
     def _(self, update: CrashUpdate, _: Arrival) -> None:
@@ -715,6 +717,14 @@
         return True
 
 
+def _has_lapsed(arrival: Arrival) -> bool:
+    """Return whether slots may have been given to others since a message on them arrived.
+
+    It counts as lost. Whoever still waits for slots, or holds some, repeats it.
+    """
+    return arrival.waited_s > LEASE_S
+
+
 def _record_margin_s(settings: EntrySettings) -> float:
     """Return for how long an outage lasts at least before a record expires, in seconds.
 
--- a/dockreach/direct/stalls.py
+++ b/dockreach/direct/stalls.py
@@ -54,6 +54,11 @@
     at: float
     read_at: float
 
+    @property
+    def waited_s(self) -> float:
+        """For how long it may have waited while the process stood still, in seconds."""
+        return self.read_at - self.at
+
     @classmethod
     def prompt(cls, now: float) -> Arrival:
         """Return the arrival of a message that was read at once."""
--- a/tests/direct/test_entry.py
+++ b/tests/direct/test_entry.py
@@ -14,6 +14,8 @@
 from dockreach.direct.entry import Entry
 from dockreach.direct.lapses import LAPSE_GRACE_S
 from dockreach.direct.routing_config import Organisation
+from dockreach.direct.slot_messages import SlotReply, SlotState, WaitingJob
+from dockreach.direct.slot_server import LEASE_S
 from dockreach.direct.stalls import Arrival
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_revision
@@ -272,3 +274,52 @@
     receive(entry, digest(address(2), age_s=math.nan))
     receive(entry, digest(address(3)))
     assert [row.digest.address for row in entry.peers.rows] == [address(3)]
+
+
+def waited(seconds: float) -> Arrival:
+    """Return the arrival of a message that may have waited, read now."""
+    now = clock.now()
+    return Arrival(now - seconds, now - seconds, now)
+
+
+def slot_request(entry: Entry, number: int) -> SlotState:
+    """Return a state of another entry that asks for a slot."""
+    assert entry.revision is not None
+    asked = WaitingJob(
+        number=number,
+        route=entry.revision.routes[0].name,
+        rank=(0,),
+        prompt_tokens=100,
+        expected_events=1.0,
+        prefix=(),
+        age_s=0.0,
+        first_attempt_age_s=0.0,
+        queue_timeout_s=3.0,
+        time_left_s=8.0,
+        is_admitted=True,
+        tried_endpoints=[],
+    )
+    return SlotState(address(1), 1, number, "work", [asked], [], [])
+
+
+def test_a_slot_is_not_granted_to_an_entry_that_asked_before_a_stall() -> None:
+    """Guards against slots that are kept for requests which were served elsewhere."""
+    entry = start_entry(EndpointStandIn(respond_ok))
+    entry._receive(slot_request(entry, 1), waited(LEASE_S + 0.5))
+    assert entry.slot_server.grant_count == 0
+    entry._receive(slot_request(entry, 2), waited(LEASE_S / 2))
+    assert entry.slot_server.grant_count == 1
+
+
+def test_a_grant_that_waited_for_longer_than_its_lease_is_not_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two requests in a slot that was granted again meanwhile."""
+    entry = start_entry(EndpointStandIn(respond_ok))
+    handled: list[SlotReply] = []
+    monkeypatch.setattr(entry.ctx.scheduler, "handle_reply", handled.append)
+    reply = SlotReply(address(1), 1, 1, "work", [], [])
+    entry._receive(reply, waited(LEASE_S + 0.5))
+    assert handled == []
+    entry._receive(reply, waited(0.0))
+    assert handled == [reply]
