Date relayed notices by when their message can have been sent

What callers saw: just after an entry had stood still, it could send a burst to an endpoint that had reported a rate limit.

Cause: a relayed notice that had waited in the socket was dated from its reading on, so that the end of an earlier limit looked later than the limit that the endpoint had reported here.

Change: the request of the notice is dated from the earliest time at which the message can have arrived, its response from the reading. Where the order is not certain, the lower rate applies, as before.

Measured: the test fails before (no limit in place of 2 a second) and passes after.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -572,8 +572,9 @@
         self.ctx.crashes.merge(without_invalid_parts(update).crash_reports)
 
     @_on_message.register
-    def _(self, update: NoticeUpdate, _: Arrival) -> None:
-        self.ctx.notices.merge(without_invalid_parts(update).notices, update.sender)
+    def _(self, update: NoticeUpdate, arrival: Arrival) -> None:
+        valid = without_invalid_parts(update)
+        self.ctx.notices.merge(valid.notices, valid.sender, arrival)
 
     @_on_message.register
     def _(self, report: StreamReport, _: Arrival) -> None:
@@ -592,7 +593,7 @@
             return
         previous = change.previous
         self.ctx.crashes.merge(digest.crash_reports)
-        self.ctx.notices.merge(digest.notices, digest.name)
+        self.ctx.notices.merge(digest.notices, digest.name, arrival)
         self.endpoints.software_versions.merge(
             digest.software_versions,
             now,
--- a/dockreach/direct/notice_tracker.py
+++ b/dockreach/direct/notice_tracker.py
@@ -14,6 +14,7 @@
 from .notice import EndpointNotice, InvalidValue
 from .relayed_notice import NoticeUpdate, RelayedNotice
 from .round_robin import RoundRobin
+from .stalls import Arrival
 
 MAX_NOTICES_PER_DIGEST = 16
 """Maximum number of notices in a digest, some 50 bytes each; endpoints take turns."""
@@ -198,17 +199,26 @@
             self._announced[row.incarnation] = current
             self._send_all(NoticeUpdate(self._name, [_relayed(row, now)]))
 
-    def merge(self, notices: list[RelayedNotice], peer: str) -> None:
-        """Merge notices that another entry relays."""
-        now = self._clock()
+    def merge(
+        self, notices: list[RelayedNotice], peer: str, arrival: Arrival | None = None
+    ) -> None:
+        """Merge notices that another entry relays.
+
+        Args:
+            notices: The notices.
+            peer: Name of the other entry.
+            arrival: When its message arrived; just now if omitted.
+        """
+        arrival = arrival or Arrival.prompt(self._clock())
         for relayed in notices:
             row = self._endpoints.get(relayed.endpoint)
             if row is None or row.published.born != relayed.born:
                 continue
             rate = UNLIMITED_RATE if relayed.rate is None else relayed.rate
-            report = LimitReport(
-                rate, now - relayed.request_age_s, now - relayed.report_age_s
-            )
+            # Bounds of when the endpoint made the report.
+            sent_at = arrival.at - relayed.request_age_s
+            received_at = arrival.read_at - relayed.report_age_s
+            report = LimitReport(rate, sent_at, received_at)
             known = row.advertised.limit.report
             if (
                 rate != known.rate
--- a/tests/direct/test_notice_tracker.py
+++ b/tests/direct/test_notice_tracker.py
@@ -20,6 +20,7 @@
     NoticeTracker,
 )
 from dockreach.direct.relayed_notice import NoticeUpdate, RelayedNotice
+from dockreach.direct.stalls import Arrival
 from dockreach.events import Event
 
 
@@ -253,3 +254,19 @@
         second.notices.merge(first.notices.next_notices(), "peer")
         first.now = second.now = first.now + 1.0
     assert row.advertised.limit.report.received_at == pytest.approx(102.0)
+
+
+def test_a_relayed_end_of_a_limit_that_waited_does_not_end_a_later_limit() -> None:
+    """Guards against a burst at an endpoint just after an entry stood still."""
+    peer, entry = EntryFixture(), EntryFixture()
+    responding, row = peer.publish(), entry.publish()
+    peer.receive_response(responding, limit_notice())
+    peer.now += 1.0
+    peer.receive_response(responding, limit_notice(UNLIMITED_RATE))
+    relayed = peer.notices.next_notices()
+    entry.now = peer.now + 1.0
+    entry.receive_response(row, limit_notice(2.0))
+    waited = Arrival(peer.now, peer.now, entry.now + 5.0)
+    entry.now = waited.read_at
+    entry.notices.merge(relayed, "peer", waited)
+    assert row.advertised.limit.report.rate == 2.0
