Check lapsed endpoints by a call that was sent after a peer told of them

What callers saw: an entry to which a peer told of lapsed endpoints could go without a call of its own, and believe a peer whose own calls had failed.

Cause: a response that was read after the peer told of them counted, though its call was sent before, and the response may have been written before.

Change: the time up to which all changes are known counts, which is that of the call. The test of the same name now makes whole calls, with the time at which each was sent.

--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -246,12 +246,11 @@
 
     @property
     def must_check_lapses(self) -> bool:
-        """Whether a peer told of lapsed endpoints since the last own call was answered.
+        """Whether no own call has succeeded since a peer told of lapsed endpoints.
 
         The peer may only believe it, as its own calls had failed.
         """
-        last = self._feed.last_response_at
-        return self._told_at > (-math.inf if last is None else last)
+        return self._told_at > self._feed.complete_at
 
     def expire_lapsed(self, now: float) -> None:
         """Remove lapsed endpoints that were not listed again within the grace period."""
--- a/tests/direct/test_endpoint_sync.py
+++ b/tests/direct/test_endpoint_sync.py
@@ -240,12 +240,31 @@
     entry.apply_view(relayed(cut_off), "cut-off")
     assert not entry.may_skip_poll(entry.feeds.endpoints)
     # One call is enough, and what this entry found missing itself needs none.
-    entry.feeds.endpoints.record_response(clock.now())
+    answer_call(entry, sent_at=clock.now())
     assert entry.may_skip_poll(entry.feeds.endpoints)
     lose(entry, "e-1", 7, after_outage=True)
     assert entry.may_skip_poll(entry.feeds.endpoints)
 
 
+def answer_call(entry: Entry, *, sent_at: float) -> None:
+    """Let the platform answer a call for the endpoints now."""
+    feed = entry.feeds.endpoints
+    feed.called_at = sent_at
+    feed.record_response(clock.now())
+    feed.mark_caught_up()
+
+
+def test_a_call_from_before_does_not_show_whether_endpoints_have_lapsed() -> None:
+    """Guards against believing a peer by a response that had waited to be read."""
+    cut_off = entry_with(record(0), record(1))
+    lose(cut_off, "e-0", 6, after_outage=True)
+    entry = non_reader(record(0), record(1))
+    sent_at = clock.now()
+    entry.apply_view(relayed(cut_off), "cut-off")
+    answer_call(entry, sent_at=sent_at)
+    assert not entry.may_skip_poll(entry.feeds.endpoints)
+
+
 def odd_records() -> list[Published]:
     """Return records that an entry of an earlier version may have accepted."""
     odd = record(7)
