--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 import eventlet
 import pytest
@@ -14,6 +15,7 @@
 from dockreach.direct.endpoints import Published
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import CallLimits
+from dockreach.direct.loops import run_forever
 from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.routing_config import ConfigRevision
 from dockreach.direct.version_coverage import ServedVersion, VersionSource
@@ -659,3 +661,32 @@
     view.endpoints_revision += 1
     entry.apply_view(view, "peer")
     assert entry.endpoints.software_versions.confirmed_at <= before
+
+
+def test_a_call_whose_failure_waited_to_be_read_may_have_failed_long_ago(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against dropping endpoints that run, after an outage during a stop."""
+    entry = start_following_entry(store)
+    beats = eventlet.spawn(run_forever, entry.stalls.run)
+    eventlet.sleep(0.5)
+    original = StoreClient.watch
+    failed: list[float] = []
+
+    def watch(client: StoreClient, prefix: str, *args: Any) -> ItemBatch:  # noqa: ANN401
+        if prefix == "servers/" and not failed:
+            failed.append(clock.now())
+            eventlet.sleep(0.1)
+            store.delete("servers/i-3")
+            time.sleep(STOPPED_S)
+            raise PlatformError("connection reset")
+        return original(client, prefix, *args)
+
+    monkeypatch.setattr(StoreClient, "watch", watch)
+    feed = entry.feeds.endpoints
+    wait_until(lambda: bool(feed.failed_calls) and not feed.consecutive_failures)
+    eventlet.sleep(0.3)
+    beats.kill()
+    row = entry.endpoints.get("i-3")
+    assert row is not None
+    assert row.lapsed_until is not None
