--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -56,7 +56,7 @@
 from .single_flight import SingleFlight
 from .slot_client import SlotClient
 from .slot_messages import SlotReply, SlotState
-from .slot_server import SlotServer
+from .slot_server import LEASE_S, SlotServer
 from .stalls import BEAT_INTERVAL_S, Arrival, Stalls
 from .status_pages import serve_page
 from .stream_messages import StreamQuestion, StreamReport
@@ -584,20 +584,23 @@
         raise NotImplementedError(type(message))
 
     @_on_message.register
-    def _(self, state: SlotState, _: Arrival) -> None:
-        self.ctx.scheduler.handle_state(state)
+    def _(self, state: SlotState, arrival: Arrival) -> None:
+        if not _has_lapsed(arrival):
+            self.ctx.scheduler.handle_state(state)
 
     @_on_message.register
-    def _(self, reply: SlotReply, _: Arrival) -> None:
-        self.ctx.scheduler.handle_reply(reply)
+    def _(self, reply: SlotReply, arrival: Arrival) -> None:
+        if not _has_lapsed(arrival):
+            self.ctx.scheduler.handle_reply(reply)
 
     @_on_message.register
     def _(self, update: CrashUpdate, _: Arrival) -> None:
         self.ctx.crashes.merge(without_invalid_parts(update).crash_reports)
 
     @_on_message.register
-    def _(self, update: NoticeUpdate, _: Arrival) -> None:
-        self.ctx.notices.merge(without_invalid_parts(update).notices, update.sender)
+    def _(self, update: NoticeUpdate, arrival: Arrival) -> None:
+        valid = without_invalid_parts(update)
+        self.ctx.notices.merge(valid.notices, valid.sender, arrival)
 
     @_on_message.register
     def _(self, report: StreamReport, _: Arrival) -> None:
@@ -616,7 +619,7 @@
             return
         previous = change.previous
         self.ctx.crashes.merge(digest.crash_reports)
-        self.ctx.notices.merge(digest.notices, digest.name)
+        self.ctx.notices.merge(digest.notices, digest.name, arrival)
         self.endpoints.software_versions.merge(
             digest.software_versions,
             now,
@@ -741,6 +744,14 @@
         return True
 
 
+def _has_lapsed(arrival: Arrival) -> bool:
+    """Return whether slots may have been given to others since a message on them arrived.
+
+    It counts as lost. Whoever still waits for slots, or holds some, repeats it.
+    """
+    return arrival.waited_s > LEASE_S
+
+
 def _record_margin_s(settings: EntrySettings) -> float:
     """Return for how long an outage lasts at least before a record expires, in seconds.
 
