Ask entries that reach the platform, and take silence of all for no evidence

What callers could see: an entry that was cut off from the platform took one version for the only one because all other entries answered that they did not know the stream, although the entry that began it had left their tables, had just left, or had never been met. An entry out of step also sends requests to endpoints whose records have gone.

Change: conclusions need a list that was confirmed since. While an entry does not reach the platform, the holders of the stream read the list before they answer. Versions count as served for 10 s after their last record.

--- a/dockreach/direct/message_checks.py
+++ b/dockreach/direct/message_checks.py
@@ -16,7 +16,6 @@
 from ..addresses import ADDRESS_PATTERN
 from .crash_history import CrashReport, ReportedCrash
 from .digest import Address, CrashUpdate, Digest
-from .peers import MAX_PEERS
 from .relayed_notice import NoticeUpdate, RelayedNotice
 from .slot_messages import (
     Denial,
@@ -151,8 +150,6 @@
         0 <= summary.known_s <= MAX_REPORTED_AGE_S
         # Infinite before the first list.
         and summary.confirmed_age_s >= 0.0
-        and _is_amount(summary.running_s)
-        and 0 < summary.entry_count <= MAX_PEERS + 1
         and all(
             _is_amount(age_s) for ages in summary.ages.values() for age_s in ages.values()
         )
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -27,6 +27,10 @@
 """How long a version is remembered after that, in seconds: routes with a longer timeout
 have streams that last longer."""
 
+SERVE_ON_S = 10.0
+"""How long an endpoint may serve after its record has gone, in seconds: the platform speaks
+of its drain timeout and, at times, many seconds more."""
+
 MAX_VERSIONS = 16
 """Maximum number of versions of one service that are remembered."""
 
@@ -201,13 +205,21 @@
         return self.coverage.covers(since) and since >= now - RETENTION_S
 
     def served(self, service: str, since: float) -> set[str | None]:
-        """Return the versions that are known to have served a service since a time."""
-        known = (self._listed, self._reported, self._history)
+        """Return the versions that are known to have served a service since a time.
+
+        Endpoints serve on after their records have gone, and entries that are out of step
+        send them requests. Versions of the history count as if they served until now.
+        """
+        known = (
+            (self._listed, since - SERVE_ON_S),
+            (self._reported, since - SERVE_ON_S),
+            (self._history, since),
+        )
         return {
             version
-            for versions in known
+            for versions, earliest in known
             for version, at in versions.get(service, {}).items()
-            if at >= since
+            if at >= earliest
         }
 
     def is_only_one(self, service: str, since: float, until: float, now: float) -> bool:
--- a/dockreach/direct/stream_messages.py
+++ b/dockreach/direct/stream_messages.py
@@ -44,15 +44,11 @@
             confirmation of its list, in whole seconds until now; 0 if it cannot tell.
         confirmed_age_s: Time since the moment up to which it has seen all changes of the
             list, in seconds; infinite if it has no list.
-        running_s: For how long its process has run, in seconds.
-        entry_count: Number of entries that it knows, itself included.
     """
 
     ages: dict[str, dict[str, float]]
     known_s: int
     confirmed_age_s: float
-    running_s: float
-    entry_count: int
 
 
 class StreamReport(msgspec.Struct, array_like=True, tag=6):
@@ -82,8 +78,11 @@
         keys: The streams' keys.
         number: Number of the question at its sender, which the answer repeats; 0 if the
             answer need not tell the software versions.
+        reads_list: Whether to read the platform's list of endpoints before the answer, as
+            the sender does not reach the platform.
     """
 
     address: Address
     keys: list[bytes]
     number: int = 0
+    reads_list: bool = False
--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -8,8 +8,8 @@
 
 An entry may be cut off or stand still while a version appears. It takes one version for the
 only one that can have begun a stream only if evidence from after the take-up says so: the
-platform, an entry that has read the list since, or all entries together. No answer is no
-evidence.
+platform, or an entry that has read the list since. That no entry knows the stream is no
+evidence, as the one that began it may not be among those that answer.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -38,7 +38,7 @@
     VersionSummary,
     stream_key,
 )
-from .version_coverage import ALL_ENTRIES, Confirmation, VersionEvidence, VersionSource
+from .version_coverage import Confirmation, VersionEvidence, VersionSource
 
 HOLDERS = 3
 """Entries that are told of a stream, besides the one that began it."""
@@ -151,19 +151,17 @@
     """A question to other entries that is not answered yet.
 
     Attributes:
-        number: Its number; 0 if answers need not tell software versions.
+        number: Its number, which answers repeat.
         sent_at: Monotonic time before it was sent first, in seconds.
         asked: Entries that were asked.
         unaware: Entries that do not know the stream.
-        summaries: The software versions that entries told in their answers.
         waiter: Set once the answer is known, or all have answered that they do not know.
     """
 
     number: int
     sent_at: float
-    asked: set[Address]
-    unaware: set[Address]
-    summaries: dict[Address, VersionSummary] = field(default_factory=dict)
+    asked: set[Address] = field(default_factory=set)
+    unaware: set[Address] = field(default_factory=set)
     waiter: Any = field(default_factory=Waiter)
 
     def finish(self) -> None:
@@ -172,6 +170,20 @@
             self.waiter.send(None)
 
 
+class _Round(NamedTuple):
+    """Entries that are asked for a stream at once.
+
+    Attributes:
+        targets: The entries.
+        timeout_s: How long to wait for their answers, in seconds.
+        reads_list: Whether its holders are to read the platform's list before they answer.
+    """
+
+    targets: Collection[Address]
+    timeout_s: float
+    reads_list: bool = False
+
+
 class _TakenUp(NamedTuple):
     """A stream that goes on.
 
@@ -228,7 +240,6 @@
     ) -> None:
         self.list_read: SingleFlight | None = None
         self.history: Any = None
-        self._started_at = clock()
         self._numbers = itertools.count(1)
         self._list_confirmation = list_confirmation
         self._max_gap_s = max_gap_s
@@ -350,7 +361,7 @@
         now = self._clock()
         stream = _TakenUp(key, service, max_age_s, self._refused.get(key, now))
         if key and self._certain(key) is None:
-            self._ask(stream, (self._holders(key), HOLDERS_ANSWER_S))
+            self._ask(key, _Round(self._holders(key), HOLDERS_ANSWER_S))
         if (known := self._known_version(key)) is not None:
             return known
         self._await_history()
@@ -403,15 +414,17 @@
                     return concluded
         if not stream.key:
             return None
-        question = self._ask(
-            stream,
-            (self._answering_peers(), ASK_AGAIN_S),
-            (self._answering_peers(), ANSWER_TIMEOUT_S),
+        reads_list = not self.serves_several(stream.service, stream.max_age_s)
+        # An entry that has stood still has heard of none of them lately.
+        everyone = [
+            row.digest.address for row in self._peers.rows if row.digest.tracks_streams
+        ]
+        self._ask(
+            stream.key,
+            _Round(everyone, ASK_AGAIN_S, reads_list),
+            _Round(everyone, ANSWER_TIMEOUT_S, reads_list),
         )
-        concluded = self._only_version(stream)
-        if concluded is None and self._is_exhaustive(question, stream):
-            concluded = self._concluded(stream, question.sent_at, ALL_ENTRIES)
-        return concluded
+        return self._only_version(stream)
 
     def _only_version(self, stream: _TakenUp) -> KnownVersion | None:
         """Return the only version since a stream began, if the list was confirmed since."""
@@ -420,90 +433,65 @@
         since = stream.begun_after(self._max_gap_s())
         if not self._versions.is_only_one(stream.service, since, stream.seen_at, now):
             return None
-        return self._concluded(stream, *self._versions.confirmation)
-
-    def _concluded(self, stream: _TakenUp, at: float, by: str) -> KnownVersion:
-        since = stream.begun_after(self._max_gap_s())
         (version,) = self._versions.served(stream.service, since)
-        evidence = VersionEvidence(self._clock() - at, by)
+        confirmed_at, by = self._versions.confirmation
+        evidence = VersionEvidence(now - confirmed_at, by)
         source = self._versions.coverage.source
         return KnownVersion(version, source, evidence, is_concluded=True)
 
-    def _is_exhaustive(self, question: _Question, stream: _TakenUp) -> bool:
-        """Return whether the answers leave one version that can have begun a stream.
-
-        Whoever began it after the last confirmation of the list runs now, as no entry has
-        started since, and has told which versions it lists.
-        """
-        now, confirmed_at = self._clock(), self._versions.confirmed_at
-        since = stream.begun_after(self._max_gap_s())
-        others, summaries = self._peers.targets(), question.summaries
-        if not others or not summaries.keys() >= set(others):
-            return False
-        started_at = [now - summary.running_s for summary in summaries.values()]
-        return (
-            max([self._started_at, *started_at]) <= confirmed_at
-            and max(summary.entry_count for summary in summaries.values())
-            <= len(others) + 1
-            and self._versions.covers(since, now)
-            and len(self._versions.served(stream.service, since)) == 1
-        )
-
     def _await_history(self) -> None:
         """Wait until the store's history of endpoints was read, or will not be."""
         if self.history is not None and not self.history.ready():
             with eventlet.Timeout(HISTORY_TIMEOUT_S, False):
                 self.history.wait()
 
-    def _ask(self, stream: _TakenUp, *rounds: tuple[Iterable[Address], float]) -> _Question:
+    def _ask(self, key: bytes, *rounds: _Round) -> None:
         """Ask other entries for a stream, and wait until one knows it or none does.
 
         Args:
-            stream: The stream.
-            *rounds: Whom to ask one after another, and for how long to wait, in seconds.
+            key: The stream's key.
+            *rounds: Whom to ask one after another.
         """
-        key = stream.key
         while (pending := self._questions.get(key)) is not None:
             pending.waiter.wait()
-        question = _Question(next(self._numbers), self._clock(), set(), set())
-        for targets, timeout_s in rounds:
+        question = _Question(next(self._numbers), self._clock())
+        for part in rounds:
             if self._certain(key) is not None:
                 break
-            self._ask_once(key, question, targets, timeout_s)
-        return question
-
-    def _ask_once(
-        self,
-        key: bytes,
-        question: _Question,
-        targets: Iterable[Address],
-        timeout_s: float,
-    ) -> None:
-        """Ask the entries that have not answered yet, and wait.
+            self._ask_once(key, question, part)
 
-        Args:
-            key: The stream's key.
-            question: The question.
-            targets: The entries.
-            timeout_s: How long to wait, in seconds.
-        """
-        question.asked = set(targets) - question.unaware
+    def _ask_once(self, key: bytes, question: _Question, part: _Round) -> None:
+        """Ask the entries of a round that have not answered yet, and wait."""
+        question.asked = set(part.targets) - question.unaware
         if not question.asked:
             return
         question.waiter = Waiter()
         self._questions[key] = question
-        message = StreamQuestion(self._peers.own_address, [key], question.number)
+        readers = self._holders(key) if part.reads_list else []
         try:
             for address in question.asked:
+                message = StreamQuestion(
+                    self._peers.own_address, [key], question.number, address in readers
+                )
                 self._send(message, address)
-            with eventlet.Timeout(timeout_s, False):
+            with eventlet.Timeout(part.timeout_s, False):
                 question.waiter.wait()
         finally:
             del self._questions[key]
             question.finish()
 
     def handle_question(self, question: StreamQuestion) -> None:
-        """Answer another entry's question."""
+        """Answer another entry's question, after reading the list if that was asked for."""
+        if question.reads_list and self.list_read is not None:
+            eventlet.spawn_n(self._answer_after_read, question, self.list_read)
+        else:
+            self._answer(question)
+
+    def _answer_after_read(self, question: StreamQuestion, list_read: SingleFlight) -> None:
+        list_read.wait(self._clock(), ASK_AGAIN_S / 2)
+        self._answer(question)
+
+    def _answer(self, question: StreamQuestion) -> None:
         known = {key: self._certain(key) for key in question.keys}
         streams = [_begun(origin) for origin in known.values() if origin is not None]
         unknown = [key for key, origin in known.items() if origin is None]
@@ -523,8 +511,6 @@
             self._versions.report(now, with_single=True),
             self._versions.complete_s(now),
             now - self._versions.confirmed_at,
-            now - self._started_at,
-            len(self._peers.targets()) + 1,
         )
 
     def _certain(self, key: bytes) -> StreamOrigin | None:
@@ -552,7 +538,6 @@
         summary = report.versions
         if summary is None or report.number != question.number:
             return
-        question.summaries[report.address] = summary
         self._versions.merge_answer(
             summary.ages,
             self._clock(),
@@ -622,15 +607,6 @@
                 part = streams[start : start + MAX_STREAMS_PER_REPORT]
                 self._send(StreamReport(self._peers.own_address, part), address)
 
-    def _answering_peers(self) -> list[Address]:
-        """Return all other entries but those that are known not to answer questions."""
-        rows = {address: self._peers.get(address) for address in self._peers.targets()}
-        return [
-            address
-            for address, row in rows.items()
-            if row is None or row.digest.tracks_streams
-        ]
-
     def _tracking_peers(self) -> dict[Address, str]:
         """Return the data halls of the entries that answer, by address."""
         return {
--- a/dockreach/direct/version_coverage.py
+++ b/dockreach/direct/version_coverage.py
@@ -15,9 +15,6 @@
 PLATFORM = "platform"
 """Names the platform where evidence may also come from an entry."""
 
-ALL_ENTRIES = "all_entries"
-"""Names all other entries together."""
-
 
 class VersionSource(enum.StrEnum):
     """From what an entry knows at which software version a stream has to go on."""
@@ -93,7 +90,7 @@
 
     Attributes:
         age_s: Time since the newest evidence, in seconds.
-        by: Who gave it: `PLATFORM`, `ALL_ENTRIES`, or one entry's name or address.
+        by: Who gave it: `PLATFORM`, or an entry's name or address.
     """
 
     age_s: float
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -17,6 +17,7 @@
 from dockreach.direct.digest import Address
 from dockreach.direct.endpoints import RECORD_LAG_S, Published
 from dockreach.direct.peers import PeerTable
+from dockreach.direct.single_flight import SingleFlight
 from dockreach.direct.software_versions import VERSION_MEMORY_S, SoftwareVersions
 from dockreach.direct.stream_messages import (
     BegunStream,
@@ -39,11 +40,9 @@
     UnknownVersion,
 )
 from dockreach.direct.version_coverage import (
-    ALL_ENTRIES,
     PLATFORM,
     Confirmation,
     ServedVersion,
-    VersionEvidence,
     VersionSource,
 )
 
@@ -588,44 +587,41 @@
     assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
 
 
-def test_one_version_goes_on_without_the_platform_if_all_entries_answer() -> None:
+def test_entries_that_do_not_know_a_stream_are_no_evidence_for_one_version() -> None:
     net = network(3, "v1")
     for node in range(3):
         cut_off(net, node)
-    net.now += MAX_GAP_S
-    found = look_up(net, 0, "r-1")
-    assert isinstance(found, KnownVersion)
-    assert found.version == "v1"
-    assert found.evidence == VersionEvidence(0.0, ALL_ENTRIES)
+    net.now += 0.1
+    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
 
 
-@pytest.mark.parametrize("silent", [1, 2])
-def test_an_entry_that_does_not_answer_may_have_begun_a_stream(silent: int) -> None:
+def test_a_known_stream_goes_on_without_the_platform() -> None:
     net = network(3, "v1")
     for node in range(3):
         cut_off(net, node)
+    begin(net, 1, "r-1", "v1")
     net.now += 0.1
-    net.dead.add(address(silent))
-    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+    assert look_up(net, 0, "r-1") == KnownVersion("v1", VersionSource.ENTRY)
 
 
-def test_an_entry_that_has_restarted_does_not_answer_for_the_one_before() -> None:
+def test_an_entry_in_step_reads_the_list_for_one_that_is_cut_off() -> None:
     net = network(3, "v1")
-    for node in range(3):
-        cut_off(net, node)
-    net.now += 1.0
-    restarted = net.nodes[address(1)]
-    restarted._started_at = net.now
-    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+    for own in net.nodes:
+        cut_off(net, list(net.nodes).index(own))
+        net.versions[own]._shared_coverage.extend(0.0, VersionSource.MEMORY)
+    net.now += 0.1
+    calls: list[float] = []
 
+    def read() -> None:
+        calls.append(net.now)
+        net.versions[address(1)].confirm(net.now)
 
-def test_an_entry_that_others_know_is_not_left_out() -> None:
-    net = network(4, "v1")
-    del net.nodes[address(0)]._peers._rows[address(3)]
-    for node in range(4):
-        cut_off(net, node)
-    net.now += 1.0
-    assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
+    net.nodes[address(1)].list_read = SingleFlight(read, lambda: net.now)
+    found = look_up(net, 0, "r-1")
+    assert isinstance(found, KnownVersion)
+    assert found.evidence is not None
+    assert found.evidence.by == "10.0.0.3:7000"
+    assert len(calls) == 1
 
 
 def test_a_late_answer_to_an_earlier_question_is_no_evidence() -> None:
@@ -637,7 +633,7 @@
     net.now += 1.0
     asked = eventlet.spawn(look_up, net, 0, "r-1")
     eventlet.sleep(0.01)
-    summary = VersionSummary({SERVICE: {"v1": 0.0}}, 60, 0.0, 1000.0, 2)
+    summary = VersionSummary({SERVICE: {"v1": 0.0}}, 60, 0.0)
     key = stream_key("r-1")
     node.handle_report(StreamReport(address(1), [], [key], 2**20, summary))
     assert isinstance(asked.wait(), UnknownVersion)
