--- a/benchmarks/replays/slow_moments.py
+++ b/benchmarks/replays/slow_moments.py
@@ -16,11 +16,15 @@
 from dockreach.direct.jobs import Decision, Placed
 from dockreach.direct.requests import ReportedLoad
 from dockreach.direct.slot_messages import SampleKind
+from dockreach.direct.stalls import Stalls
 
 from .engine import Engine, Run
 from .fleet import ENDPOINT_DELAY_S, Replay, Request, SimulatedEntry
 from .patterns import SERVICE, LoadPattern, RequestKind
 
+NO_STALLS = Stalls(lambda: 0.0)
+"""Stalls of a simulated entry, which never stands still."""
+
 ENGINES = 28
 SLOTS = 5
 PREFILL_PER_TOKEN_S = 1 / 64_200
@@ -163,7 +167,7 @@
 
         def on_event(at: float) -> None:
             job.events += 1
-            pace.count(1, at)
+            pace.count(1, at, NO_STALLS)
             event_times.append(at)
 
         def on_end(at: float, is_complete: bool) -> None:
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -20,6 +20,7 @@
 from .protocol_adapter import ProtocolAdapter
 from .retry_budget import RetryBudget
 from .scheduling import Scheduler
+from .stalls import Stalls
 from .stream_versions import StreamVersions
 from .token_quota import QuotaTable
 from .version_coverage import VersionSource
@@ -92,6 +93,7 @@
     crashes: CrashReporter
     notices: NoticeTracker
     streams: StreamVersions
+    stalls: Stalls
     counters: Counters = field(default_factory=Counters)
     outcomes: OutcomeCounter = field(default_factory=OutcomeCounter)
     ends: ConnectionEnds = field(default_factory=ConnectionEnds)
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -18,6 +18,7 @@
 from .requests import ReportedLoad
 from .slot_messages import LoadReport, Sample, SampleKind
 from .software_versions import SoftwareVersions
+from .stalls import Stalls
 from .warm_up import RecentSends, WarmUpState
 
 if TYPE_CHECKING:
@@ -357,9 +358,16 @@
         self._events = 0
         self._since: float | None = None
 
-    def count(self, events: int, now: float) -> None:
-        """Count events that were just received."""
-        if self._since is None:
+    def count(self, events: int, now: float, stalls: Stalls) -> None:
+        """Count events that were just received.
+
+        Args:
+            events: How many.
+            now: Monotonic time, in seconds.
+            stalls: When this process stood still: it can't tell when they were sent.
+        """
+        if self._since is None or stalls.has_stood_still(self._since, now):
+            self._events = 0
             self._since = now
             return
         self._events += events
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -202,6 +202,7 @@
                 # In this time a version that is listed is known to every entry.
                 lambda: self.settings.apply_deadline_s,
             ),
+            stalls=self.stalls,
         )
         if not settings.has_predecessor:
             self.endpoints.software_versions.coverage.extend(
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -578,7 +578,7 @@
             self._record_success(upstream.row)
             self._record_prefill_end(upstream, now)
             self._slots.record_origin(upstream)
-        upstream.pace.count(len(events), now)
+        upstream.pace.count(len(events), now, self._ctx.stalls)
         if upstream.has_run_without_harm(now):
             self._harm.record_harmless_parts(upstream)
         upstream.job.record_events(upstream.job.events + len(events), now)
@@ -612,11 +612,12 @@
         if self._caller.head_sent:
             return Attempt(AttemptOutcome.FAILED, row.id, f"status {status} on resuming")
         now = self._ctx.now()
-        row.record_measurement(
-            SampleKind.PLAIN,
-            now - upstream.sent_at,
-            percent=row.load.mean_percent(upstream.sent_at, now),
-        )
+        if not self._ctx.stalls.has_stood_still(upstream.sent_at, now):
+            row.record_measurement(
+                SampleKind.PLAIN,
+                now - upstream.sent_at,
+                percent=row.load.mean_percent(upstream.sent_at, now),
+            )
         self.progress.record(0, now)
         self.progress.is_failure = status >= MIN_FAILURE_STATUS
         self._caller.send_response(item.head, item.body)
@@ -677,7 +678,8 @@
     def _record_prefill_end(self, upstream: UpstreamRequest, now: float) -> None:
         """Record the end of the prefill and the time to the first event."""
         job, row = upstream.job, upstream.row
-        if job.found_free_slot:
+        is_measured = not self._ctx.stalls.has_stood_still(upstream.sent_at, now)
+        if job.found_free_slot and is_measured:
             tokens = job.prefill_ahead + job.prefill_tokens
             row.record_measurement(
                 SampleKind.FIRST_EVENT,
--- a/dockreach/direct/stalls.py
+++ b/dockreach/direct/stalls.py
@@ -109,6 +109,15 @@
         self.total_s += duration_s
         log(Event.STOOD_STILL, still_ms=round(duration_s * 1000))
 
+    def has_stood_still(self, since: float, now: float) -> bool:
+        """Return whether the process stood still at any time since then.
+
+        Args:
+            since: Monotonic time, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        return self.arrival(since, now).at < now
+
     def arrival(self, after: float, now: float) -> Arrival:
         """Return when a message arrived that has just been read.
 
