--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -323,3 +323,13 @@
     caller.close()
     response = take_up_stream(second, "t-1", stream_rid="r-1")
     assert "v1" not in versions_in(response)
+
+
+def test_what_others_told_counts_up_to_when_they_can_have_told_it() -> None:
+    """Guards against versions that served while an entry stood still, unseen."""
+    versions = SoftwareVersions()
+    known_s = int(VERSION_MEMORY_S)
+    versions.merge({"work": {"v1": 0.0}}, 130.0, known_s=known_s, sent_after=100.0)
+    versions.record("work", "v1", 130.0)
+    versions.replace_list(130.0, MAX_GAP_S)
+    assert not versions.is_only_one("work", 120.0, 130.0, MAX_GAP_S)
