--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -203,6 +203,7 @@
                 self._endpoints_confirmation,
                 lambda: LIST_GAP_FRACTION * self.settings.apply_deadline_s,
             ),
+            stalls=self.stalls,
         )
         if not settings.has_predecessor:
             self.endpoints.software_versions.coverage.extend(
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -371,3 +371,13 @@
     versions.replace_list(130.0, MAX_GAP_S)
     versions.merge_answer({"work": {"v1": 0.0}}, 131.0, known_s=60, until=110.0, by="e")
     assert not versions.covers(100.0, 131.0)
+
+
+def test_what_others_told_counts_up_to_when_they_can_have_told_it() -> None:
+    """Guards against versions that served while an entry stood still, unseen."""
+    versions = SoftwareVersions()
+    known_s = int(VERSION_MEMORY_S)
+    versions.merge({"work": {"v1": 0.0}}, 130.0, known_s=known_s, sent_after=100.0)
+    versions.record("work", "v1", 130.0)
+    versions.replace_list(130.0, MAX_GAP_S)
+    assert not versions.is_only_one("work", 120.0, 130.0, 130.0)
