--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -37,11 +37,12 @@
 from .feeds import LIST_GAP_FRACTION, OUTAGE_FRACTION, Feed, Feeds
 from .gossip import Gossip
 from .jobs import Job
+from .list_confirmation import MAX_AGE_FRACTION, ListConfirmation
 from .listening import listen
 from .loops import run_forever
 from .message_checks import is_valid, without_invalid_parts
 from .notice_tracker import NoticeTracker
-from .peers import RECENT_START_S, PeerTable
+from .peers import MAX_DATAGRAM_DELAY_S, RECENT_START_S, PeerTable
 from .pool import ConnectionPool
 from .protocol_adapter import ProtocolAdapter
 from .quarantine import RequestQuarantine
@@ -55,7 +56,8 @@
 from .single_flight import SingleFlight
 from .slot_client import SlotClient
 from .slot_messages import SlotReply, SlotState
-from .slot_server import SlotServer
+from .slot_server import LEASE_S, SlotServer
+from .stalls import BEAT_INTERVAL_S, Arrival, Stalls
 from .status_pages import serve_page
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
@@ -108,12 +110,20 @@
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
         self._digest_number = 0
-        self.feeds = Feeds(endpoints=Feed(max_gap_s=_record_margin_s(settings)))
+        self.stalls = Stalls(clock.now)
+        self.feeds = Feeds(
+            configuration=Feed(stalls=self.stalls),
+            endpoints=Feed(max_gap_s=_record_margin_s(settings), stalls=self.stalls),
+        )
         self.endpoints = EndpointTable()
         self.evacuated = EvacuatedHalls(self.endpoints)
         self.peers = PeerTable(settings.gossip_address, settings.seeds)
         self.gossip = Gossip(
-            settings.gossip_address, self.peers, self._make_digest, self._receive
+            settings.gossip_address,
+            self.peers,
+            self._make_digest,
+            self._receive,
+            self.stalls,
         )
         self._coordinator_selector = CoordinatorSelector(
             self.peers,
@@ -202,6 +212,9 @@
         self._endpoint_sync = EndpointSync(
             self.ctx, self.peers, self.feeds.endpoints, self.feeds.refusals
         )
+        self.list_confirmation = ListConfirmation(
+            lambda: self._endpoints_confirmation().at, self._max_unconfirmed_s
+        )
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
         self.admission = ConnectionAdmission(clock.now, meter)
@@ -218,6 +231,7 @@
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, partial(serve_page, page=pages.metrics))
         self._view_sync.start()
+        eventlet.spawn(run_forever, self._beat)
         eventlet.spawn(run_forever, self._run_maintenance)
         eventlet.spawn(run_forever, self.admission.measure)
         log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_predecessor)
@@ -329,6 +343,7 @@
         endpoints_revision: int,
         *,
         after_outage: bool = False,
+        complete_at: float | None = None,
     ) -> None:
         """Replace the list of endpoints.
 
@@ -336,10 +351,12 @@
             published: All endpoints that the platform lists.
             endpoints_revision: The platform's revision of the list.
             after_outage: Whether records of running endpoints may be missing.
+            complete_at: Monotonic time up to which the list holds all changes, in seconds;
+                now if omitted.
         """
         lapsed_at = clock.now() if after_outage else None
         self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
-        self.ctx.streams.replace_list()
+        self.ctx.streams.replace_list(complete_at)
         self.record_endpoints_revision(endpoints_revision)
 
     def expect_endpoint_history(self) -> None:
@@ -395,19 +412,24 @@
     def _endpoints_confirmation(self) -> Confirmation:
         """Return up to when this entry has seen all changes of the list of endpoints.
 
-        A peer that the platform has answered since has seen none that this entry has not,
-        unless its revision is higher.
+        A peer that has seen all changes up to a later time has seen none that this entry
+        has not, unless its revision is higher.
         """
         if not self._endpoints_revision:
             return Confirmation(-math.inf, PLATFORM)
         relayed = [
-            Confirmation(row.received_at - row.digest.endpoints_age_s, row.digest.name)
+            Confirmation(row.sent_after - row.digest.endpoints_complete_s, row.digest.name)
             for row in self.peers.fresh(clock.now())
             if row.digest.endpoints_revision <= self._endpoints_revision
         ]
         own = Confirmation(self.feeds.endpoints.complete_at, PLATFORM)
         return max(own, *relayed, key=attrgetter("at")) if relayed else own
 
+    def _max_unconfirmed_s(self) -> float:
+        """Return for how long the list may be unconfirmed in operation, in seconds."""
+        longest_s = MAX_AGE_FRACTION * self.settings.apply_deadline_s
+        return longest_s + self.peers.digest_interval_s
+
     def _known_revisions(self) -> KnownRevisions:
         revision = self.revision.number if self.revision else 0
         now = clock.now()
@@ -463,7 +485,8 @@
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
             lapsed_at = view.lapsed_at(clock.now())
             self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
-            self.ctx.streams.replace_list()
+            # Its sender may be behind itself: digests tell up to when it knows all changes.
+            self.ctx.streams.replace_list(-math.inf)
             self.record_endpoints_revision(view.endpoints_revision)
 
     def expire_lapsed_endpoints(self) -> None:
@@ -516,6 +539,7 @@
             software_versions=versions.report(now, with_single=is_needed),
             endpoints_answered_s=self.feeds.endpoints.answered_s,
             versions_known_s=self.ctx.streams.versions_known_s() if is_needed else 0,
+            endpoints_complete_s=now - self.feeds.endpoints.complete_at,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
@@ -538,58 +562,69 @@
             for part, revision in parts.items()
         )
 
+    def _beat(self) -> None:
+        """Note that the process runs, and wait until that is due again."""
+        self.stalls.beat()
+        eventlet.sleep(BEAT_INTERVAL_S)
+
     def _find_route(self, name: str) -> Route | None:
         return self.revision.routes_by_name.get(name) if self.revision else None
 
-    def _receive(self, message: Message) -> None:
+    def _receive(self, message: Message, arrival: Arrival) -> None:
         """Handle a message from another entry, unless it makes no sense."""
         if is_valid(message):
-            self._on_message(message)
+            self._on_message(message, arrival)
         else:
             kind = type(message).__name__
             log(Event.DIGEST_REFUSED, f"{kind} with an invalid number or address")
 
     @singledispatchmethod
-    def _on_message(self, message: Message) -> None:
+    def _on_message(self, message: Message, arrival: Arrival) -> None:
         """Handle a message from another entry."""
         raise NotImplementedError(type(message))
 
     @_on_message.register
-    def _(self, state: SlotState) -> None:
-        self.ctx.scheduler.handle_state(state)
+    def _(self, state: SlotState, arrival: Arrival) -> None:
+        if not _has_lapsed(arrival):
+            self.ctx.scheduler.handle_state(state)
 
     @_on_message.register
-    def _(self, reply: SlotReply) -> None:
-        self.ctx.scheduler.handle_reply(reply)
+    def _(self, reply: SlotReply, arrival: Arrival) -> None:
+        if not _has_lapsed(arrival):
+            self.ctx.scheduler.handle_reply(reply)
 
     @_on_message.register
-    def _(self, update: CrashUpdate) -> None:
+    def _(self, update: CrashUpdate, _: Arrival) -> None:
         self.ctx.crashes.merge(without_invalid_parts(update).crash_reports)
 
     @_on_message.register
-    def _(self, update: NoticeUpdate) -> None:
-        self.ctx.notices.merge(without_invalid_parts(update).notices, update.sender)
+    def _(self, update: NoticeUpdate, arrival: Arrival) -> None:
+        valid = without_invalid_parts(update)
+        self.ctx.notices.merge(valid.notices, valid.sender, arrival)
 
     @_on_message.register
-    def _(self, report: StreamReport) -> None:
+    def _(self, report: StreamReport, _: Arrival) -> None:
         self.ctx.streams.handle_report(report)
 
     @_on_message.register
-    def _(self, question: StreamQuestion) -> None:
+    def _(self, question: StreamQuestion, _: Arrival) -> None:
         self.ctx.streams.handle_question(question)
 
     @_on_message.register
-    def _(self, digest: Digest) -> None:
-        now = clock.now()
+    def _(self, digest: Digest, arrival: Arrival) -> None:
+        now = arrival.read_at
         digest = without_invalid_parts(digest)
-        change = self.peers.merge(digest, now)
+        change = self.peers.merge(digest, now, arrival)
         if not change.is_new:
             return
         previous = change.previous
         self.ctx.crashes.merge(digest.crash_reports)
-        self.ctx.notices.merge(digest.notices, digest.name)
+        self.ctx.notices.merge(digest.notices, digest.name, arrival)
         self.endpoints.software_versions.merge(
-            digest.software_versions, now, known_s=digest.versions_known_s
+            digest.software_versions,
+            now,
+            known_s=digest.versions_known_s,
+            sent_after=arrival.after - MAX_DATAGRAM_DELAY_S,
         )
         if previous is None or previous.digest.incarnation != digest.incarnation:
             self._send_startup_report(digest.address)
@@ -598,7 +633,7 @@
         elif previous.digest.incarnation != digest.incarnation:
             self.ctx.quotas.keep_ended_peers([previous])
         # The requests of a silent peer are not counted, so they are not subtracted either.
-        was_counted = previous is not None and self.peers.is_fresh(previous, now)
+        was_counted = previous is not None and self.peers.is_heard(previous, now)
         old_in_flight = (
             self._in_flight_not_granted_here(previous.digest)
             if previous is not None and was_counted
@@ -679,6 +714,7 @@
         self.ctx.notices.expire(now)
         self.ctx.pool.expire()
         self.endpoints.refresh_software_versions(now)
+        self.list_confirmation.check(now)
         self.ctx.streams.report_running()
         self._recount_in_flight(now)
 
@@ -708,6 +744,14 @@
         return True
 
 
+def _has_lapsed(arrival: Arrival) -> bool:
+    """Return whether slots may have been given to others since a message on them arrived.
+
+    It counts as lost. Whoever still waits for slots, or holds some, repeats it.
+    """
+    return arrival.waited_s > LEASE_S
+
+
 def _record_margin_s(settings: EntrySettings) -> float:
     """Return for how long an outage lasts at least before a record expires, in seconds.
 
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -20,11 +20,13 @@
 from .feeds import Feeds
 from .gossip import Gossip
 from .http1 import RawHead, ResponseLimit
+from .list_confirmation import ListConfirmation
 from .peers import PeerTable
 from .routing_config import ConfigRevision
 from .send_guard import SendGuard
 from .slot_client import SlotClient
 from .slot_server import SlotServer
+from .stalls import Stalls
 from .status_pages import NOT_FOUND, Page
 from .version_coverage import VersionSource
 
@@ -48,6 +50,8 @@
     revision: ConfigRevision | None
     ctx: Context
     feeds: Feeds
+    stalls: Stalls
+    list_confirmation: ListConfirmation
     endpoints: EndpointTable
     peers: PeerTable
     gossip: Gossip
@@ -128,6 +132,8 @@
         yield from entry.ctx.ends.samples()
         now = clock.now()
         yield from entry.feeds.samples(now, entry.started_at)
+        yield from entry.stalls.samples()
+        yield from entry.list_confirmation.samples(now)
         gauges = {
             "peers": len(entry.peers),
             "endpoints": len(entry.endpoints),
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -64,7 +64,12 @@
         _remember(self._listed, service, version, now)
 
     def merge(
-        self, ages: Mapping[str, Mapping[str, float]], now: float, *, known_s: int = 0
+        self,
+        ages: Mapping[str, Mapping[str, float]],
+        now: float,
+        *,
+        known_s: int = 0,
+        sent_after: float | None = None,
     ) -> None:
         """Merge the versions that another entry remembers.
 
@@ -73,6 +78,8 @@
             now: Monotonic time, in seconds.
             known_s: For how long the other entry has known all versions, in seconds, if
                 these are all of them; else 0.
+            sent_after: Earliest monotonic time at which it can have told them, in seconds;
+                now if omitted.
         """
         for service, versions in ages.items():
             for version, age_s in versions.items():
@@ -82,7 +89,8 @@
             since = now - min(known_s, VERSION_MEMORY_S)
             self.coverage.extend(since, VersionSource.ENTRY)
             self._shared_coverage.extend(since, VersionSource.ENTRY)
-            self._learned_at = now
+            learned_at = now if sent_after is None else sent_after
+            self._learned_at = max(learned_at, self._learned_at)
 
     @property
     def confirmed_at(self) -> float:
@@ -119,25 +127,31 @@
                 list, in seconds.
             by: The other entry.
         """
-        self.merge(ages, now, known_s=known_s)
-        # A gap between the two lists may hide a version.
-        if known_s > 0 and now - known_s <= self.confirmed_at:
+        # A gap between what the two entries have seen may hide a version.
+        reaches_here = until >= self._shared_coverage.since
+        usable_s = min(known_s, VERSION_MEMORY_S) if reaches_here else 0
+        self.merge(ages, now, known_s=int(usable_s), sent_after=until)
+        if usable_s > 0 and now - usable_s <= self.confirmed_at:
             self.confirm(until, by)
 
-    def replace_list(self, now: float, max_gap_s: float) -> None:
+    def replace_list(
+        self, now: float, max_gap_s: float, *, complete_at: float | None = None
+    ) -> None:
         """Record that the list was read anew: changes since the last one were not seen.
 
         Args:
             now: Monotonic time, in seconds.
             max_gap_s: Longest time between two lists in which no version can have served
                 unnoticed, in seconds.
+            complete_at: Monotonic time up to which the list holds all changes, in seconds;
+                now if omitted.
         """
         seen_at = max(self.confirmed_at, self._learned_at)
         for coverage in (self.coverage, self._shared_coverage):
             if max_gap_s < now - seen_at < math.inf:
                 coverage.restart(now)
             coverage.extend(now, VersionSource.MEMORY)
-        self.confirm(now)
+        self.confirm(now if complete_at is None else complete_at)
 
     def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
         """Record all versions that ever served, as the platform's store tells.
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -25,6 +25,7 @@
     STOPPING = 103
     STOPPED = 104
     PAUSED = 105
+    STOOD_STILL = 106
     PEER_UP = 200
     PEER_DOWN = 201
     VM_GONE = 202
@@ -37,6 +38,8 @@
     SETTINGS_IN_FORCE = 305
     SETTINGS_REFUSED = 306
     PLATFORM_CALL_FAILED = 307
+    OUT_OF_STEP = 308
+    BACK_IN_STEP = 309
     ENGINE_SUSPECT = 500
     ENGINE_RECOVERED = 501
     ENGINE_UNREACHABLE = 502
@@ -80,11 +83,13 @@
 
 _LEVELS: dict[Event, int] = {
     Event.PAUSED: logging.WARNING,
+    Event.STOOD_STILL: logging.WARNING,
     Event.PEER_DOWN: logging.WARNING,
     Event.CONFIG_REFUSED: logging.WARNING,
     Event.CONFIG_CONFLICT: logging.ERROR,
     Event.PLATFORM_DOWN: logging.WARNING,
     Event.PLATFORM_CALL_FAILED: logging.WARNING,
+    Event.OUT_OF_STEP: logging.WARNING,
     Event.SETTINGS_REFUSED: logging.ERROR,
     Event.ENGINE_SUSPECT: logging.WARNING,
     Event.ENGINE_UNREACHABLE: logging.WARNING,
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -345,7 +345,7 @@
     versions = SoftwareVersions()
     versions.coverage.extend(-math.inf, VersionSource.MEMORY)
     versions.record("work", "v1", 100.0)
-    versions.confirm(100.0)
+    versions.replace_list(100.0, MAX_GAP_S)
     versions.merge_answer({"work": {"v1": 0.0}}, 110.0, known_s=60, until=109.0, by="e")
     assert versions.confirmation == Confirmation(109.0, "e")
     assert versions.is_only_one("work", 80.0, 109.0, 110.0)
@@ -363,3 +363,11 @@
         {"work": {"v1": 0.0}}, 110.0, known_s=known_s, until=110.0, by="e"
     )
     assert versions.confirmed_at == 100.0
+
+
+def test_an_answer_does_not_bridge_the_time_before_a_list_that_was_read_anew() -> None:
+    versions = SoftwareVersions()
+    versions.record("work", "v1", 130.0)
+    versions.replace_list(130.0, MAX_GAP_S)
+    versions.merge_answer({"work": {"v1": 0.0}}, 131.0, known_s=60, until=110.0, by="e")
+    assert not versions.covers(100.0, 131.0)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 import eventlet
 import pytest
@@ -13,6 +15,7 @@
 from dockreach.direct.endpoints import Published
 from dockreach.direct.entry import Entry
 from dockreach.direct.feeds import CallLimits
+from dockreach.direct.loops import run_forever
 from dockreach.direct.record_checks import RecordFault
 from dockreach.direct.routing_config import ConfigRevision
 from dockreach.direct.version_coverage import ServedVersion, VersionSource
@@ -22,13 +25,14 @@
 from dockreach_platform.follower import StoreFollower, served_versions
 from dockreach_platform.headers import PlatformAdapter
 from dockreach_platform.records import read_endpoint
-from dockreach_platform.store import HistoryCompactedError, Item, StoreClient
+from dockreach_platform.store import HistoryCompactedError, Item, ItemBatch, StoreClient
 from tests.direct.standins import entry_settings
 
 from .store_standin import StoreStandIn, endpoint_record
 
 LIMITS = CallLimits(wait_s=0.1, read_timeout_s=1.0)
 MAX_WAIT_S = 5.0
+STOPPED_S = 0.7
 
 
 def server_record(state: str = "ready") -> bytes:
@@ -613,3 +617,76 @@
     eventlet.sleep(0.5)
     assert entry.feeds.endpoints.consecutive_failures
     assert entry._endpoints_confirmation().at <= changed_at
+
+
+def read_late(monkeypatch: pytest.MonkeyPatch, call: str) -> list[float]:
+    """Let entries stand still for a while before they read responses for endpoints.
+
+    Returns:
+        The times at which the responses arrived, in monotonic seconds.
+    """
+    arrived: list[float] = []
+    original = getattr(StoreClient, call)
+
+    def read(client: StoreClient, prefix: str, *args: object) -> ItemBatch:
+        batch: ItemBatch = original(client, prefix, *args)
+        if prefix == "servers/":
+            arrived.append(clock.now())
+            time.sleep(STOPPED_S)
+        return batch
+
+    monkeypatch.setattr(StoreClient, call, read)
+    return arrived
+
+
+@pytest.mark.parametrize("call", ["list", "watch"])
+def test_a_response_that_waited_to_be_read_confirms_the_list_only_up_to_its_call(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    arrived = read_late(monkeypatch, call)
+    entry = start_following_entry(store)
+    wait_until(lambda: bool(arrived))
+    entry.ctx.streams.confirm_list()
+    assert entry._endpoints_confirmation().at <= arrived[-1]
+    assert entry.endpoints.software_versions.confirmed_at <= arrived[-1]
+    assert entry._make_digest().endpoints_complete_s >= STOPPED_S
+
+
+def test_a_view_of_a_peer_does_not_confirm_the_list(store: StoreStandIn) -> None:
+    entry = start_following_entry(store)
+    before = clock.now()
+    store.failure_mode = 503
+    eventlet.sleep(1.5)
+    view = entry.view()
+    view.endpoints_revision += 1
+    entry.apply_view(view, "peer")
+    assert entry.endpoints.software_versions.confirmed_at <= before
+
+
+def test_a_call_whose_failure_waited_to_be_read_may_have_failed_long_ago(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against dropping endpoints that run, after an outage during a stop."""
+    entry = start_following_entry(store)
+    beats = eventlet.spawn(run_forever, entry._beat)
+    eventlet.sleep(0.5)
+    original = StoreClient.watch
+    failed: list[float] = []
+
+    def watch(client: StoreClient, prefix: str, *args: Any) -> ItemBatch:  # noqa: ANN401
+        if prefix == "servers/" and not failed:
+            failed.append(clock.now())
+            eventlet.sleep(0.1)
+            store.delete("servers/i-3")
+            time.sleep(STOPPED_S)
+            raise PlatformError("connection reset")
+        return original(client, prefix, *args)
+
+    monkeypatch.setattr(StoreClient, "watch", watch)
+    feed = entry.feeds.endpoints
+    wait_until(lambda: bool(feed.failed_calls) and not feed.consecutive_failures)
+    eventlet.sleep(0.3)
+    beats.kill()
+    row = entry.endpoints.get("i-3")
+    assert row is not None
+    assert row.lapsed_until is not None
