--- a/tests/soak/out_of_step_callers.py
+++ b/tests/soak/out_of_step_callers.py
@@ -19,13 +19,13 @@
 )
 from .worker_content import request_body
 
-TO_OUT_OF_STEP_FRACTION = 0.7
+TO_OUT_OF_STEP_FRACTION = 0.8
 """Fraction of the take-ups that go to an entry that is out of step, if there is one."""
 
 SAME_ENTRY_FRACTION = 0.5
 """Fraction of the refused callers who come back at the same entry."""
 
-BROKEN_OFF_S = (0.15, 0.7)
+BROKEN_OFF_S = (0.25, 0.9)
 """After how long callers of streams to be taken up break them off, in seconds."""
 
 KEPT_FRACTION = 0.3
