Count a version as serving until the entry saw its endpoint go

What callers saw: nothing was reported; found in review. An entry that stands still longer than a stream may last and reads first that the last endpoint of a version is gone takes the other version for the only one since: streams that began at the first one meanwhile would go on at the other.

Cause: the time at which a version was last listed is renewed every 0.1 s. After a pause the change may be read before it is renewed, so that the version ended with the pause's begin.

Change: the removal of an endpoint records its version once more.

--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -157,6 +157,9 @@
             self._mark_lapsed(row, lapsed_at, source)
             return
         if self._ctx.endpoints.remove(endpoint):
+            # It may have served until now, even if this entry stood still meanwhile.
+            listed, versions = row.published, self._ctx.endpoints.software_versions
+            versions.record(listed.service, listed.software_version, clock.now())
             self._ctx.pool.close_idle(row.published.address)
             log(
                 Event.ENDPOINT_GONE,
--- a/tests/direct/test_version_evidence.py
+++ b/tests/direct/test_version_evidence.py
@@ -177,6 +177,23 @@
     assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
 
 
+@pytest.mark.parametrize("pause_s", [ENTRIES_S + 5.0, 60.0])
+def test_a_version_that_left_during_a_pause_served_until_the_entry_saw_it_go(
+    monkeypatch: pytest.MonkeyPatch, pause_s: float
+) -> None:
+    start = clock.now()
+    entry = entry_with_list(start)
+    entry.apply_endpoint(published("e-2", "127.0.0.1:10", software_version="v2"))
+    versions, now = entry.endpoints.software_versions, start + pause_s
+    monkeypatch.setattr(clock, "now", lambda: now)
+    # The entry stands still, and reads that the endpoint is gone before anything else.
+    entry.remove_endpoint("e-2")
+    entry.endpoints.refresh_software_versions(now)
+    versions.confirm(now)
+    since = now - ENTRIES_S
+    assert not versions.is_only_one(service_of(entry), since, now, now)
+
+
 @pytest.mark.parametrize("late_s", [MAX_GAP_S + 1.0, 6.0])
 def test_an_entry_out_of_step_may_begin_streams_at_a_version_that_has_left(
     late_s: float,
