Soak: a caller that leaves has left the request that it pipelined, too

Cause: a caller that leaves early closes its connection, also for the request that it pipelined. That one was recorded as given up, but with a time to wait of its own, so that it did not count as left early, and its entry was blamed if it was stopping. Such a row with the timeout of another request comes only from there.

Change: it has the shorter time of the two.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -351,6 +351,9 @@
             behind.is_dropped = True
             behind.error, behind.ended_at = outcome.error, outcome.ended_at
             behind.abandoned_at = outcome.abandoned_at
+            if outcome.abandoned_at:
+                # Its caller waited for neither response any longer.
+                behind.timeout_s = min(behind.timeout_s, outcome.timeout_s)
             behind.arrived_at, behind.was_reset = outcome.arrived_at, outcome.was_reset
             return False
         # From now on its response is due.
