Date the store's history by when it was asked for

What callers could see: none reported; the last open row of the platform's data in the table of time stamps. A history that waited to be read while the entry stood still counted as knowledge up to its reading, so that a list read later left no gap, and a version of the time between was not known to have served.

Cause: `SoftwareVersions._learned_at` was the time after the read.

Change: it is the time at which the history was asked for. Two tests of the follower that delay responses do so for their own store alone: followers of earlier tests in the same process used up the delay, so that one of them failed beside others (2 of 3 runs).

Result: the new test fails without the change; tests/platform/test_follower.py 44 passed, in parallel and in one process."

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -395,14 +395,21 @@
         """
         self.endpoints.software_versions.confirm(at)
 
-    def apply_endpoint_history(self, served: Collection[ServedVersion] | None) -> None:
+    def apply_endpoint_history(
+        self, served: Collection[ServedVersion] | None, called_at: float = math.inf
+    ) -> None:
         """Apply the versions of all endpoints that were ever listed.
 
         Args:
             served: The versions; ``None`` if the platform has forgotten a part of them.
+            called_at: Monotonic time at which they were asked for, in seconds; now if
+                omitted.
         """
         if served is not None:
-            self.endpoints.software_versions.add_history(served, clock.now())
+            now = clock.now()
+            self.endpoints.software_versions.add_history(
+                served, now, sent_after=min(called_at, now)
+            )
         log(
             Event.ENDPOINT_HISTORY,
             is_complete=served is not None,
--- a/dockreach/direct/software_versions.py
+++ b/dockreach/direct/software_versions.py
@@ -157,16 +157,28 @@
             coverage.extend(now, VersionSource.MEMORY)
         self.confirm(now if complete_at is None else complete_at)
 
-    def add_history(self, served: Iterable[ServedVersion], now: float) -> None:
+    def add_history(
+        self,
+        served: Iterable[ServedVersion],
+        now: float,
+        *,
+        sent_after: float | None = None,
+    ) -> None:
         """Record all versions that ever served, as the platform's store tells.
 
         It does not tell when. They count here as if they had served until now; other
         entries, which may know better, are not told of them.
+
+        Args:
+            served: The versions.
+            now: Monotonic time, in seconds.
+            sent_after: Monotonic time at which they were asked for, in seconds; now if
+                omitted.
         """
         for item in served:
             _remember(self._history, item.service, item.version, now)
         self.coverage.extend(-math.inf, VersionSource.HISTORY)
-        self._learned_at = now
+        self._learned_at = now if sent_after is None else sent_after
 
     def known_s(self, now: float, max_gap_s: float) -> int:
         """Return for how long `report` holds all versions that served, in whole seconds.
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -381,3 +381,11 @@
     versions.record("work", "v1", 130.0)
     versions.replace_list(130.0, MAX_GAP_S)
     assert not versions.is_only_one("work", 120.0, 130.0, 130.0)
+
+
+def test_a_history_that_waited_to_be_read_leaves_a_gap_before_the_next_list() -> None:
+    versions = SoftwareVersions()
+    versions.add_history([ServedVersion("work", "v1")], 130.0, sent_after=100.0)
+    versions.record("work", "v1", 130.0)
+    versions.replace_list(130.0, MAX_GAP_S)
+    assert not versions.is_only_one("work", 120.0, 130.0, 130.0)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -619,7 +619,9 @@
     assert entry._endpoints_confirmation().at <= changed_at
 
 
-def read_late(monkeypatch: pytest.MonkeyPatch, call: str) -> list[float]:
+def read_late(
+    store: StoreStandIn, monkeypatch: pytest.MonkeyPatch, call: str
+) -> list[float]:
     """Let entries stand still for a while before they read responses for endpoints.
 
     Returns:
@@ -630,7 +632,8 @@
 
     def read(client: StoreClient, prefix: str, *args: object) -> ItemBatch:
         batch: ItemBatch = original(client, prefix, *args)
-        if prefix == "servers/":
+        # Followers of earlier tests go on in this process.
+        if client._address == store.address and prefix == "servers/":
             arrived.append(clock.now())
             time.sleep(STOPPED_S)
         return batch
@@ -643,7 +646,7 @@
 def test_a_response_that_waited_to_be_read_confirms_the_list_only_up_to_its_call(
     store: StoreStandIn, monkeypatch: pytest.MonkeyPatch, call: str
 ) -> None:
-    arrived = read_late(monkeypatch, call)
+    arrived = read_late(store, monkeypatch, call)
     entry = start_following_entry(store)
     wait_until(lambda: bool(arrived))
     entry.ctx.streams.confirm_list()
@@ -674,7 +677,9 @@
     failed: list[float] = []
 
     def watch(client: StoreClient, prefix: str, *args: Any) -> ItemBatch:  # noqa: ANN401
-        if prefix == "servers/" and not failed:
+        # Followers of earlier tests go on in this process.
+        is_of_entry = client._address == store.address
+        if is_of_entry and prefix == "servers/" and not failed:
             failed.append(clock.now())
             eventlet.sleep(0.1)
             store.delete("servers/i-3")
