--- a/tests/soak/out_of_step_faults.py
+++ b/tests/soak/out_of_step_faults.py
@@ -161,7 +161,7 @@
 
 
 OUT_OF_STEP_FAULTS: tuple[Fault, ...] = (
-    *(_lose_step_beside_a_release,) * 12,
+    *(_lose_step_beside_a_release,) * 8,
     _lose_step,
     *(_kill_process,) * 2,
     _pause_process,
