Soak: leave lost streams out of the check of recovery alone

Refusals of streams of which no endpoint is left were left out of all checks of the soak of entries out of step, also of those that find a refused request that ran, or a joined stream.

--- a/tests/soak/out_of_step_cluster.py
+++ b/tests/soak/out_of_step_cluster.py
@@ -305,10 +305,11 @@
 
     def violations(self) -> list[str]:
         """Return a line for each violated invariant."""
-        due, facts = without_lost(self.observations, self.listings), self.facts()
+        facts = self.facts()
+        due = without_lost(self.observations, self.listings)
         return [
-            *process_violations(due, facts),
-            *rejoined_violations(due, facts),
+            *process_violations(self.observations, facts, due=due),
+            *rejoined_violations(self.observations, facts),
             *out_of_step_violations(
                 self.observations,
                 facts,
--- a/tests/soak/process_invariants.py
+++ b/tests/soak/process_invariants.py
@@ -60,12 +60,16 @@
             self.ended.add(fact.worker)
 
 
-def process_violations(observed: Observations, facts: list[Fact]) -> list[str]:
+def process_violations(
+    observed: Observations, facts: list[Fact], *, due: Observations | None = None
+) -> list[str]:
     """Return a line for each violated invariant, with the first requests that show it.
 
     Args:
         observed: What callers received, and the faults.
         facts: What endpoints did, oldest first.
+        due: The same, with those requests only that have to be served once all faults have
+            ended; all if omitted.
     """
     by_rid: dict[str, RequestFacts] = {row.rid: RequestFacts() for row in observed.outcomes}
     for fact in facts:
@@ -101,7 +105,7 @@
         "an endpoint received another body": [
             _describe_fact(fact, 0.0) for fact in facts if fact.kind is FactKind.OTHER_BODY
         ],
-        "not served although all faults had ended": not_recovered(observed),
+        "not served although all faults had ended": not_recovered(due or observed),
         "an entry exited unexpectedly": observed.unexpected_exits,
         "an entry logged an internal error": observed.internal_errors,
     }
