--- a/dockreach/direct/stream_versions.py
+++ b/dockreach/direct/stream_versions.py
@@ -405,15 +405,14 @@
         """
         if not self.serves_several(stream.service, stream.max_age_s):
             concluded = self._only_version(stream)
-            if concluded is not None:
-                return concluded
-            if self.list_read is not None:
+            if concluded is None and self.list_read is not None:
                 self.list_read.wait(stream.seen_at, LIST_TIMEOUT_S)
                 concluded = self._only_version(stream)
-                if concluded is not None:
-                    return concluded
+            if concluded is not None:
+                return concluded
         if not stream.key:
             return None
+        # The list may have shown a second version.
         reads_list = not self.serves_several(stream.service, stream.max_age_s)
         # An entry that has stood still has heard of none of them lately.
         everyone = [
