Count a version that was replaced in place as serving until the entry saw it

What callers could see: none reported; read by the review. An endpoint that starts again under its id at another version while an entry stands still for longer than a stream lasts ended its earlier version with the begin of the pause, so that a stream of the earlier version could be taken for one of the new version.

Cause: the time at which a version was last listed is renewed every 0.1 s, and the change may be read before that.

Change: a changed record counts its earlier version once more.

Result: the new test fails without the change, at both pauses, and passes with it.

--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -434,7 +434,11 @@
         known = self.last_incarnation(published.id)
         if known is not None and published.is_older_than(known.published):
             return PublishResult.STALE
-        self.software_versions.record(published.service, published.software_version, now)
+        listed = self._rows.get(published.id)
+        if listed is not None:
+            # It may have served at this version until now, even if nobody looked.
+            self._record_version(listed.published, now)
+        self._record_version(published, now)
         self._ended.pop(published.id, None)
         if known is not None and published.born != known.published.born:
             self._add(self._new_incarnation(known, published, now))
@@ -528,12 +532,12 @@
     def refresh_software_versions(self, now: float) -> None:
         """Record the software versions of all endpoints that are listed now."""
         for row in self._rows.values():
-            published = row.published
-            self.software_versions.record(
-                published.service, published.software_version, now
-            )
+            self._record_version(row.published, now)
         self.software_versions.expire(now)
 
+    def _record_version(self, published: Published, now: float) -> None:
+        self.software_versions.record(published.service, published.software_version, now)
+
     def accepting(
         self,
         service: str,
--- a/tests/direct/test_version_evidence.py
+++ b/tests/direct/test_version_evidence.py
@@ -12,7 +12,7 @@
 from dockreach.direct.datagrams import decode, encode
 from dockreach.direct.entry import Entry
 from dockreach.direct.peers import FRESH_S, PEER_TIMEOUT_S
-from dockreach.direct.software_versions import SoftwareVersions
+from dockreach.direct.software_versions import SERVE_ON_S, SoftwareVersions
 from dockreach.direct.stalls import Arrival
 from dockreach.direct.stream_versions import UnknownVersion
 from dockreach.direct.version_coverage import VersionSource
@@ -178,7 +178,7 @@
     assert isinstance(look_up(net, 0, "r-1"), UnknownVersion)
 
 
-@pytest.mark.parametrize("pause_s", [ENTRIES_S + 5.0, 60.0])
+@pytest.mark.parametrize("pause_s", [ENTRIES_S + SERVE_ON_S + 5.0, 60.0])
 def test_a_version_that_left_during_a_pause_served_until_the_entry_saw_it_go(
     monkeypatch: pytest.MonkeyPatch, pause_s: float
 ) -> None:
@@ -195,6 +195,19 @@
     assert not versions.is_only_one(service_of(entry), since, now, now)
 
 
+@pytest.mark.parametrize("pause_s", [ENTRIES_S + SERVE_ON_S + 5.0, 60.0])
+def test_a_version_that_was_replaced_in_place_during_a_pause_served_until_then(
+    monkeypatch: pytest.MonkeyPatch, pause_s: float
+) -> None:
+    start = clock.now()
+    entry = entry_with_list(start)
+    versions, now = entry.endpoints.software_versions, start + pause_s
+    monkeypatch.setattr(clock, "now", lambda: now)
+    entry.apply_endpoint(published("e-1", "127.0.0.1:9", software_version="v2"))
+    versions.confirm(now)
+    assert not versions.is_only_one(service_of(entry), now - ENTRIES_S, now, now)
+
+
 @pytest.mark.parametrize("late_s", [MAX_GAP_S + 1.0, 6.0])
 def test_an_entry_out_of_step_may_begin_streams_at_a_version_that_has_left(
     late_s: float,
