Leave a platform that refuses calls alone between take-ups

What callers saw: nothing; found by the review. While the platform refused calls, each take-up made another one at once (112 calls in 15.6 s of 60 take-ups, 7 before the reads for take-ups). A read that failed for an unexpected error counted as made.

Change: no call is made within 0.1 s of one that failed; other entries are asked at once. Any error ends a call as failed, and an unexpected one is logged.

--- a/dockreach/direct/single_flight.py
+++ b/dockreach/direct/single_flight.py
@@ -10,6 +10,11 @@
 from eventlet.event import Event as Signal
 
 from ..errors import PlatformError
+from .loops import log_internal_error
+
+RETRY_PAUSE_S = 0.1
+"""Time after a failed call in which none is made, in seconds: a platform that refuses calls
+answers at once, and charges for each."""
 
 
 class SingleFlight:
@@ -24,34 +29,40 @@
         self._call = call
         self._clock = clock
         self._running: Any = None
-        self._begun_at = -math.inf
+        self._succeeded_from = -math.inf
+        self._failed_at = -math.inf
 
     def wait(self, asked_at: float, timeout_s: float) -> None:
-        """Wait for the end of a call that began at some time or later.
+        """Wait for a call that began at some time or later, until it succeeds or fails.
 
         Args:
             asked_at: That time, monotonic, in seconds.
             timeout_s: How long to wait at most, in seconds. The call itself goes on.
         """
         with eventlet.Timeout(timeout_s, False):
-            while self._running is not None and self._begun_at < asked_at:
-                self._running.wait()
-            if self._begun_at < asked_at:
-                self._begin()
             if self._running is not None:
                 self._running.wait()
+            if self._succeeded_from >= asked_at or self._has_just_failed():
+                return
+            if self._running is None:
+                self._running = Signal()
+                eventlet.spawn_n(self._run, self._running)
+            self._running.wait()
 
-    def _begin(self) -> None:
-        self._begun_at = self._clock()
-        self._running = Signal()
-        eventlet.spawn_n(self._run, self._running)
+    def _has_just_failed(self) -> bool:
+        return self._clock() - self._failed_at < RETRY_PAUSE_S
 
     def _run(self, ended: Any) -> None:  # noqa: ANN401
+        begun_at = self._clock()
         try:
             self._call()
         except PlatformError:
-            # Whoever waits sees by the state itself that nothing was read.
-            self._begun_at = -math.inf
+            self._failed_at = self._clock()
+        except Exception as exc:  # noqa: BLE001
+            self._failed_at = self._clock()
+            log_internal_error(exc)
+        else:
+            self._succeeded_from = begun_at
         finally:
             self._running = None
             ended.send(None)
