Share the platform of the tests with entry processes

Three files had the same fixture. tests/platform: 30 tests that use it pass; no change of what they check. The entry picks the newest confirmation from one list.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -431,7 +431,7 @@
             if row.digest.endpoints_revision <= self._endpoints_revision
         ]
         own = Confirmation(self.feeds.endpoints.complete_at, PLATFORM)
-        return max(own, *relayed, key=attrgetter("at")) if relayed else own
+        return max([own, *relayed], key=attrgetter("at"))
 
     def _max_unconfirmed_s(self) -> float:
         """Return for how long the list may be unconfirmed in operation, in seconds."""
--- a/tests/platform/test_entries_out_of_step.py
+++ b/tests/platform/test_entries_out_of_step.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable, Iterator
-from pathlib import Path
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -21,15 +20,6 @@
 """Time after which an open watch was answered without changes, in seconds."""
 
 
-@pytest.fixture(name="site")
-def _site(tmp_path: Path) -> Iterator[Site]:
-    site = Site(tmp_path)
-    yield site
-    for process in site.processes:
-        process.kill()
-        process.communicate()
-
-
 def start_in_step(site: Site) -> Any:  # noqa: ANN401
     """Start an entry while one version is listed; return the version's endpoint."""
     engine = site.list_endpoint("e-1", "v1")
--- a/tests/platform/test_stopped_entries.py
+++ b/tests/platform/test_stopped_entries.py
@@ -13,8 +13,6 @@
 import json
 import os
 import signal
-from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 import eventlet
@@ -31,15 +29,6 @@
 MAX_WAIT_S = 5.0
 
 
-@pytest.fixture(name="site")
-def _site(tmp_path: Path) -> Iterator[Site]:
-    site = Site(tmp_path)
-    yield site
-    for process in site.processes:
-        process.kill()
-        process.communicate()
-
-
 def wait_for_long_poll(site: Site) -> None:
     """Wait until the entry has just begun to wait for changes of the endpoints."""
     calls = len(site.store.calls)
--- a/tests/platform/test_take_ups.py
+++ b/tests/platform/test_take_ups.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -99,15 +99,6 @@
         return self.send(f"Last-Event-Id: 1\r\nResumes: {rid}\r\n")
 
 
-@pytest.fixture(name="site")
-def _site(tmp_path: Path) -> Iterator[Site]:
-    site = Site(tmp_path)
-    yield site
-    for process in site.processes:
-        process.kill()
-        process.communicate()
-
-
 def replace_by_another_endpoint(site: Site) -> VersionedEngine:
     site.list_endpoint("e-1", "v1")
     site.store.delete("servers/e-1")
