Tell by which list of endpoints a request was sent, and which entry lags

The logs of the incident can't tell what an entry knew of an endpoint when it sent a request there: the last line of a request named no list, and no metric had the revision of an entry's list.

The metrics page has dockreach_direct_endpoints_revision and, beside it, the newest revision that this entry or a peer has.

--- a/dockreach/direct/attempt.py
+++ b/dockreach/direct/attempt.py
@@ -65,6 +65,9 @@
         load_percent: How long work took there, in percent of the usual, as the entry that
             granted the slot knew it; 0 if it did not.
         software_version: Version of the endpoint's software; ``None`` if it is not known.
+        list_revision: The platform's revision up to which the list of endpoints was read.
+        list_age_s: Time since the list was last confirmed, in seconds.
+        list_confirmed_by: The platform, or the peer that had read the list then.
     """
 
     endpoint: str
@@ -75,6 +78,9 @@
     granted_by: str = ""
     load_percent: int = 0
     software_version: str | None = None
+    list_revision: int = 0
+    list_age_s: float = 0.0
+    list_confirmed_by: str = ""
 
 
 NO_PLACEMENT = Placement(
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -13,6 +13,7 @@
 from .endpoints import EndpointTable
 from .first_attempts import FirstAttemptEstimator
 from .http1 import ResponseLimit
+from .list_confirmation import ListConfirmation
 from .liveness import LivenessChecks
 from .notice_tracker import NoticeTracker
 from .outcomes import OutcomeCounter
@@ -94,6 +95,7 @@
     notices: NoticeTracker
     streams: StreamVersions
     stalls: Stalls
+    list_confirmation: ListConfirmation
     counters: Counters = field(default_factory=Counters)
     outcomes: OutcomeCounter = field(default_factory=OutcomeCounter)
     ends: ConnectionEnds = field(default_factory=ConnectionEnds)
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -105,7 +105,6 @@
         self.started_at = clock.now()
         self.revision: ConfigRevision | None = None
         self.stopping_since: float | None = None
-        self._endpoints_revision = 0
         self._has_endpoints = False
         self._adapter = adapter
         self._incarnation = secrets.randbits(63)
@@ -161,6 +160,9 @@
             self.gossip.send,
             self.gossip.send_soon,
         )
+        self.list_confirmation = ListConfirmation(
+            self._endpoints_confirmation, self._max_unconfirmed_s
+        )
         self.ctx = Context(
             adapter=adapter,
             endpoints=self.endpoints,
@@ -204,6 +206,7 @@
                 lambda: LIST_GAP_FRACTION * self.settings.apply_deadline_s,
             ),
             stalls=self.stalls,
+            list_confirmation=self.list_confirmation,
         )
         if not settings.has_predecessor:
             self.endpoints.software_versions.coverage.extend(
@@ -213,9 +216,6 @@
         self._endpoint_sync = EndpointSync(
             self.ctx, self.peers, self.feeds.endpoints, self.feeds.refusals
         )
-        self.list_confirmation = ListConfirmation(
-            lambda: self._endpoints_confirmation().at, self._max_unconfirmed_s
-        )
         self.callers = CallerServer(self)
         meter = IdleMeter(eventlet.hubs.get_hub(), clock.now)
         self.admission = ConnectionAdmission(clock.now, meter)
@@ -385,7 +385,7 @@
     @property
     def endpoints_revision(self) -> int:
         """The platform's revision up to which the endpoint list was read; 0 for none."""
-        return self._endpoints_revision
+        return self.list_confirmation.revision
 
     def confirm_endpoints(self, at: float) -> None:
         """Record that the platform told all versions that served up to a time.
@@ -423,12 +423,12 @@
         A peer that has seen all changes up to a later time has seen none that this entry
         has not, unless its revision is higher.
         """
-        if not self._endpoints_revision:
+        if not self.endpoints_revision:
             return Confirmation(-math.inf, PLATFORM)
         relayed = [
             Confirmation(row.sent_after - row.digest.endpoints_complete_s, row.digest.name)
             for row in self.peers.fresh(clock.now())
-            if row.digest.endpoints_revision <= self._endpoints_revision
+            if row.digest.endpoints_revision <= self.endpoints_revision
         ]
         own = Confirmation(self.feeds.endpoints.complete_at, PLATFORM)
         return max([own, *relayed], key=attrgetter("at"))
@@ -446,7 +446,7 @@
         is_reader = self._readers.is_reader(now)
         return KnownRevisions(
             revision,
-            self._endpoints_revision,
+            self.endpoints_revision,
             is_unavailable,
             is_reader,
             self.evacuated.revision,
@@ -467,7 +467,7 @@
         return View(
             number,
             text,
-            self._endpoints_revision,
+            self.endpoints_revision,
             published,
             list(lapsed),
             evacuated,
@@ -489,7 +489,7 @@
                 log(Event.CONFIG_REFUSED, str(exc), source=peer)
         if view.orders_revision:
             self.apply_evacuations(frozenset(view.evacuated), view.orders_revision)
-        if view.endpoints_revision > self._endpoints_revision and view.endpoints:
+        if view.endpoints_revision > self.endpoints_revision and view.endpoints:
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
             lapsed_at = view.lapsed_at(clock.now())
             self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
@@ -503,8 +503,8 @@
 
     def record_endpoints_revision(self, endpoints_revision: int) -> None:
         """Record the platform's revision up to which endpoints were read."""
-        if endpoints_revision > self._endpoints_revision:
-            self._endpoints_revision = endpoints_revision
+        if endpoints_revision > self.endpoints_revision:
+            self.list_confirmation.revision = endpoints_revision
             self.gossip.send_soon()
         if not self._has_endpoints:
             self._has_endpoints = True
@@ -529,7 +529,7 @@
             age_s=now - self.started_at,
             leaving=self.stopping_since is not None,
             revision=self.revision.number if self.revision else 0,
-            endpoints_revision=self._endpoints_revision,
+            endpoints_revision=self.endpoints_revision,
             in_flight=in_flight,
             used=self.ctx.quotas.report(now),
             fleet_used=self.ctx.quotas.total_usage(now),
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -149,6 +149,8 @@
             "requests_barred": len(entry.ctx.crashes.quarantine.quarantined()),
             "halls_emptied": len(entry.evacuated.since),
             "orders_revision": entry.evacuated.revision,
+            "endpoints_revision": entry.list_confirmation.revision,
+            "newest_endpoints_revision": self._newest_endpoints_revision(now),
             "waiting": sum(entry.dispatcher.waiting().values()),
             "forecast_rejections": entry.dispatcher.forecast_rejections,
             "admitted_rejections": entry.dispatcher.admitted_rejections,
@@ -170,6 +172,11 @@
         yield from self._quarantine_samples()
         yield from self._advertised_samples(now)
 
+    def _newest_endpoints_revision(self, now: float) -> int:
+        """Return the highest revision of the list that this entry or a peer has."""
+        peers = (row.digest.endpoints_revision for row in self._entry.peers.fresh(now))
+        return max([self._entry.list_confirmation.revision, *peers])
+
     def _advertised_samples(self, now: float) -> Iterator[Sample]:
         """Return why endpoints are blocked, and the state that they advertise."""
         blocks = [
--- a/dockreach/direct/forwarder.py
+++ b/dockreach/direct/forwarder.py
@@ -152,6 +152,14 @@
         """By what one software version was taken for the only one, if it was."""
         return self._slots.version_evidence
 
+    @property
+    def sent_at(self) -> float:
+        """Monotonic time at which the last attempt was sent, in seconds.
+
+        Minus infinity if there was none.
+        """
+        return -math.inf if self._current is None else self._current.sent_at
+
     @property
     def response_end(self) -> str:
         """How the end of the last response was known; empty if it has not ended."""
@@ -214,15 +222,19 @@
                 return self._finish_unserved(refusal)
 
     def _make_placement(self, row: EndpointRow, job: Job) -> Placement:
+        now, confirmation = self._ctx.now(), self._ctx.list_confirmation
         return Placement(
             endpoint=row.id,
-            waited_s=self._ctx.now() - self._req.arrived_at,
+            waited_s=now - self._req.arrived_at,
             in_flight_here=row.in_flight_here,
             in_flight_elsewhere=row.in_flight_elsewhere,
             slots=row.published.slots,
             granted_by=job.granted_by,
             load_percent=job.load_percent,
             software_version=row.published.software_version,
+            list_revision=confirmation.revision,
+            list_age_s=confirmation.last_age_s(now),
+            list_confirmed_by=confirmation.last.by,
         )
 
     def _may_retry(self) -> bool:
--- a/dockreach/direct/list_confirmation.py
+++ b/dockreach/direct/list_confirmation.py
@@ -12,6 +12,7 @@
 
 from ..events import Event, log
 from ..metrics import Sample
+from .version_coverage import PLATFORM, Confirmation
 
 MAX_AGE_FRACTION = 2.0
 """Age of the last confirmation from which an entry is out of step, as a fraction of the
@@ -22,35 +23,43 @@
     """Tells when an entry gets out of step with the platform, and back in step.
 
     Args:
-        confirmed_at: Returns up to when all changes of the list of endpoints were seen, in
-            monotonic seconds; minus infinity if there is no list yet.
+        confirmation: Returns up to when all changes of the list of endpoints were seen, and
+            who read it then.
         max_age_s: Returns for how long the list may be unconfirmed, in seconds.
 
     Attributes:
         is_out_of_step: Whether it was not confirmed for longer.
         count: How often the entry got out of step.
+        last: The confirmation at the last check.
+        revision: The platform's revision up to which the list was read; 0 for none.
     """
 
     def __init__(
-        self, confirmed_at: Callable[[], float], max_age_s: Callable[[], float]
+        self, confirmation: Callable[[], Confirmation], max_age_s: Callable[[], float]
     ) -> None:
-        self._confirmed_at = confirmed_at
+        self._confirmation = confirmation
         self._max_age_s = max_age_s
         self._last_confirmed_at = -math.inf
         self.is_out_of_step = False
         self.count = 0
+        self.last = Confirmation(-math.inf, PLATFORM)
+        self.revision = 0
 
     def age_s(self, now: float) -> float:
         """Return for how long the list has not been confirmed, in seconds.
 
         It is 0 while there is no list.
         """
-        confirmed_at = self._confirmed_at()
-        return now - confirmed_at if confirmed_at > -math.inf else 0.0
+        return _age_s(self._confirmation(), now)
+
+    def last_age_s(self, now: float) -> float:
+        """Return the same as of the last check: peers are not looked at again."""
+        return _age_s(self.last, now)
 
     def check(self, now: float) -> None:
         """Log if the entry got out of step, or is back in step."""
-        age_s = self.age_s(now)
+        self.last = self._confirmation()
+        age_s = self.last_age_s(now)
         was_out_of_step = self.is_out_of_step
         self.is_out_of_step = age_s > self._max_age_s()
         if self.is_out_of_step and not was_out_of_step:
@@ -76,3 +85,7 @@
             self.count,
             {},
         )
+
+
+def _age_s(confirmation: Confirmation, now: float) -> float:
+    return now - confirmation.at if confirmation.at > -math.inf else 0.0
--- a/dockreach/direct/request_summary.py
+++ b/dockreach/direct/request_summary.py
@@ -167,12 +167,16 @@
             "end": forwarder.response_end if forwarder else "",
             "endpoint": placement.endpoint,
             "waited_ms": round(placement.waited_s * 1000),
+            "sent_ms": self._sent_ms(),
             "own": placement.in_flight_here,
             "others": placement.in_flight_elsewhere,
             "slots": placement.slots,
             "granted_by": placement.granted_by,
             "load_percent": placement.load_percent,
             "version": placement.software_version,
+            "list_revision": placement.list_revision,
+            "list_age_ms": round(placement.list_age_s * 1000),
+            "list_confirmed_by": placement.list_confirmed_by,
             **self._resumption_fields(),
         }
 
@@ -181,6 +185,13 @@
         runs = self._forwarder.runs if self._forwarder else []
         return [str(run) for run in runs if run.event_count]
 
+    def _sent_ms(self) -> int | None:
+        """Return after how long the last attempt was sent; ``None`` if there was none."""
+        sent_at = self._forwarder.sent_at if self._forwarder else -math.inf
+        if sent_at == -math.inf:
+            return None
+        return round((sent_at - self._req.arrived_at) * 1000)
+
     def _silent_ms(self) -> int:
         """Return for how long the last endpoint had sent nothing, in milliseconds."""
         if self._forwarder is None or not math.isfinite(self._forwarder.last_data_at):
--- a/tests/direct/test_entry_pages.py
+++ b/tests/direct/test_entry_pages.py
@@ -4,12 +4,13 @@
 
 import eventlet
 
+from dockreach import clock
 from dockreach.direct.entry import Entry
 from dockreach.direct.entry_pages import MAX_ORGANISATIONS_SHOWN
 from dockreach.direct.routing_config import Organisation
 
 from .advertising_engines import AdvertisingFleet
-from .core_builders import job, organisations
+from .core_builders import address, digest, job, organisations
 from .crashing_engines import CRASHING_BODY, GOSSIP_S, CrashingFleet
 from .standins import fetch_page, revision, start_entry
 
@@ -37,6 +38,16 @@
     assert series(entry, "hall_emptied_seconds") == []
 
 
+def test_an_entry_whose_list_lags_behind_a_peers_is_shown() -> None:
+    entry = start_entry()
+    entry.record_endpoints_revision(25)
+    ahead = digest(address(1), hall="hall1", endpoints_revision=61)
+    entry.peers.merge(ahead, clock.now())
+    (own,) = series(entry, "endpoints_revision")
+    (newest,) = series(entry, "newest_endpoints_revision")
+    assert [row.rpartition(b" ")[2] for row in (own, newest)] == [b"25", b"61"]
+
+
 def test_responses_that_promise_what_is_not_proven_are_counted_by_status() -> None:
     entry = start_entry()
     assert series(entry, "statuses_replaced_total") == []
--- a/tests/direct/test_gossip.py
+++ b/tests/direct/test_gossip.py
@@ -127,7 +127,7 @@
 
 def peer_digest(entry: Entry, number: int = 1) -> Digest:
     """Return a digest of a peer that knows all changes of the list up to now."""
-    listed = digest(PEER, number=number, endpoints_revision=entry._endpoints_revision)
+    listed = digest(PEER, number=number, endpoints_revision=entry.endpoints_revision)
     return msgspec.structs.replace(listed, endpoints_complete_s=0.0, in_flight={"e-0": 2})
 
 
--- a/tests/direct/test_list_confirmation.py
+++ b/tests/direct/test_list_confirmation.py
@@ -8,6 +8,7 @@
 import pytest
 
 from dockreach.direct.list_confirmation import ListConfirmation
+from dockreach.direct.version_coverage import PLATFORM, Confirmation
 
 from .standins import fetch_page, start_entry
 
@@ -20,7 +21,9 @@
 
     def __init__(self) -> None:
         self.at = 100.0
-        self.list = ListConfirmation(lambda: self.at, lambda: MAX_AGE_S)
+        self.list = ListConfirmation(
+            lambda: Confirmation(self.at, PLATFORM), lambda: MAX_AGE_S
+        )
 
     def check(self, *times: float) -> None:
         for now in times:
--- a/tests/direct/test_request_summary.py
+++ b/tests/direct/test_request_summary.py
@@ -8,6 +8,8 @@
 import eventlet
 import pytest
 
+from dockreach import clock
+
 from .standins import (
     Caller,
     Dialog,
@@ -182,3 +184,31 @@
     line = last_line(caplog, "r-taken-up")
     assert line["version_evidence_by"] == "platform"
     assert 0 <= line["version_evidence_ms"] < 1000
+
+
+def test_the_last_line_tells_the_list_by_which_the_endpoint_was_chosen(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "dockreach")
+    entry = start_entry(EndpointStandIn(respond_fine))
+    entry.record_endpoints_revision(25)
+    entry.feeds.endpoints.complete_at = clock.now()
+    eventlet.sleep(SILENCE_S)
+    caller = Caller(entry)
+    caller.send("/safe/a", rid="r-listed")
+    assert status_of(caller.read_response()) == 200
+    line = last_line(caplog, "r-listed")
+    assert line["list_revision"] == 25
+    assert line["list_confirmed_by"] == "platform"
+    assert 0 <= line["list_age_ms"] - SILENCE_S * 1000 + 20 < TOLERANCE_MS
+    assert line["waited_ms"] <= line["sent_ms"] <= line["held_ms"]
+
+
+def test_a_request_that_was_never_sent_has_no_time_at_which_it_was(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "dockreach")
+    caller = Caller(start_entry())
+    caller.send("/safe/a", rid="r-unsent")
+    assert status_of(caller.read_response()) == 503
+    assert last_line(caplog, "r-unsent")["sent_ms"] is None
