--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -100,11 +100,13 @@
             minus infinity before the first list. It is when a call was sent: the response
             may have been on its way, or unread, for any part of the time until it was read.
         follows_outage: Whether changes are still being read that were made in an outage.
+        missed_changes: Changes that a response had left out and a later one returned.
         stalls: When this process stood still.
     """
 
     calls: int = 0
     failed_calls: int = 0
+    missed_changes: int = 0
     consecutive_failures: int = 0
     last_response_at: float | None = None
     max_gap_s: float = 2.4
@@ -259,3 +261,9 @@
                 feed.failed_calls,
                 labels,
             )
+            yield Sample(
+                "dockreach_direct_feed_missed_changes_total",
+                "Changes that the platform had left out of a response",
+                feed.missed_changes,
+                labels,
+            )
--- a/dockreach/events.py
+++ b/dockreach/events.py
@@ -40,6 +40,8 @@
     PLATFORM_CALL_FAILED = 307
     OUT_OF_STEP = 308
     BACK_IN_STEP = 309
+    HISTORY_GONE = 310
+    CHANGES_MISSED = 311
     ENGINE_SUSPECT = 500
     ENGINE_RECOVERED = 501
     ENGINE_UNREACHABLE = 502
@@ -90,6 +92,7 @@
     Event.PLATFORM_DOWN: logging.WARNING,
     Event.PLATFORM_CALL_FAILED: logging.WARNING,
     Event.OUT_OF_STEP: logging.WARNING,
+    Event.CHANGES_MISSED: logging.WARNING,
     Event.SETTINGS_REFUSED: logging.ERROR,
     Event.ENGINE_SUSPECT: logging.WARNING,
     Event.ENGINE_UNREACHABLE: logging.WARNING,
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -51,6 +51,8 @@
         page_items: Items in a page.
         max_watch_bytes: Longest response to a watch; longer ones are never sent.
         trickle_s: Pause after each piece of a response, in seconds; 0 sends it whole.
+        is_muted: Whether watches hear nothing: they end without changes when their wait is
+            over, and name the newest revision.
     """
 
     def __init__(self) -> None:
@@ -60,6 +62,7 @@
         self.page_items = 2
         self.max_watch_bytes = sys.maxsize
         self.trickle_s = 0.0
+        self.is_muted = False
         self.calls: list[str] = []
         self.revision = 0
         self._items: dict[str, dict[str, Any]] = {}
@@ -67,6 +70,7 @@
         self._compacted_revision = 0
         self._stalls = 0
         self._cuts = 0
+        self._endings = 0
         self._changed = Waiter()
         eventlet.spawn(accept_all, self._listener, self._serve)
 
@@ -102,6 +106,17 @@
         """Wake the waiting watches, which end as `failure_mode` says."""
         self._wake()
 
+    def end_waits(self) -> None:
+        """Respond to the waiting watches now, as if their wait was over."""
+        self._endings += 1
+        self._wake()
+
+    def forget_unheard(self) -> None:
+        """Drop the history with all changes that no watch heard, and cut the watches."""
+        self.is_muted = False
+        self._cuts += 1
+        self.compact_history()
+
     def stall_open_connections(self) -> None:
         """Send nothing more on all connections that are open now; new ones work."""
         self._stalls += 1
@@ -181,19 +196,24 @@
 
     def _watch(self, query: dict[str, str]) -> Response:
         after, cuts = int(query["since_revision"]), self._cuts
+        endings = self._endings
         with eventlet.Timeout(int(query["wait_ms"]) / 1000, False):
             while not self._must_respond(after, query["path_prefix"]):
                 self._changed.wait()
-                if self._cuts > cuts:
+                if self._cuts > cuts or self._endings > endings:
                     break
         if self.failure_mode:
             return 503, {}
+        if self.is_muted:
+            return 200, {"events": [], "store_revision": self.revision}
         if after < self._compacted_revision:
             return 410, {}
         events = self._changes_since(after, query["path_prefix"])
         return 200, {"events": events, "store_revision": self.revision}
 
     def _must_respond(self, after: int, prefix: str) -> bool:
+        if self.is_muted:
+            return bool(self.failure_mode)
         return bool(
             self._changes_since(after, prefix)
             or self.failure_mode
