Keep an older record from letting an endpoint serve again

Cause: records without a start time had no order. Whatever came last applied: a view of a peer that had missed the change but knew a later one of another endpoint, a response of the store that was overtaken by a view, or a write that the store applied late. The entry then knew the newest revision, and made no call that would have corrected it.

Each record carries the platform's revision of its last change and of its registration, also in views; a lower revision than is known changes nothing, and a record that is gone is remembered with the revision as of which it is. What was learnt of the leaving holds to the end of the registration (with start times: of the incarnation). A record created anew, at another address or of another software version is that of a later process, and serves. A response that a peer's view has overtaken is followed by one more call. If the platform's revisions go back, the order is forgotten and the list applies. Peers of an earlier version relay no revisions: those records keep what is known.

Evidence: the new tests of test_endpoint_sync and test_endpoints, with and without start times.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -289,9 +289,27 @@
     Edit(
         "an endpoint that leaves does so for the rest of its incarnation",
         "direct/endpoints.py",
-        "                row.advertised = known.advertised\n",
+        "            row.advertised = known.advertised\n",
         "",
     ),
+    Edit(
+        "a record of an earlier revision of the platform changes nothing",
+        "direct/endpoints.py",
+        "        return 0 < self.revision < known.revision\n",
+        "        return False\n",
+    ),
+    Edit(
+        "a delayed write does not let a leaving endpoint serve again",
+        "direct/endpoints.py",
+        "    if is_told and published.still_leaves(known):\n",
+        "    if False:\n",
+    ),
+    Edit(
+        "the platform's word that an endpoint is gone makes earlier records stale",
+        "direct/endpoint_sync.py",
+        "            known.mark_unlisted(revision)\n",
+        "            pass\n",
+    ),
     Edit(
         "a peer's report on another incarnation changes nothing",
         "direct/notice_tracker.py",
--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -66,6 +66,9 @@
         self._feed = feed
         self._refusals = refusals
         self._told_at = -math.inf
+        self._relayed_at = -math.inf
+        self._relayed_revision = 0
+        self._overtaken_at = -math.inf
         self._unapplied: dict[str, _Unapplied] = {}
 
     def apply(self, published: Published, *, source: str = STORE_SOURCE) -> None:
@@ -110,27 +113,53 @@
         old_version = row and row.published.software_version
         result = self._ctx.endpoints.publish(published, clock.now())
         if result is PublishResult.STALE:
+            self._report_stale(published, source)
             return False
         if row is not None and old_version != published.software_version:
             self._ctx.streams.handle_version_change(published.id)
         if result is PublishResult.NEW_INCARNATION and row is not None:
             self._abort_incarnation(row)
-        if result is not PublishResult.CHANGED or was_leaving != published.leaving:
+        listed = self._ctx.endpoints.get(published.id)
+        is_leaving = listed is not None and listed.published.leaving
+        if is_leaving and not published.leaving:
+            self._report_ignored(published, "it was said to be leaving", source)
+        if result is not PublishResult.CHANGED or was_leaving != is_leaving:
             log(
                 Event.ENDPOINT_PUBLISHED,
                 endpoint=published.id,
                 service=published.service,
-                leaving=published.leaving,
+                leaving=is_leaving,
                 cold_s=published.cold_s,
                 version=published.software_version,
+                revision=published.revision,
                 source=source,
             )
         return True
 
+    def _report_stale(self, published: Published, source: str) -> None:
+        """Report an older record that would have let an endpoint serve again."""
+        row = self._ctx.endpoints.get(published.id)
+        if row is None:
+            self._report_ignored(published, "it was removed", source)
+        elif row.published.leaving and not published.leaving:
+            self._report_ignored(published, "it was said to be leaving", source)
+
+    def _report_ignored(self, published: Published, reason: str, source: str) -> None:
+        known = self._ctx.endpoints.last_incarnation(published.id)
+        log(
+            Event.RECORD_IGNORED,
+            reason,
+            endpoint=published.id,
+            revision=published.revision,
+            known_revision=known.published.revision if known is not None else 0,
+            source=source,
+        )
+
     def remove(
         self,
         endpoint: str,
         *,
+        revision: int = 0,
         lapsed_at: float | None = None,
         source: str = STORE_SOURCE,
     ) -> None:
@@ -138,18 +167,28 @@
 
         Args:
             endpoint: Its id.
+            revision: The platform's revision as of which it is not listed; 0 if unknown.
+                A record of a later one stays.
             lapsed_at: Monotonic time at which the platform, after an outage, responded
                 without its record, in seconds: it may only have expired, so the endpoint
                 is kept for a grace period from then on. ``None`` if it has left.
             source: The peer whose view says so, `STORE_SOURCE` or `GRACE_PERIOD_SOURCE`.
         """
+        known = self._ctx.endpoints.last_incarnation(endpoint)
+        if known is not None and 0 < revision < known.published.revision:
+            return
         self._unapplied.pop(endpoint, None)
         try:
-            self._unlist(endpoint, lapsed_at, source)
+            self._unlist(endpoint, lapsed_at, source, revision)
         except Exception as exc:  # noqa: BLE001
             log_internal_error(exc, endpoint=endpoint)
+        # A peer may not know of a record that was created since.
+        if known is not None and source == STORE_SOURCE:
+            known.mark_unlisted(revision)
 
-    def _unlist(self, endpoint: str, lapsed_at: float | None, source: str) -> None:
+    def _unlist(
+        self, endpoint: str, lapsed_at: float | None, source: str, revision: int
+    ) -> None:
         row = self._ctx.endpoints.get(endpoint)
         if row is None:
             return
@@ -165,6 +204,7 @@
                 Event.ENDPOINT_GONE,
                 endpoint=endpoint,
                 under_way=row.in_flight_here,
+                revision=revision,
                 source=source,
             )
             self._ctx.crashes.handle_incarnation_end(row)
@@ -186,28 +226,33 @@
     def apply_all(
         self,
         published: list[Published],
+        revision: int,
         *,
         lapsed_at: float | None = None,
-        source: str = STORE_SOURCE,
     ) -> None:
         """Replace the list of endpoints.
 
         Args:
             published: All endpoints that the platform lists.
+            revision: The platform's revision of the list.
             lapsed_at: Monotonic time at which the platform, after an outage, responded with
                 the list, in seconds; ``None`` if no running endpoint can be missing.
-            source: The peer whose view holds the list, or `STORE_SOURCE`.
         """
         self._unapplied.clear()
         listed = {item.id for item in published}
         for item in published:
-            self.apply(item, source=source)
+            self.apply(item)
         for row in self._ctx.endpoints:
             if row.id not in listed:
-                self.remove(row.id, lapsed_at=lapsed_at, source=source)
+                self.remove(row.id, revision=revision, lapsed_at=lapsed_at)
 
     def apply_relayed(
-        self, published: list[Published], lapsed_at: Mapping[str, float], *, source: str
+        self,
+        published: list[Published],
+        revision: int,
+        lapsed_at: Mapping[str, float],
+        *,
+        source: str,
     ) -> None:
         """Replace the list of endpoints with the one in a peer's view.
 
@@ -216,11 +261,13 @@
 
         Args:
             published: All endpoints in the view.
+            revision: The platform's revision of the view.
             lapsed_at: The lapsed ones among them: by id, the monotonic time from which
                 their grace period counts, in seconds.
             source: The peer.
         """
         self._unapplied.clear()
+        self._relayed_at, self._relayed_revision = clock.now(), revision
         valid = [item for item in published if self._is_valid(item, source)]
         lapsed = [(item, lapsed_at[item.id]) for item in valid if item.id in lapsed_at]
         gone = self._past_grace(lapsed, clock.now())
@@ -232,7 +279,7 @@
                 self.apply(item, source=source)
         for row in table:
             if row.id not in kept:
-                self.remove(row.id, source=source)
+                self.remove(row.id, revision=revision, source=source)
             elif row.id in lapsed_at:
                 if row.lapsed_at is None:
                     self._told_at = clock.now()
@@ -255,6 +302,29 @@
         """
         return self._told_at > self._feed.complete_at
 
+    def is_overtaken(self, revision: int) -> bool:
+        """Return whether a peer's newer view was taken since the last own call was sent.
+
+        Args:
+            revision: The platform's revision of the response to that call.
+        """
+        is_later = self._relayed_at > self._feed.called_at
+        return is_later and self._relayed_revision > revision
+
+    def record_read(self, revision: int) -> None:
+        """Record that the response to an own call was applied.
+
+        Args:
+            revision: The platform's revision of the response.
+        """
+        if self.is_overtaken(revision):
+            self._overtaken_at = self._relayed_at
+
+    @property
+    def must_read_on(self) -> bool:
+        """Whether older records were applied after a peer's view, which may undo a part."""
+        return self._overtaken_at > self._feed.complete_at
+
     def expire_lapsed(self, now: float) -> None:
         """Remove lapsed endpoints that were not listed again within the grace period."""
         lapsed = [
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -74,6 +74,10 @@
         cold_s: How much longer it is cold, as the endpoint itself reports, in seconds.
         software_version: Version of its software; ``None`` if a peer of an earlier version
             relayed the record without it.
+        revision: The platform's revision as of which this is known: that of the record's
+            last change, or of the word that the record is gone; 0 if unknown.
+        registered_revision: The platform's revision at which the record was created; 0 if
+            unknown.
     """
 
     id: str
@@ -86,13 +90,49 @@
     sequence: int = 0
     cold_s: float = 0.0
     software_version: str | None = None
+    revision: int = 0
+    registered_revision: int = 0
 
     def is_older_than(self, known: Published) -> bool:
         """Return whether this was written before another record of the same endpoint."""
         if self.born != known.born:
             return self.born < known.born
         # Without a start time, a lower sequence may be that of a new incarnation.
-        return bool(self.born) and self.sequence < known.sequence
+        if self.born and self.sequence != known.sequence:
+            return self.sequence < known.sequence
+        return 0 < self.revision < known.revision
+
+    def still_leaves(self, known: Published) -> bool:
+        """Return whether it leaves by an earlier record, whatever this one says.
+
+        A write that was delayed may follow the one that said so. A process that leaves does
+        not register anew as staying.
+        """
+        if not known.leaving or self.born != known.born:
+            return False
+        return bool(self.born) or not (
+            self._is_registered_anew(known) or self._is_replaced(known)
+        )
+
+    def is_restarted(self, known: Published) -> bool:
+        """Return whether this tells, without a start time, that the process is another one.
+
+        Otherwise, one that registers anew is taken for the same.
+        """
+        if self.born or known.born:
+            return False
+        is_recounted = self.sequence < known.sequence
+        return self._is_replaced(known) or (
+            is_recounted and self._is_registered_anew(known)
+        )
+
+    def _is_registered_anew(self, known: Published) -> bool:
+        """Return whether the record was deleted since an earlier one, and created again."""
+        return self.registered_revision > known.registered_revision > 0
+
+    def _is_replaced(self, known: Published) -> bool:
+        versions = {self.software_version, known.software_version} - {None}
+        return self.address != known.address or len(versions) > 1
 
 
 class PublishResult(enum.Enum):
@@ -182,6 +222,11 @@
         """The endpoint's id."""
         return self.published.id
 
+    def mark_unlisted(self, revision: int) -> None:
+        """Record that the platform did not list it at a revision."""
+        if revision > self.published.revision:
+            self.published = replace(self.published, revision=revision)
+
     @property
     def lapsed_until(self) -> float | None:
         """Until when it is kept without a record, in monotonic seconds, if it has none."""
@@ -394,6 +439,30 @@
     return msgspec.structs.replace(sample, percent=percent)
 
 
+def _with_earlier_word(
+    published: Published, known: Published, listed: EndpointRow | None
+) -> Published:
+    """Return a record with what an earlier one says of the same incarnation.
+
+    Args:
+        published: The record.
+        known: The earlier record.
+        listed: The row of the endpoint if it is still listed. If not, a record that can't
+            be told from one of a later incarnation is taken for that.
+    """
+    if not published.revision and published.born == known.born:
+        # A peer of an earlier version relays no revisions.
+        published = replace(
+            published,
+            revision=known.revision,
+            registered_revision=known.registered_revision,
+        )
+    is_told = listed or published.born or published.registered_revision
+    if is_told and published.still_leaves(known):
+        return replace(published, leaving=True)
+    return published
+
+
 class EndpointTable:
     """All published endpoints, by id and by service.
 
@@ -432,9 +501,11 @@
             now: Monotonic time, in seconds.
         """
         known = self.last_incarnation(published.id)
-        if known is not None and published.is_older_than(known.published):
-            return PublishResult.STALE
         listed = self._rows.get(published.id)
+        if known is not None:
+            if published.is_older_than(known.published):
+                return PublishResult.STALE
+            published = _with_earlier_word(published, known.published, listed)
         if listed is not None:
             # It may have served at this version until now, even if nobody looked.
             self._record_version(listed.published, now)
@@ -445,14 +516,7 @@
             return PublishResult.NEW_INCARNATION
         row = self._rows.get(published.id)
         if row is None:
-            row = EndpointRow(published)
-            row.warm_up.reported_cold_until = now + published.cold_s
-            if known is not None:
-                row.warm_up.assumed_cold_since = now
-                # The same incarnation: the state that it advertised still holds.
-                row.advertised = known.advertised
-                self._advertising[row.id] = row
-            self._add(row)
+            self._add_listed(published, known, now)
             return PublishResult.NEW
         if row.lapsed_at is not None:
             row.lapsed_at = None
@@ -460,10 +524,26 @@
         if published != row.published:
             row.warm_up.reported_cold_until = now + published.cold_s
             self._drop_from_service(row)
+            if published.is_restarted(row.published):
+                row.advertised = AdvertisedState()
             row.published = published
             self._add(row)
         return PublishResult.CHANGED
 
+    def _add_listed(
+        self, published: Published, known: EndpointRow | None, now: float
+    ) -> None:
+        """Add an endpoint that was not listed; it may have been earlier."""
+        row = EndpointRow(published)
+        row.warm_up.reported_cold_until = now + published.cold_s
+        if known is not None:
+            row.warm_up.assumed_cold_since = now
+        if known is not None and not published.is_restarted(known.published):
+            # The same incarnation: the state that it advertised still holds.
+            row.advertised = known.advertised
+            self._advertising[row.id] = row
+        self._add(row)
+
     def last_incarnation(self, endpoint: str) -> EndpointRow | None:
         """Return the row of an endpoint, or its last row if it was removed."""
         return self._rows.get(endpoint) or self._ended.get(endpoint)
@@ -521,6 +601,11 @@
                 row.warm_up.assumed_cold_since = now
         self.evacuated = halls
 
+    def forget_revisions(self) -> None:
+        """Compare no record with those known: the platform's revisions have gone back."""
+        for row in (*self._rows.values(), *self._ended.values()):
+            row.published = replace(row.published, revision=0, registered_revision=0)
+
     def accepts_work(self, row: EndpointRow) -> bool:
         """Return whether an endpoint accepts new requests at all."""
         return not row.is_leaving and row.published.hall not in self.evacuated
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -327,16 +327,19 @@
             self.gossip.send_soon()
         self.ctx.scheduler.run_round()
 
-    def remove_endpoint(self, endpoint: str, *, after_outage: bool = False) -> None:
+    def remove_endpoint(
+        self, endpoint: str, *, revision: int = 0, after_outage: bool = False
+    ) -> None:
         """Remove an endpoint that the platform no longer lists.
 
         Args:
             endpoint: Its id.
+            revision: The platform's revision as of which it is not listed; 0 if unknown.
             after_outage: Whether its registration may only have lapsed during a platform
                 outage; it is then kept for a grace period.
         """
         lapsed_at = clock.now() if after_outage else None
-        self._endpoint_sync.remove(endpoint, lapsed_at=lapsed_at)
+        self._endpoint_sync.remove(endpoint, revision=revision, lapsed_at=lapsed_at)
 
     def replace_endpoints(
         self,
@@ -355,11 +358,24 @@
             complete_at: Monotonic time up to which the list holds all changes, in seconds;
                 now if omitted.
         """
+        sync = self._endpoint_sync
+        has_gone_back = endpoints_revision < self.endpoints_revision
+        if has_gone_back and not sync.is_overtaken(endpoints_revision):
+            self.endpoints.forget_revisions()
         lapsed_at = clock.now() if after_outage else None
-        self._endpoint_sync.apply_all(published, lapsed_at=lapsed_at)
+        sync.apply_all(published, endpoints_revision, lapsed_at=lapsed_at)
+        sync.record_read(endpoints_revision)
         self.ctx.streams.replace_list(complete_at)
         self.record_endpoints_revision(endpoints_revision)
 
+    def finish_endpoint_changes(self, revision: int) -> None:
+        """Record that all changes in a response were applied.
+
+        Args:
+            revision: The platform's revision of the response.
+        """
+        self._endpoint_sync.record_read(revision)
+
     def expect_endpoint_history(self) -> None:
         """Expect the platform's history of endpoints, or word that there is none.
 
@@ -492,7 +508,9 @@
         if view.endpoints_revision > self.endpoints_revision and view.endpoints:
             log(Event.VIEW_TAKEN, peer=peer, fleet_revision=view.endpoints_revision)
             lapsed_at = view.lapsed_at(clock.now())
-            self._endpoint_sync.apply_relayed(view.endpoints, lapsed_at, source=peer)
+            self._endpoint_sync.apply_relayed(
+                view.endpoints, view.endpoints_revision, lapsed_at, source=peer
+            )
             # Its sender may be behind itself: digests tell up to when it knows all changes.
             self.ctx.streams.replace_list(-math.inf)
             self.record_endpoints_revision(view.endpoints_revision)
@@ -556,7 +574,8 @@
         Args:
             feed: The part of the published state that would be polled.
         """
-        if feed is self.feeds.endpoints and self._endpoint_sync.must_check_lapses:
+        sync = self._endpoint_sync
+        if feed is self.feeds.endpoints and (sync.must_check_lapses or sync.must_read_on):
             return False
         known = self._known_revisions()
         if feed is self.feeds.configuration:
--- a/dockreach/direct/record_checks.py
+++ b/dockreach/direct/record_checks.py
@@ -83,6 +83,8 @@
         ("slots", record.slots, 1, MAX_SLOTS),
         ("start time", record.born, 0, MAX_COUNT),
         ("sequence", record.sequence, 0, MAX_COUNT),
+        ("revision", record.revision, 0, MAX_COUNT),
+        ("revision of its registration", record.registered_revision, 0, MAX_COUNT),
         ("warm-up in seconds", record.cold_s, 0.0, MAX_COLD_S),
     ):
         if not least <= value <= most:
--- a/tests/direct/test_endpoint_sync.py
+++ b/tests/direct/test_endpoint_sync.py
@@ -82,6 +82,87 @@
     assert ids(other) == {"e-1", "e-2"}
 
 
+def listed_at(number: int, revision: int, **changes: str | bool) -> Published:
+    """Return a record that was last changed at a revision of the platform."""
+    return replace(
+        record(number),
+        revision=revision,
+        registered_revision=1,
+        **changes,  # type: ignore[arg-type]
+    )
+
+
+def test_a_peer_that_missed_that_an_endpoint_leaves_does_not_let_it_serve_again() -> None:
+    """Guards against requests to an endpoint that left, once a peer's view was taken."""
+    both = listed_at(0, 2), listed_at(1, 3)
+    in_touch, lagging = (entry_with(*both) for _ in range(2))
+    add(in_touch, listed_at(0, 6, leaving=True), 6)
+    add(lagging, listed_at(2, 7), 7)
+    in_touch.apply_view(relayed(lagging), "lagging")
+    assert ids(in_touch) == {"e-0", "e-1", "e-2"}
+    assert {row.id for row in in_touch.endpoints.accepting("work", None)} == {"e-1", "e-2"}
+
+
+def test_a_peer_that_missed_that_an_endpoint_is_gone_does_not_bring_it_back() -> None:
+    both = listed_at(0, 2), listed_at(1, 3)
+    in_touch, lagging = (entry_with(*both) for _ in range(2))
+    in_touch.remove_endpoint("e-0", revision=6)
+    in_touch.record_endpoints_revision(6)
+    add(lagging, listed_at(2, 7), 7)
+    in_touch.apply_view(relayed(lagging), "lagging")
+    assert ids(in_touch) == {"e-1", "e-2"}
+
+
+def test_a_record_that_is_newer_than_the_word_that_it_is_gone_stays() -> None:
+    entry = entry_with(listed_at(0, 2), listed_at(1, 9))
+    entry.remove_endpoint("e-1", revision=8)
+    assert ids(entry) == {"e-0", "e-1"}
+
+
+def test_an_endpoint_that_a_peer_missed_is_listed_on_the_platforms_word() -> None:
+    """Guards against endpoints without requests, since a peer missed that they joined."""
+    entry, lagging = entry_with(listed_at(0, 2), listed_at(1, 3)), entry_with(record(0))
+    lagging.record_endpoints_revision(8)
+    entry.apply_view(relayed(lagging), "lagging")
+    assert ids(entry) == {"e-0"}
+    entry.replace_endpoints([listed_at(0, 2), listed_at(1, 3)], 9)
+    assert ids(entry) == {"e-0", "e-1"}
+
+
+def test_a_list_of_a_store_that_has_gone_back_applies() -> None:
+    entry = entry_with(listed_at(0, 2), endpoints_revision=20)
+    add(entry, listed_at(0, 22, leaving=True), 22)
+    elsewhere = listed_at(0, 2, address="127.0.0.1:99")
+    entry.replace_endpoints([elsewhere, listed_at(1, 3)], 10)
+    assert {row.id for row in entry.endpoints.accepting("work", None)} == {"e-0", "e-1"}
+
+
+@pytest.mark.parametrize("is_list", [True, False])
+def test_a_response_that_a_peers_view_has_overtaken_is_followed_by_a_call(
+    is_list: bool,
+) -> None:
+    """Guards against endpoints that are listed again by a slow response of the platform."""
+    entry, peer = entry_with(listed_at(0, 2), listed_at(1, 3)), entry_with(listed_at(0, 2))
+    feed = entry.feeds.endpoints
+    feed.called_at = clock.now()
+    peer.record_endpoints_revision(9)
+    eventlet.sleep(0.01)
+    entry.apply_view(relayed(peer), "peer")
+    assert ids(entry) == {"e-0"}
+    if is_list:
+        entry.replace_endpoints([listed_at(0, 2), listed_at(1, 3)], 8)
+    else:
+        entry.apply_endpoint(listed_at(1, 8))
+        entry.finish_endpoint_changes(8)
+    feed.record_response(clock.now())
+    feed.mark_caught_up()
+    assert not entry.may_skip_poll(feed)
+    assert entry._endpoint_sync.must_read_on
+    feed.called_at = clock.now()
+    feed.mark_caught_up()
+    assert not entry._endpoint_sync.must_read_on
+
+
 def test_the_grace_period_of_a_lapsed_endpoint_does_not_begin_anew_with_each_view() -> None:
     """Guards against a lapsed endpoint that entries keep while they exchange views."""
     first, second, third = (entry_with(record(0), record(1)) for _ in range(3))
