Don't let a refused watch make an entry's copy look new

A 410 counted as a response of the platform, so that the age in the entry's digests was new although the entry had just learnt that it lacked changes. Peers that leave the reading to it skipped their own calls on that word while its list was still to come.

Only a response that brings the copy up to date sets the age. The test fails on: the age begins anew with the 410 while the list is not answered.

--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -86,9 +86,9 @@
         calls: Calls since the start.
         failed_calls: Failed calls since the start.
         consecutive_failures: Failed calls in a row; 0 once the copy is up to date again.
-        last_response_at: Monotonic time of the last response, in seconds; ``None``
-            before the first. If the process stood still during the call, the earliest time
-            at which it can have arrived.
+        last_response_at: Monotonic time of the last response that brought the copy up to
+            date, in seconds; ``None`` before the first. If the process stood still during
+            the call, the earliest time at which it can have arrived.
         max_gap_s: Longest time between two responses in which no record of a running
             endpoint can have expired, in seconds.
         answered_since: Monotonic time of the first response since the last outage, in
@@ -117,13 +117,20 @@
     follows_outage: bool = False
     stalls: Stalls = field(default_factory=lambda: Stalls(clock.now))
 
-    def record_response(self, now: float) -> None:
-        """Record that a call was answered."""
+    def record_response(self, now: float, *, is_outdated: bool = False) -> None:
+        """Record that a call was answered.
+
+        Args:
+            now: Monotonic time, in seconds.
+            is_outdated: Whether the response only tells that the copy lacks changes. Peers
+                must not take its age for that of the copy.
+        """
         self.calls += 1
         self.follows_outage |= self._was_out(now)
         if self.follows_outage or self._was_idle(now):
             self.answered_since = now
-        self.last_response_at = self.stalls.arrival(self.called_at, now).at
+        if not is_outdated:
+            self.last_response_at = self.stalls.arrival(self.called_at, now).at
 
     def _was_out(self, now: float) -> bool:
         """Return whether calls failed for so long that it counts as an outage.
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -51,6 +51,7 @@
         page_items: Items in a page.
         max_watch_bytes: Longest response to a watch; longer ones are never sent.
         trickle_s: Pause after each piece of a response, in seconds; 0 sends it whole.
+        answers_lists: Whether lists are answered.
         is_muted: Whether watches hear nothing: they end without changes when their wait is
             over, and name the newest revision.
     """
@@ -63,6 +64,7 @@
         self.max_watch_bytes = sys.maxsize
         self.trickle_s = 0.0
         self.is_muted = False
+        self.answers_lists = True
         self.calls: list[str] = []
         self.revision = 0
         self._items: dict[str, dict[str, Any]] = {}
@@ -145,7 +147,8 @@
         stalls, cuts = self._stalls, self._cuts
         while (raw := conn.read_request()) is not None:
             self.calls.append(raw.target.decode())
-            if self.failure_mode == "silent":
+            is_ignored = "kv-range" in raw.target.decode() and not self.answers_lists
+            if self.failure_mode == "silent" or is_ignored:
                 eventlet.sleep(STALL_S)
             if self.failure_mode == "reset":
                 conn.abort()
--- a/tests/platform/test_unheard_changes.py
+++ b/tests/platform/test_unheard_changes.py
@@ -132,3 +132,20 @@
     assert not [call for call in store.calls if "kv-range" in call]
     # Two prefixes, each held for at least 0.48 of the deadline.
     assert len(store.calls) <= 2 * (3 / 0.48 + 1)
+
+
+def test_an_entry_that_knows_that_it_lacks_changes_does_not_seem_up_to_date(
+    store: StoreStandIn,
+) -> None:
+    """Guards against peers that skip their calls since a reader was refused a watch."""
+    entry = start_following_entry(store, APPLY_DEADLINE_S)
+    wait_until_watching(store)
+    feed = entry.feeds.endpoints
+    before = feed.last_response_at
+    store.delete("servers/i-1")
+    # The watches are refused, and the lists that follow are not answered.
+    store.compact_history()
+    store.answers_lists = False
+    eventlet.sleep(0.3)
+    assert feed.last_response_at == before
+    assert entry._make_digest().endpoints_age_s >= 0.3
