Soak: endpoints that leave beside a store that fails to say so

What has to hold is that an endpoint gets no work 2 s after the store's word, at an entry that had no such fault in the 3 s before. Configurations are rare, since any later change of the store has a watch refused and the list read anew, which hides the fault.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from .cluster import DEFAULT_ENTRIES
 from .entries import ROOT
+from .leaving_cluster import ENTRIES as LEAVING_ENTRIES
 from .out_of_step_cluster import ENTRIES
 from .profiles import PROFILES, Profile, ProfileName
 from .run import run_soak
@@ -21,10 +22,10 @@
 """Soaks that run at the same time: each has four busy processes."""
 
 DEFAULT_SECONDS = 10.0
-THEME_SECONDS = {Theme.OUT_OF_STEP: 8.0}
+THEME_SECONDS = {Theme.OUT_OF_STEP: 8.0, Theme.LEAVING: 16.0}
 """How long faults are injected, in seconds."""
 
-THEME_ENTRIES = {Theme.OUT_OF_STEP: ENTRIES}
+THEME_ENTRIES = {Theme.OUT_OF_STEP: ENTRIES, Theme.LEAVING: LEAVING_ENTRIES}
 
 
 @click.command()
@@ -96,6 +97,13 @@
     type=Theme,
     help="Entries that are cut off or stand still beside a release.",
 )
+@click.option(
+    "--leaving",
+    "theme",
+    flag_value=Theme.LEAVING,
+    type=Theme,
+    help="Endpoints that leave beside faults of the store.",
+)
 @click.option("--all", "theme", flag_value=Theme.ALL, type=Theme, help="All three.")
 @click.option(
     "--code",
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -132,6 +132,7 @@
 
     entry_type: ClassVar[type[EntryProcess]] = EntryProcess
     store_path_type: ClassVar[type[Proxy]] = Proxy
+    config_interval_s: ClassVar[tuple[float, float]] = CONFIG_INTERVAL_S
 
     def __init__(
         self,
@@ -310,7 +311,7 @@
     def _publish_configurations(self) -> None:
         """Publish configurations regularly, so that one follows soon after each fault."""
         while not self.callers.is_stopped:
-            eventlet.sleep(self.rng.uniform(*CONFIG_INTERVAL_S))
+            eventlet.sleep(self.rng.uniform(*self.config_interval_s))
             self.publish_configuration()
 
     def _record_stalls(self) -> None:
@@ -329,7 +330,7 @@
         """Start an endpoint and publish it."""
         self._workers_started += 1
         name = f"i-{self._workers_started}"
-        number = self._workers_started if self.theme.has_restarts else 0
+        number = self._workers_started if self.theme.has_halls else 0
         self._start_worker(
             Worker(
                 name,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,8 @@
 from .cluster import DEFAULT_ENTRIES, Cluster
 from .entries import ROOT, reserved_net
 from .faults import FAULTS, THEME_FAULTS, Fault
+from .leaving_cluster import LeavingCluster
+from .leaving_faults import LEAVING_FAULTS
 from .out_of_step_cluster import OutOfStepCluster
 from .out_of_step_faults import OUT_OF_STEP_FAULTS
 from .process_cluster import ProcessCluster
@@ -30,6 +32,7 @@
     Theme.PROCESSES: PROCESS_FAULTS,
     Theme.REJOINED: REJOINED_FAULTS,
     Theme.OUT_OF_STEP: OUT_OF_STEP_FAULTS,
+    Theme.LEAVING: LEAVING_FAULTS,
 }
 
 MAX_FAULT_INTERVALS_S = (0.8, 2.0, 5.0)
@@ -37,7 +40,10 @@
 faults overlap all the time; in others there are gaps in which invariants with a time limit
 apply."""
 
-THEME_FAULT_INTERVALS_S = {Theme.OUT_OF_STEP: (0.8, 1.6)}
+THEME_FAULT_INTERVALS_S = {
+    Theme.OUT_OF_STEP: (0.8, 1.6),
+    Theme.LEAVING: (2.0, 5.0, 9.0),
+}
 """The same where faults take effect together, or only once for each service."""
 
 FAULT_KIND_COUNTS = (2, 8)
@@ -111,6 +117,8 @@
             cluster = RejoinedCluster(seed, net, folder, entries)
         elif theme is Theme.OUT_OF_STEP:
             cluster = OutOfStepCluster(seed, net, folder, entries)
+        elif theme is Theme.LEAVING:
+            cluster = LeavingCluster(seed, net, folder, entries)
         elif theme.has_processes:
             cluster = ProcessCluster(seed, net, folder, entries)
         else:
--- a/tests/soak/theme.py
+++ b/tests/soak/theme.py
@@ -52,6 +52,11 @@
     the store, or stand still, while endpoints of another software version join; callers
     take streams up at just these entries."""
 
+    LEAVING = "leaving"
+    """Endpoints of two data halls leave, one by one and many at once, said and unsaid,
+    while the store's watches hear nothing, its history is gone or its responses are slow;
+    entries are killed, stopped, paused and cut off from it."""
+
     ALL = "all"
     """Restarts, crashing requests and notices at once."""
 
@@ -60,6 +65,11 @@
         """Whether endpoints are in two data halls and publish their start times."""
         return self in (Theme.RESTARTS, Theme.ALL)
 
+    @property
+    def has_halls(self) -> bool:
+        """Whether endpoints are in two data halls."""
+        return self.has_restarts or self is Theme.LEAVING
+
     @property
     def has_distinct_bodies(self) -> bool:
         """Whether most requests have distinct bodies, as in production."""
