--- a/tests/platform/test_unheard_changes.py
+++ b/tests/platform/test_unheard_changes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from dockreach.direct.entry import Entry
+from dockreach.direct.lapses import LAPSE_GRACE_S
 
 from .store_standin import StoreStandIn
 from .test_follower import config_record, server_record, start_following_entry, wait_until
@@ -122,6 +123,28 @@
     assert case.is_applied(entry)
 
 
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
+def test_a_change_that_no_watch_heard_before_an_outage_is_applied(
+    store: StoreStandIn, case: Case
+) -> None:
+    """Guards against a revision that counts as complete since it was named long ago."""
+    entry = start_following_entry(store, APPLY_DEADLINE_S)
+    wait_until_watching(store)
+    store.is_muted = True
+    case.change(store)
+    store.end_waits()
+    eventlet.sleep(0.3)
+    store.failure_mode = 503
+    store.end_watches()
+    store.is_muted = False
+    eventlet.sleep(2.5 * APPLY_DEADLINE_S)
+    store.failure_mode = ""
+    # An endpoint whose record is gone after an outage is kept for a while.
+    eventlet.sleep(APPLY_DEADLINE_S + LAPSE_GRACE_S)
+    entry.expire_lapsed_endpoints()
+    assert case.is_applied(entry)
+
+
 def test_a_quiet_store_is_not_listed_again_and_is_watched_as_often(
     store: StoreStandIn,
 ) -> None:
