--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from .leaving_cluster import ENTRIES as LEAVING_ENTRIES
 from .out_of_step_cluster import ENTRIES
 from .run import run_soak
 from .theme import Theme
@@ -14,6 +15,7 @@
 LONG_S = 10.0
 PROCESSES_S = 8.0
 OUT_OF_STEP_S = 8.0
+LEAVING_S = 16.0
 
 
 @pytest.mark.parametrize(
@@ -90,6 +92,18 @@
     assert result.served > 100
 
 
+# With these seeds endpoints that had left got requests for the rest of the run.
+@pytest.mark.parametrize("seed", [1, 3])
+def test_invariants_hold_while_endpoints_leave_and_the_store_does_not_say_so(
+    tmp_path: Path, seed: int
+) -> None:
+    result = run_soak(
+        seed, LEAVING_S, tmp_path, entries=LEAVING_ENTRIES, theme=Theme.LEAVING
+    )
+    assert result.violations == [], "\n".join([*result.faults, *result.logs])
+    assert result.served > 100
+
+
 @pytest.mark.parametrize("seed", [11, 13])
 def test_invariants_hold_while_requests_exceed_the_slots(tmp_path: Path, seed: int) -> None:
     result = run_soak(seed, LONG_S, tmp_path, theme=Theme.OVERLOAD)
