Name the merging of records in plain terms

No change of behaviour: still_leaves is inherits_leaving, must_read_on needs_another_read, and the tests of older words are of older records.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -301,7 +301,7 @@
     Edit(
         "a delayed write does not let a leaving endpoint serve again",
         "direct/endpoints.py",
-        "    if is_told and published.still_leaves(known):\n",
+        "    if is_comparable and published.inherits_leaving(known):\n",
         "    if False:\n",
     ),
     Edit(
--- a/dockreach/direct/endpoint_sync.py
+++ b/dockreach/direct/endpoint_sync.py
@@ -321,7 +321,7 @@
             self._overtaken_at = self._relayed_at
 
     @property
-    def must_read_on(self) -> bool:
+    def needs_another_read(self) -> bool:
         """Whether older records were applied after a peer's view, which may undo a part."""
         return self._overtaken_at > self._feed.complete_at
 
--- a/dockreach/direct/endpoints.py
+++ b/dockreach/direct/endpoints.py
@@ -102,11 +102,11 @@
             return self.sequence < known.sequence
         return 0 < self.revision < known.revision
 
-    def still_leaves(self, known: Published) -> bool:
-        """Return whether it leaves by an earlier record, whatever this one says.
+    def inherits_leaving(self, known: Published) -> bool:
+        """Return whether an earlier record says that the same process is leaving.
 
-        A write that was delayed may follow the one that said so. A process that leaves does
-        not register anew as staying.
+        A write that was delayed may follow that record. A process that leaves does not
+        register anew as staying.
         """
         if not known.leaving or self.born != known.born:
             return False
@@ -439,10 +439,10 @@
     return msgspec.structs.replace(sample, percent=percent)
 
 
-def _with_earlier_word(
+def _merged_with_known(
     published: Published, known: Published, listed: EndpointRow | None
 ) -> Published:
-    """Return a record with what an earlier one says of the same incarnation.
+    """Return a record with what is known from an earlier one of the same process.
 
     Args:
         published: The record.
@@ -457,8 +457,8 @@
             revision=known.revision,
             registered_revision=known.registered_revision,
         )
-    is_told = listed or published.born or published.registered_revision
-    if is_told and published.still_leaves(known):
+    is_comparable = listed or published.born or published.registered_revision
+    if is_comparable and published.inherits_leaving(known):
         return replace(published, leaving=True)
     return published
 
@@ -505,7 +505,7 @@
         if known is not None:
             if published.is_older_than(known.published):
                 return PublishResult.STALE
-            published = _with_earlier_word(published, known.published, listed)
+            published = _merged_with_known(published, known.published, listed)
         if listed is not None:
             # It may have served at this version until now, even if nobody looked.
             self._record_version(listed.published, now)
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -575,7 +575,9 @@
             feed: The part of the published state that would be polled.
         """
         sync = self._endpoint_sync
-        if feed is self.feeds.endpoints and (sync.must_check_lapses or sync.must_read_on):
+        if feed is self.feeds.endpoints and (
+            sync.must_check_lapses or sync.needs_another_read
+        ):
             return False
         known = self._known_revisions()
         if feed is self.feeds.configuration:
--- a/tests/direct/test_endpoint_sync.py
+++ b/tests/direct/test_endpoint_sync.py
@@ -157,10 +157,10 @@
     feed.record_response(clock.now())
     feed.mark_caught_up()
     assert not entry.may_skip_poll(feed)
-    assert entry._endpoint_sync.must_read_on
+    assert entry._endpoint_sync.needs_another_read
     feed.called_at = clock.now()
     feed.mark_caught_up()
-    assert not entry._endpoint_sync.must_read_on
+    assert not entry._endpoint_sync.needs_another_read
 
 
 def test_the_grace_period_of_a_lapsed_endpoint_does_not_begin_anew_with_each_view() -> None:
--- a/tests/direct/test_endpoints.py
+++ b/tests/direct/test_endpoints.py
@@ -140,22 +140,22 @@
     assert serves(table)
 
 
-WORDS = st.lists(
-    st.tuples(st.integers(1, 9), st.booleans()), max_size=12, unique_by=lambda word: word[0]
+RECORDS = st.lists(
+    st.tuples(st.integers(1, 9), st.booleans()), max_size=12, unique_by=lambda row: row[0]
 )
 
 
-@given(WORDS)
-def test_words_of_one_process_have_the_same_result_in_any_order(
-    words: list[tuple[int, bool]],
+@given(RECORDS)
+def test_records_of_one_process_have_the_same_result_in_any_order(
+    records: list[tuple[int, bool]],
 ) -> None:
-    """What was once heard of its leaving holds; an older word changes nothing."""
+    """Once it was said to be leaving, that holds; an older record changes nothing."""
     table, heard_leaving = EndpointTable(), False
-    for revision, leaving in words:
-        word = replace(RECORD, leaving=leaving, revision=revision, registered_revision=1)
-        result = table.publish(word)
+    for revision, leaving in records:
+        record = replace(RECORD, leaving=leaving, revision=revision, registered_revision=1)
+        result = table.publish(record)
         heard_leaving |= leaving and result is not PublishResult.STALE
         assert serves(table) is not heard_leaving
     row = table.get("e-0")
-    newest = max((revision for revision, _ in words), default=None)
+    newest = max((revision for revision, _ in records), default=None)
     assert (row.published.revision if row is not None else None) == newest
--- a/tests/platform/test_older_words.py
+++ b/tests/platform/test_older_records.py
@@ -1,4 +1,4 @@
-"""Older words on an endpoint that leaves or has gone, from peers and from the store."""
+"""Older records of an endpoint that leaves or has gone, from peers and from the store."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_unheard_changes.py
+++ b/tests/platform/test_unheard_changes.py
@@ -99,6 +99,14 @@
     wait_until(lambda: is_watched("servers") and is_watched("op"))
 
 
+def change_unheard(store: StoreStandIn, case: Case) -> None:
+    """Make a change; the watches end without it, and with its revision."""
+    wait_until_watching(store)
+    store.is_muted = True
+    case.change(store)
+    store.end_waits()
+
+
 def hear_again(store: StoreStandIn) -> None:
     store.is_muted = False
 
@@ -111,11 +119,7 @@
 ) -> None:
     """Guards against requests to an endpoint that left, until its next record."""
     entry = start_following_entry(store, APPLY_DEADLINE_S)
-    wait_until_watching(store)
-    store.is_muted = True
-    case.change(store)
-    # The watches are answered without changes, and with the revision of the change.
-    store.end_waits()
+    change_unheard(store, case)
     eventlet.sleep(gap_s)
     assert not case.is_applied(entry)
     end(store)
@@ -129,10 +133,7 @@
 ) -> None:
     """Guards against a revision that counts as complete since it was named long ago."""
     entry = start_following_entry(store, APPLY_DEADLINE_S)
-    wait_until_watching(store)
-    store.is_muted = True
-    case.change(store)
-    store.end_waits()
+    change_unheard(store, case)
     eventlet.sleep(0.3)
     store.failure_mode = 503
     store.end_watches()
