--- a/tests/soak/leaving_faults.py
+++ b/tests/soak/leaving_faults.py
@@ -32,7 +32,7 @@
 """How many endpoints leave one after the other."""
 
 SERIES_INTERVAL_S = 0.4
-STILL_S = (0.2, 0.6)
+SILENCE_S = (0.2, 0.6)
 TRICKLE_S = (0.02, 0.06)
 """Pause after each tenth of a response of the store, in seconds."""
 
@@ -88,10 +88,10 @@
     cluster.store.trickle_s = 0.0
 
 
-def _still_worker(cluster: LeavingCluster) -> None:
-    """Let an endpoint stand still for a moment."""
+def _silence_worker(cluster: LeavingCluster) -> None:
+    """Let an endpoint send nothing for a moment."""
     worker = cluster.workers[_worker_name(cluster)]
-    for_s = cluster.rng.uniform(*STILL_S)
+    for_s = cluster.rng.uniform(*SILENCE_S)
     cluster.record_disruption("", for_s + AFTERMATH_S, is_engine_fault=True)
     worker.proxy.set_fault(LinkFault.SILENT)
     eventlet.sleep(for_s)
@@ -113,6 +113,6 @@
     _kill,
     _stop,
     _pause,
-    _still_worker,
+    _silence_worker,
 )
 """Faults beside which endpoints leave."""
