--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -568,13 +568,17 @@
 ) -> int:
     """Play a case; return the exit status of its script."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    task = asyncio.current_task()
+    if task is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     record = Record(folder)
     record.line(f"trouble: {has_trouble}")
     with tempfile.TemporaryDirectory(prefix="review-") as scratch:
         try:
             async with asyncio.timeout(limit_s):
                 is_broken = await case(Path(scratch), record, has_trouble)
-        except (CannotRunError, TimeoutError, OSError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            # Only a case that was played to its end tells whether the rule was broken.
             record.line(f"could not run: {exc!r}")
             print(f"could not run: {exc!r}")
             return 2
