--- a/review/draft-herd/case.py
+++ b/review/trials-2/herd.py
@@ -1,4 +1,4 @@
-"""QUOTA where all entries are killed more than once in a window: see claim.txt."""
+"""QUOTA where all entries are killed more than once in a window: see herd.txt."""
 
 from __future__ import annotations
 
--- a/review/draft-twice/case.py
+++ b/review/trials-2/twice.py
@@ -1,4 +1,4 @@
-"""TWICE where a stream goes on elsewhere, and its first worker works on: see claim.txt."""
+"""TWICE where a stream goes on elsewhere, and its first worker works on: see twice.txt."""
 
 from __future__ import annotations
 
