--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,8 @@
-"""QUOTA: two entries start while all three seeds are lost; each uses a whole limit."""
+"""DRAIN: workers that left are kept after connections to the store fell silent."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import random
 import sys
@@ -21,32 +20,49 @@
     Worker,
     ask,
     main,
-    message,
     now,
     request_id,
 )
 
-RATE = 20_224
-BURST = 22_812
-"""`rate_per_s` and `burst` of the tenant in the example of `fleetbench wire`."""
+ZONES = ("bilbao-a", "vitoria-b", "santander-c")
+PER_S = 20.0
+"""Requests a second to each entry."""
 
-USUAL_PER_S = RATE / 1.8
-"""Tokens a second that the tenant usually sends."""
+CONTACT_S = BOUNDS["contact_ms"] / 1000
+DRAIN_S = BOUNDS["drain_timeout_ms"] / 1000
+MARGIN_S = 0.05
+"""A request counts only if it is this much later than the rule allows."""
 
-HOT = 7.5
-"""How many times its usual the tenant sends (`hot_tenant`)."""
+LEAVES_AFTER_S = 0.5
+"""When the workers leave, after the connections have fallen silent."""
 
-PROMPT, OUTPUT = 2_890, 110
-HOT_S = 11.0
-LIMIT = (RATE * BOUNDS["quota_window_s"] + BURST) * (1 + BOUNDS["quota_over"]) + BOUNDS[
-    "quota_slack"
-]
+STARTS_BEFORE_S = 0.35
+"""When the workers that replace them start, before that."""
 
+ROUNDS = 3
+"""How often that happens; each time, one worker of each zone is replaced."""
 
-class Engine(Worker):
-    """A model worker: streams 17 events, as appeal drafts have."""
+ROUND_S = 13.0
+"""Time between two rounds: by then the workers of the last one have ended."""
 
-    async def run(
+SERVES_ON_S = 8.0
+"""How long a worker serves on after its entry has gone."""
+
+
+class StallingStore(Store):
+    """A store whose open connections can fall silent, while new ones work."""
+
+    def __init__(self, ip: str, record: Record) -> None:
+        super().__init__(ip, record)
+        self._open: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    def silence_open_connections(self) -> None:
+        """Send nothing more on the connections that are open now, and read nothing."""
+        self._silent |= self._open
+        self.record.line(f"{len(self._open)} open connections to the store are silent")
+
+    async def answer(
         self,
         method: str,
         target: str,
@@ -54,24 +70,36 @@
         body: bytes,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        """Send the events of a stream."""
-        rid = headers["request-id"]
-        fields = [
-            ("Request-Id", rid),
-            ("Response-Seal", f"seal.{self.id}.{rid}"),
-            ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
-        ]
-        await asyncio.sleep(0.1)
-        writer.write(message("HTTP/1.1 200 OK", fields))
-        for number in range(1, 18):
-            event = f"id: {number}\ndata: {rid}-{number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(0.007)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
+        """Answer a read of the store, unless its connection is silent."""
+        self._open.add(writer)
+        try:
+            return await super().answer(method, target, headers, body, _Gate(self, writer))
+        finally:
+            if writer.is_closing():
+                self._open.discard(writer)
+
+    def is_silent(self, writer: asyncio.StreamWriter) -> bool:
+        """Return whether a connection is silent."""
+        return writer in self._silent
+
+
+class _Gate:
+    """Writes to a connection, unless it is silent."""
+
+    def __init__(self, store: StallingStore, writer: asyncio.StreamWriter) -> None:
+        self._store = store
+        self._writer = writer
+
+    def write(self, data: bytes) -> None:
+        """Write bytes."""
+        if not self._store.is_silent(self._writer):
+            self._writer.write(data)
+
+    async def drain(self) -> None:
+        """Wait until they are sent; for good on a silent connection."""
+        while self._store.is_silent(self._writer):
+            await asyncio.sleep(3600)
+        await self._writer.drain()
 
 
 def config() -> dict[str, object]:
@@ -80,29 +108,25 @@
         "version": 7,
         "routes": [
             {
-                "name": "r-drafts",
-                "host": "drafts.example",
-                "path_prefix": "/drafts/",
-                "type": "streaming",
-                "timeout_ms": 8000,
-                "target_latency_ms": 1000,
-                "priority": 0,
-                "service": "redactor",
-                "max_attempts": 1,
+                "name": "r-notices",
+                "host": "notices.example",
+                "path_prefix": "/notices/",
+                "type": "safe",
+                "timeout_ms": 1000,
+                "target_latency_ms": 200,
+                "priority": 2,
+                "service": "registro",
+                "max_attempts": 2,
                 "public": False,
-                "session_affinity": True,
-                "resumable": False,
-                "gap_aim_ms": 400,
             }
         ],
         "services": [
             {
-                "name": "redactor",
+                "name": "registro",
                 "health_path": "/health",
-                "max_connections": 630,
+                "max_connections": 110,
                 "protocol": "h1",
                 "tls": False,
-                "engine": {"slots": 5, "kv_tokens": 185027, "stride": 3},
             }
         ],
         "limits": {
@@ -111,150 +135,126 @@
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": [
-            {
-                "name": "tenant-a",
-                "api_keys": ["key-a"],
-                "unit": "tokens",
-                "plain_tokens": 200,
-                "rate_per_s": RATE,
-                "burst": BURST,
-            }
-        ],
+        "tenants": [],
     }
 
 
-class Requesters:
-    """Requesters of the tenant; each sends on a new connection to an entry that is in."""
+async def send(entry: Entry, record: Record, seconds: float) -> None:
+    """Send requests to an entry at a rate, each on a new connection."""
+    tasks, end, at = set(), now() + seconds, now()
 
-    def __init__(self, entries: list[Entry], record: Record) -> None:
-        self._entries = entries
-        self._record = record
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._numbers = itertools.count(1)
-        self.inside: list[Entry] = []
-        self.sent_at: dict[str, float] = {}
-        self.statuses: dict[int, int] = {}
-
-    async def watch_entries(self) -> None:
-        """Ask every second which entries are ready, as the platform does."""
-        while True:
-            ready = [await entry.is_ready() for entry in self._entries]
-            self.inside = [
-                entry for entry, is_in in zip(self._entries, ready, strict=True) if is_in
-            ]
-            await asyncio.sleep(1.0)
-
-    async def send(self, seconds: float, tokens_per_s: float) -> None:
-        """Send requests at a rate."""
-        end, at = now() + seconds, now()
-        while at < end:
-            at += random.expovariate(tokens_per_s / (PROMPT + OUTPUT))
-            await asyncio.sleep(max(at - now(), 0.0))
-            if self.inside:
-                task = asyncio.create_task(self._ask(random.choice(self.inside)))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-
-    async def _ask(self, entry: Entry) -> None:
-        rid, number = request_id(), next(self._numbers)
-        self.sent_at[rid] = now()
+    async def one() -> None:
+        rid = request_id()
         fields = [
-            ("Host", "drafts.example"),
+            ("Host", "notices.example"),
             ("Request-Id", rid),
-            ("Model-Name", "m"),
-            ("Token-Counts", f"{PROMPT},{OUTPUT}"),
-            ("Prompt-Prefix-Hash", f"5c1e07a2:60,{rid[:8]}:{PROMPT - 60}"),
-            ("Request-Deadline-Ms", "8000"),
-            ("X-Api-Key", "key-a"),
+            ("Request-Deadline-Ms", "1000"),
         ]
-        self._record.line(f"requester sends {rid} to {entry.name}")
-        found = await ask(
-            entry.front, "POST", f"/drafts/{number}", fields, b"p" * 18_000, timeout_s=9.0
-        )
-        self.statuses[found.status] = self.statuses.get(found.status, 0) + 1
-        self._record.line(f"requester gets {found.status} {found.problem} for {rid}")
-
-    async def finish(self) -> None:
-        """Wait for all answers."""
-        if self._tasks:
-            await asyncio.wait(self._tasks)
-
-
-def worst_window(
-    arrivals: list[tuple[float, str]], sent_at: dict[str, float]
-) -> tuple[float, int]:
-    """Return the window with most tokens of requests sent and run in it."""
-    window_s = BOUNDS["quota_window_s"]
-    worst, worst_at = 0, 0.0
-    for begin in sent_at.values():
-        runs = {
-            rid for at, rid in arrivals if begin <= sent_at[rid] and at <= begin + window_s
-        }
-        tokens = len(runs) * (PROMPT + OUTPUT)
-        if tokens > worst:
-            worst, worst_at = tokens, begin
-    return worst_at, worst
+        record.line(f"requester sends {rid} to {entry.name}")
+        found = await ask(entry.front, "GET", "/notices/1", fields, timeout_s=1.5)
+        record.line(f"requester gets {found.status} {found.problem} for {rid}")
+
+    while at < end:
+        at += random.expovariate(PER_S)
+        await asyncio.sleep(max(at - now(), 0.0))
+        task = asyncio.create_task(one())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    if tasks:
+        await asyncio.wait(tasks)
+
+
+class Fleet:
+    """Starts workers, each at an address of its own."""
+
+    def __init__(self, net: Net, store: Store, record: Record) -> None:
+        self._net = net
+        self._store = store
+        self._record = record
+        self._numbers = itertools.count()
+
+    async def add(self, zone: str) -> Worker:
+        """Start a worker, which writes itself into the store."""
+        number = next(self._numbers)
+        ip = self._net.ip(100 + number)
+        worker = Worker(ip, f"worker-{zone}-{number}", self._record)
+        worker.slots = 6
+        await worker.start()
+        self._store.put(f"servers/{worker.id}", worker.beat("registro", zone))
+        return worker
 
 
 async def case(folder: Path, record: Record, has_trouble: bool) -> bool:
     """Play the case; return whether the rule was broken."""
     net = Net()
-    store = Store(net.ip(1), record)
+    store = StallingStore(net.ip(1), record)
     await store.start()
-    engines = [
-        Engine(net.ip(100 + number), f"engine-{number}", record) for number in range(5)
-    ]
-    for engine in engines:
-        await engine.start()
-        store.put(f"servers/{engine.id}", engine.beat("redactor", "bilbao-a"))
+    fleet = Fleet(net, store, record)
+    workers = [await fleet.add(zone) for zone in ZONES * 2]
     store.put("op/config", config())
-    zones = ("bilbao-a", "bilbao-a", "vitoria-b", "vitoria-b", "santander-c")
     seeds = [f"{net.ip(10 + number)}:8229" for number in range(3)]
     entries = [
         Entry(folder, net, number, store, record, seeds=seeds, zone=zone)
-        for number, zone in enumerate(zones)
+        for number, zone in enumerate(ZONES)
     ]
-    requesters = Requesters(entries, record)
-    watcher = None
+    late: list[str] = []
     try:
         for entry in entries:
             await entry.start(bootstrap=True)
         for entry in entries:
             await entry.wait_until_ready()
-        watcher = asyncio.create_task(requesters.watch_entries())
-        await asyncio.sleep(1.0)
-        await requesters.send(12.0, USUAL_PER_S)
-        if has_trouble:
-            record.line("all entries are killed; the three seeds do not come back")
-            await asyncio.gather(*(entry.kill() for entry in entries))
-            await asyncio.sleep(1.0)
-            for entry in entries[3:]:
-                await entry.start(bootstrap=False)
-            for entry in entries[3:]:
-                await entry.wait_until_ready()
-        await requesters.send(12.0, USUAL_PER_S)
-        record.line(f"the tenant sends {HOT} times its usual")
-        await requesters.send(HOT_S, USUAL_PER_S * HOT)
-        await requesters.send(4.0, USUAL_PER_S)
-        await requesters.finish()
+        await asyncio.sleep(6.0)
+        seconds = ROUNDS * (ROUND_S + 1.0)
+        load = [asyncio.create_task(send(entry, record, seconds)) for entry in entries]
+        for number in range(ROUNDS):
+            await asyncio.sleep(3.0 + random.random())
+            leaving = workers[number * len(ZONES) : (number + 1) * len(ZONES)]
+            workers += [await fleet.add(zone) for zone in ZONES]
+            await asyncio.sleep(STARTS_BEFORE_S)
+            late += await leave(store, leaving, record, has_trouble=has_trouble)
+            await asyncio.sleep(ROUND_S - SERVES_ON_S - 4.0)
+        await asyncio.gather(*load)
     finally:
-        if watcher is not None:
-            watcher.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await watcher
         for entry in entries:
             await entry.kill()
-    arrivals = [(at, rid) for engine in engines for at, rid, _ in engine.arrivals]
-    at, tokens = worst_window(arrivals, requesters.sent_at)
-    record.line(f"answers by status: {requesters.statuses}")
     text = (
-        f"QUOTA: at most {tokens} tokens were run in a window of 8 s (from {at:.1f} s); "
-        f"the rule allows {LIMIT:.0f}"
+        f"DRAIN: {len(late)} requests reached workers more than {DRAIN_S} s after they "
+        f"had left, with all machines in touch for {CONTACT_S} s"
     )
     record.line(text)
     print(text)
-    return tokens > LIMIT
+    return bool(late)
+
+
+async def leave(
+    store: StallingStore, leaving: list[Worker], record: Record, *, has_trouble: bool
+) -> list[str]:
+    """Let workers leave just after the open connections have fallen silent.
+
+    Returns:
+        The requests that reached one of them later than the rule allows.
+    """
+    silent_at = now()
+    if has_trouble:
+        store.silence_open_connections()
+    await asyncio.sleep(LEAVES_AFTER_S)
+    left_at = now()
+    for worker in leaving:
+        store.delete(f"servers/{worker.id}")
+    await asyncio.sleep(SERVES_ON_S)
+    in_touch_at = silent_at + CONTACT_S if has_trouble else 0.0
+    allowed_until = max(left_at + DRAIN_S, in_touch_at) + MARGIN_S
+    late = []
+    for worker in leaving:
+        await worker.stop()
+        for at, rid, _ in worker.arrivals:
+            if at > allowed_until:
+                late.append(rid)
+                record.line(
+                    f"late: {rid} reached {worker.name} at {at:.3f}; it had left at "
+                    f"{left_at:.3f}, and all were in touch from {in_touch_at:.3f}"
+                )
+    return late
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,19 +1,17 @@
-"""DRAIN: workers that left are kept after connections to the store fell silent."""
+"""CONFIG: in a storm of changes of a large configuration, dropped keys still run."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
-import random
+import contextlib
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig-2"))
 
 from rig import (  # noqa: E402
-    BOUNDS,
     Entry,
-    Headers,
     Net,
     Record,
     Store,
@@ -24,107 +22,125 @@
     request_id,
 )
 
-ZONES = ("bilbao-a", "vitoria-b", "santander-c")
-PER_S = 20.0
-"""Requests a second to each entry."""
+LINK_MBPS = 10.0
+"""`link_mbps` of most front machines of `remar-rs-grown`."""
 
-CONTACT_S = BOUNDS["contact_ms"] / 1000
-DRAIN_S = BOUNDS["drain_timeout_ms"] / 1000
-MARGIN_S = 0.05
-"""A request counts only if it is this much later than the rule allows."""
+BIG_CONFIG = 1400
+"""Routes that `big_config` adds there."""
 
-LEAVES_AFTER_S = 0.5
-"""When the workers leave, after the connections have fallen silent."""
+STORM_S, GAP_S = 3.99, 0.177
+"""`for_s` and `gap_s` of a `config_storm` there."""
 
-STARTS_BEFORE_S = 0.35
-"""When the workers that replace them start, before that."""
+CHANGES = int(STORM_S / GAP_S)
 
-ROUNDS = 3
-"""How often that happens; each time, one worker of each zone is replaced."""
+BOUNDS: dict[str, Any] = {
+    "contact_ms": 4000,
+    "ack_ms": 6000,
+    "sync_s": 6,
+    "drain_timeout_ms": 3000,
+    "config_apply_ms": 3000,
+    "revoke_ms": 5000,
+    "max_skew_ms": 6000,
+    "retry_burst": 98,
+    "recover_s": 15,
+    "pass_ms": 200,
+    "again_s": 8.3,
+}
+"""The bounds of `remar-rs-grown` (grown/LATER.md) that differ from those of the rig."""
 
-ROUND_S = 13.0
-"""Time between two rounds: by then the workers of the last one have ended."""
+APPLY_S = max(BOUNDS["config_apply_ms"], BOUNDS["revoke_ms"]) / 1000
+"""The rule names `config_apply_ms`; keys are given the longer `revoke_ms` here."""
 
-SERVES_ON_S = 8.0
-"""How long a worker serves on after its entry has gone."""
+MARGIN_S = 0.1
+"""A request counts only if it was sent this much later than the rule allows."""
 
+ASK_EVERY_S = 0.25
+ASK_FOR_S = 12.0
 
-class StallingStore(Store):
-    """A store whose open connections can fall silent, while new ones work."""
 
-    def __init__(self, ip: str, record: Record) -> None:
-        super().__init__(ip, record)
-        self._open: set[asyncio.StreamWriter] = set()
-        self._silent: set[asyncio.StreamWriter] = set()
+class Link:
+    """The link of one machine: carries what the store sends at the link's rate."""
 
-    def silence_open_connections(self) -> None:
-        """Send nothing more on the connections that are open now, and read nothing."""
-        self._silent |= self._open
-        self.record.line(f"{len(self._open)} open connections to the store are silent")
-
-    async def answer(
-        self,
-        method: str,
-        target: str,
-        headers: Headers,
-        body: bytes,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Answer a read of the store, unless its connection is silent."""
-        self._open.add(writer)
+    def __init__(self, ip: str, store: Store) -> None:
+        self.ip = ip
+        self.port = 0
+        self._store = store
+        self._free_at = 0.0
+
+    @property
+    def address(self) -> str:
+        """IP address and port."""
+        return f"{self.ip}:{self.port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        server = await asyncio.start_server(self._carry, self.ip, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        up_reader, up_writer = await asyncio.open_connection(
+            self._store.ip, self._store.port
+        )
+        sending = asyncio.create_task(self._copy(reader, up_writer, mbps=None))
         try:
-            return await super().answer(method, target, headers, body, _Gate(self, writer))
+            await self._copy(up_reader, writer, mbps=LINK_MBPS)
         finally:
-            if writer.is_closing():
-                self._open.discard(writer)
-
-    def is_silent(self, writer: asyncio.StreamWriter) -> bool:
-        """Return whether a connection is silent."""
-        return writer in self._silent
+            sending.cancel()
+            for item in (writer, up_writer):
+                item.close()
 
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        mbps: float | None,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(4096):
+                if mbps is not None:
+                    self._free_at = max(self._free_at, now()) + len(data) * 8e-6 / mbps
+                    await asyncio.sleep(max(self._free_at - now(), 0.0))
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+
+
+def route(name: str, prefix: str) -> dict[str, object]:
+    """Return a route."""
+    return {
+        "name": name,
+        "host": "stations.example",
+        "path_prefix": prefix,
+        "type": "unsafe",
+        "timeout_ms": 4000,
+        "target_latency_ms": 415,
+        "priority": 2,
+        "service": "estacoes-api",
+        "max_attempts": 1,
+        "public": False,
+    }
 
-class _Gate:
-    """Writes to a connection, unless it is silent."""
-
-    def __init__(self, store: StallingStore, writer: asyncio.StreamWriter) -> None:
-        self._store = store
-        self._writer = writer
-
-    def write(self, data: bytes) -> None:
-        """Write bytes."""
-        if not self._store.is_silent(self._writer):
-            self._writer.write(data)
 
-    async def drain(self) -> None:
-        """Wait until they are sent; for good on a silent connection."""
-        while self._store.is_silent(self._writer):
-            await asyncio.sleep(3600)
-        await self._writer.drain()
+def key(number: int) -> str:
+    """Return a key of the tenant."""
+    return f"key-{number:04}"
 
 
-def config() -> dict[str, object]:
-    """Return the operator's configuration."""
+def config(version: int, dropped: int) -> dict[str, object]:
+    """Return a configuration, with one key less for each change of the storm."""
+    routes = [route("r-calib", "/calib/")]
+    routes += [route(f"r-big-{number}", f"/big-{number}/") for number in range(BIG_CONFIG)]
     return {
-        "version": 7,
-        "routes": [
-            {
-                "name": "r-notices",
-                "host": "notices.example",
-                "path_prefix": "/notices/",
-                "type": "safe",
-                "timeout_ms": 1000,
-                "target_latency_ms": 200,
-                "priority": 2,
-                "service": "registro",
-                "max_attempts": 2,
-                "public": False,
-            }
-        ],
+        "version": version,
+        "routes": routes,
         "services": [
             {
-                "name": "registro",
+                "name": "estacoes-api",
                 "health_path": "/health",
-                "max_connections": 110,
+                "max_connections": 230,
                 "protocol": "h1",
                 "tls": False,
             }
@@ -135,126 +151,112 @@
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": [],
+        "tenants": [
+            {
+                "name": "lab",
+                "api_keys": [key(number) for number in range(dropped, CHANGES + 1)],
+                "unit": "tokens",
+                "plain_tokens": 200,
+                "rate_per_s": 0,
+                "burst": 0,
+            }
+        ],
     }
 
 
-async def send(entry: Entry, record: Record, seconds: float) -> None:
-    """Send requests to an entry at a rate, each on a new connection."""
-    tasks, end, at = set(), now() + seconds, now()
+async def probe(entry: Entry, record: Record, number: int, acked_at: float) -> list[str]:
+    """Send requests with a dropped key, from when it may not be used any more.
 
-    async def one() -> None:
-        rid = request_id()
+    Returns:
+        Their ids.
+    """
+    sent = []
+    await asyncio.sleep(max(acked_at + APPLY_S + MARGIN_S - now(), 0.0))
+    while now() < acked_at + APPLY_S + ASK_FOR_S:
+        rid, sent_at = request_id(), now()
         fields = [
-            ("Host", "notices.example"),
+            ("Host", "stations.example"),
             ("Request-Id", rid),
-            ("Request-Deadline-Ms", "1000"),
+            ("Request-Deadline-Ms", "4000"),
+            ("X-Api-Key", key(number)),
         ]
-        record.line(f"requester sends {rid} to {entry.name}")
-        found = await ask(entry.front, "GET", "/notices/1", fields, timeout_s=1.5)
-        record.line(f"requester gets {found.status} {found.problem} for {rid}")
-
-    while at < end:
-        at += random.expovariate(PER_S)
-        await asyncio.sleep(max(at - now(), 0.0))
-        task = asyncio.create_task(one())
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-    if tasks:
-        await asyncio.wait(tasks)
-
-
-class Fleet:
-    """Starts workers, each at an address of its own."""
-
-    def __init__(self, net: Net, store: Store, record: Record) -> None:
-        self._net = net
-        self._store = store
-        self._record = record
-        self._numbers = itertools.count()
-
-    async def add(self, zone: str) -> Worker:
-        """Start a worker, which writes itself into the store."""
-        number = next(self._numbers)
-        ip = self._net.ip(100 + number)
-        worker = Worker(ip, f"worker-{zone}-{number}", self._record)
-        worker.slots = 6
-        await worker.start()
-        self._store.put(f"servers/{worker.id}", worker.beat("registro", zone))
-        return worker
+        sent.append(rid)
+        found = await ask(entry.front, "POST", "/calib/1", fields, b"note", timeout_s=4.5)
+        record.line(
+            f"{entry.name} answers {found.status} {found.problem} to {rid} with "
+            f"{key(number)}, sent {sent_at - acked_at:.2f} s after the ack that dropped it"
+        )
+        await asyncio.sleep(ASK_EVERY_S)
+    return sent
 
 
 async def case(folder: Path, record: Record, has_trouble: bool) -> bool:
     """Play the case; return whether the rule was broken."""
     net = Net()
-    store = StallingStore(net.ip(1), record)
+    store = Store(net.ip(1), record)
     await store.start()
-    fleet = Fleet(net, store, record)
-    workers = [await fleet.add(zone) for zone in ZONES * 2]
-    store.put("op/config", config())
-    seeds = [f"{net.ip(10 + number)}:8229" for number in range(3)]
-    entries = [
-        Entry(folder, net, number, store, record, seeds=seeds, zone=zone)
-        for number, zone in enumerate(ZONES)
-    ]
-    late: list[str] = []
+    zones = ("poa-centro", "caxias-serra")
+    workers = []
+    for number, zone in enumerate(zones):
+        worker = Worker(net.ip(100 + number), f"worker-{zone}", record)
+        worker.slots = 6
+        await worker.start()
+        store.put(f"servers/{worker.id}", worker.beat("estacoes-api", zone))
+        workers.append(worker)
+    store.put("op/config", config(1, 0))
+    links = [Link(net.ip(50 + number), store) for number in range(2)]
+    seeds = [f"{net.ip(10 + number)}:8229" for number in range(2)]
+    entries = []
+    for number, zone in enumerate(zones):
+        await links[number].start()
+        entries.append(
+            Entry(
+                folder,
+                net,
+                number,
+                links[number],
+                record,
+                seeds=seeds,
+                zone=zone,
+                zones=zones,
+                bounds=BOUNDS,
+                memory_mb=200,
+            )
+        )
     try:
         for entry in entries:
             await entry.start(bootstrap=True)
         for entry in entries:
             await entry.wait_until_ready()
-        await asyncio.sleep(6.0)
-        seconds = ROUNDS * (ROUND_S + 1.0)
-        load = [asyncio.create_task(send(entry, record, seconds)) for entry in entries]
-        for number in range(ROUNDS):
-            await asyncio.sleep(3.0 + random.random())
-            leaving = workers[number * len(ZONES) : (number + 1) * len(ZONES)]
-            workers += [await fleet.add(zone) for zone in ZONES]
-            await asyncio.sleep(STARTS_BEFORE_S)
-            late += await leave(store, leaving, record, has_trouble=has_trouble)
-            await asyncio.sleep(ROUND_S - SERVES_ON_S - 4.0)
-        await asyncio.gather(*load)
+        await asyncio.sleep(8.0)
+        acked_at = []
+        for number in range(1, CHANGES + 1):
+            if has_trouble or number == CHANGES:
+                store.put("op/config", config(1 + 2 * number, number))
+                record.line(f"acknowledged: {key(number - 1)} and those before are dropped")
+            acked_at.append(now())
+            if has_trouble:
+                await asyncio.sleep(GAP_S)
+        probed = range(0, CHANGES, 3) if has_trouble else [CHANGES - 1]
+        found = await asyncio.gather(
+            *(
+                probe(entry, record, number, acked_at[number])
+                for entry in entries
+                for number in probed
+            )
+        )
     finally:
         for entry in entries:
             await entry.kill()
+    ran = {rid for worker in workers for _, rid, _ in worker.arrivals}
+    stale = [rid for sent in found for rid in sent if rid in ran]
     text = (
-        f"DRAIN: {len(late)} requests reached workers more than {DRAIN_S} s after they "
-        f"had left, with all machines in touch for {CONTACT_S} s"
+        f"CONFIG: {len(stale)} requests were run with keys whose dropping had been "
+        f"acknowledged more than {APPLY_S} s before they were sent"
     )
     record.line(text)
     print(text)
-    return bool(late)
-
-
-async def leave(
-    store: StallingStore, leaving: list[Worker], record: Record, *, has_trouble: bool
-) -> list[str]:
-    """Let workers leave just after the open connections have fallen silent.
-
-    Returns:
-        The requests that reached one of them later than the rule allows.
-    """
-    silent_at = now()
-    if has_trouble:
-        store.silence_open_connections()
-    await asyncio.sleep(LEAVES_AFTER_S)
-    left_at = now()
-    for worker in leaving:
-        store.delete(f"servers/{worker.id}")
-    await asyncio.sleep(SERVES_ON_S)
-    in_touch_at = silent_at + CONTACT_S if has_trouble else 0.0
-    allowed_until = max(left_at + DRAIN_S, in_touch_at) + MARGIN_S
-    late = []
-    for worker in leaving:
-        await worker.stop()
-        for at, rid, _ in worker.arrivals:
-            if at > allowed_until:
-                late.append(rid)
-                record.line(
-                    f"late: {rid} reached {worker.name} at {at:.3f}; it had left at "
-                    f"{left_at:.3f}, and all were in touch from {in_touch_at:.3f}"
-                )
-    return late
+    return bool(stale)
 
 
 if __name__ == "__main__":
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,42 +1,77 @@
-"""Fault: large bodies of a burst take an entry over the memory of its machine."""
+"""QUOTA: two entries start while all three seeds are lost; each uses a whole limit."""
 
 from __future__ import annotations
 
 import asyncio
-import re
+import contextlib
+import itertools
+import random
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig-2"))
 
 from rig import (  # noqa: E402
-    Answer,
+    BOUNDS,
     Entry,
+    Headers,
     Net,
     Record,
     Store,
     Worker,
     ask,
     main,
+    message,
     now,
     request_id,
 )
 
-MEMORY_MB = 150
-"""`memory_mb` of the front machines of `catastra-valnorte`."""
+RATE = 20_224
+BURST = 22_812
+"""`rate_per_s` and `burst` of the tenant in the example of `fleetbench wire`."""
 
-MAX_BODY_BYTES = 4_194_304
-"""`max_body_bytes` of the configuration."""
+USUAL_PER_S = RATE / 1.8
+"""Tokens a second that the tenant usually sends."""
 
-REQUESTERS = 14
-"""Requesters of one entry: those of a zone whose other entry is lost (`clients`)."""
+HOT = 7.5
+"""How many times its usual the tenant sends (`hot_tenant`)."""
 
-BURST = 2.1
-"""How many times the usual come at once (`burst`)."""
+PROMPT, OUTPUT = 2_890, 110
+HOT_S = 11.0
+LIMIT = (RATE * BOUNDS["quota_window_s"] + BURST) * (1 + BOUNDS["quota_over"]) + BOUNDS[
+    "quota_slack"
+]
 
-WAVES = 3
-WAVE_S = 9.0
+
+class Engine(Worker):
+    """A model worker: streams 17 events, as appeal drafts have."""
+
+    async def run(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Send the events of a stream."""
+        rid = headers["request-id"]
+        fields = [
+            ("Request-Id", rid),
+            ("Response-Seal", f"seal.{self.id}.{rid}"),
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        await asyncio.sleep(0.1)
+        writer.write(message("HTTP/1.1 200 OK", fields))
+        for number in range(1, 18):
+            event = f"id: {number}\ndata: {rid}-{number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.007)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
 
 
 def config() -> dict[str, object]:
@@ -45,102 +80,121 @@
         "version": 7,
         "routes": [
             {
-                "name": "r-uploads",
-                "host": "uploads.example",
-                "path_prefix": "/uploads/",
-                "type": "unsafe",
+                "name": "r-drafts",
+                "host": "drafts.example",
+                "path_prefix": "/drafts/",
+                "type": "streaming",
                 "timeout_ms": 8000,
                 "target_latency_ms": 1000,
                 "priority": 0,
-                "service": "registro",
+                "service": "redactor",
                 "max_attempts": 1,
                 "public": False,
+                "session_affinity": True,
+                "resumable": False,
+                "gap_aim_ms": 400,
             }
         ],
         "services": [
             {
-                "name": "registro",
+                "name": "redactor",
                 "health_path": "/health",
-                "max_connections": 110,
+                "max_connections": 630,
                 "protocol": "h1",
                 "tls": False,
+                "engine": {"slots": 5, "kv_tokens": 185027, "stride": 3},
             }
         ],
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": MAX_BODY_BYTES,
+            "max_body_bytes": 4194304,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": [],
+        "tenants": [
+            {
+                "name": "tenant-a",
+                "api_keys": ["key-a"],
+                "unit": "tokens",
+                "plain_tokens": 200,
+                "rate_per_s": RATE,
+                "burst": BURST,
+            }
+        ],
     }
 
 
-def memory_mb(entry: Entry) -> float:
-    """Return the resident memory of an entry's process."""
-    try:
-        text = Path(f"/proc/{entry.pid}/status").read_text()
-    except OSError:
-        return 0.0
-    found = re.search(r"VmRSS:\s+(\d+) kB", text)
-    return int(found[1]) / 1024 if found else 0.0
-
-
-class Machine:
-    """A machine of the platform: kills the process over its memory, and starts it again."""
+class Requesters:
+    """Requesters of the tenant; each sends on a new connection to an entry that is in."""
 
-    def __init__(self, entry: Entry, record: Record) -> None:
-        self._entry = entry
+    def __init__(self, entries: list[Entry], record: Record) -> None:
+        self._entries = entries
         self._record = record
-        self.kills = 0
-        self.peak_mb = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._numbers = itertools.count(1)
+        self.inside: list[Entry] = []
+        self.sent_at: dict[str, float] = {}
+        self.statuses: dict[int, int] = {}
 
-    async def watch(self) -> None:
-        """Watch the process for as long as the case runs."""
+    async def watch_entries(self) -> None:
+        """Ask every second which entries are ready, as the platform does."""
         while True:
-            await asyncio.sleep(0.01)
-            used_mb = memory_mb(self._entry)
-            self.peak_mb = max(self.peak_mb, used_mb)
-            if used_mb <= MEMORY_MB:
-                continue
-            self.kills += 1
-            self._record.line(f"{self._entry.name} uses {used_mb:.0f} MB, and is killed")
-            await self._entry.kill()
-            await asyncio.sleep(0.5)
-            await self._entry.start(bootstrap=False)
-
-
-async def send(entry: Entry, record: Record) -> Answer:
-    """Send one request with a body of the largest size that is allowed."""
-    rid = request_id()
-    fields = [
-        ("Host", "uploads.example"),
-        ("Request-Id", rid),
-        ("Request-Deadline-Ms", "8000"),
-    ]
-    record.line(f"requester sends {rid} to {entry.name}")
-    body = b"p" * MAX_BODY_BYTES
-    found = await ask(entry.front, "POST", "/uploads/1", fields, body, timeout_s=8.5)
-    record.line(f"requester gets {found.status} {found.problem} for {rid}")
-    return found
-
-
-async def send_waves(
-    entries: list[Entry], record: Record, *, at_once: bool
-) -> Counter[int]:
-    """Send the requests of all bursts; return the answers by status."""
-    statuses: Counter[int] = Counter()
-    count = int(REQUESTERS * BURST)
-    for _ in range(WAVES):
-        begin = now()
-        copies = count if at_once else 1
-        for _ in range(count // copies):
-            answers = await asyncio.gather(
-                *(send(entry, record) for entry in entries for _ in range(copies))
-            )
-            statuses.update(found.status for found in answers)
-        await asyncio.sleep(max(begin + WAVE_S - now(), 0.0))
-    return statuses
+            ready = [await entry.is_ready() for entry in self._entries]
+            self.inside = [
+                entry for entry, is_in in zip(self._entries, ready, strict=True) if is_in
+            ]
+            await asyncio.sleep(1.0)
+
+    async def send(self, seconds: float, tokens_per_s: float) -> None:
+        """Send requests at a rate."""
+        end, at = now() + seconds, now()
+        while at < end:
+            at += random.expovariate(tokens_per_s / (PROMPT + OUTPUT))
+            await asyncio.sleep(max(at - now(), 0.0))
+            if self.inside:
+                task = asyncio.create_task(self._ask(random.choice(self.inside)))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, entry: Entry) -> None:
+        rid, number = request_id(), next(self._numbers)
+        self.sent_at[rid] = now()
+        fields = [
+            ("Host", "drafts.example"),
+            ("Request-Id", rid),
+            ("Model-Name", "m"),
+            ("Token-Counts", f"{PROMPT},{OUTPUT}"),
+            ("Prompt-Prefix-Hash", f"5c1e07a2:60,{rid[:8]}:{PROMPT - 60}"),
+            ("Request-Deadline-Ms", "8000"),
+            ("X-Api-Key", "key-a"),
+        ]
+        self._record.line(f"requester sends {rid} to {entry.name}")
+        found = await ask(
+            entry.front, "POST", f"/drafts/{number}", fields, b"p" * 18_000, timeout_s=9.0
+        )
+        self.statuses[found.status] = self.statuses.get(found.status, 0) + 1
+        self._record.line(f"requester gets {found.status} {found.problem} for {rid}")
+
+    async def finish(self) -> None:
+        """Wait for all answers."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+
+def worst_window(
+    arrivals: list[tuple[float, str]], sent_at: dict[str, float]
+) -> tuple[float, int]:
+    """Return the window with most tokens of requests sent and run in it."""
+    window_s = BOUNDS["quota_window_s"]
+    worst, worst_at = 0, 0.0
+    for begin in sent_at.values():
+        runs = {
+            rid for at, rid in arrivals if begin <= sent_at[rid] and at <= begin + window_s
+        }
+        tokens = len(runs) * (PROMPT + OUTPUT)
+        if tokens > worst:
+            worst, worst_at = tokens, begin
+    return worst_at, worst
 
 
 async def case(folder: Path, record: Record, has_trouble: bool) -> bool:
@@ -148,43 +202,59 @@
     net = Net()
     store = Store(net.ip(1), record)
     await store.start()
-    for number in range(3):
-        worker = Worker(net.ip(100 + number), f"worker-{number}", record)
-        worker.slots = 6
-        await worker.start()
-        store.put(f"servers/{worker.id}", worker.beat("registro", "bilbao-a"))
+    engines = [
+        Engine(net.ip(100 + number), f"engine-{number}", record) for number in range(5)
+    ]
+    for engine in engines:
+        await engine.start()
+        store.put(f"servers/{engine.id}", engine.beat("redactor", "bilbao-a"))
     store.put("op/config", config())
-    seeds = [f"{net.ip(10 + number)}:8229" for number in range(2)]
-    zones = ("bilbao-a", "vitoria-b")
+    zones = ("bilbao-a", "bilbao-a", "vitoria-b", "vitoria-b", "santander-c")
+    seeds = [f"{net.ip(10 + number)}:8229" for number in range(3)]
     entries = [
         Entry(folder, net, number, store, record, seeds=seeds, zone=zone)
         for number, zone in enumerate(zones)
     ]
-    machines = [Machine(entry, record) for entry in entries]
-    watchers: list[asyncio.Task[None]] = []
+    requesters = Requesters(entries, record)
+    watcher = None
     try:
         for entry in entries:
             await entry.start(bootstrap=True)
         for entry in entries:
             await entry.wait_until_ready()
-        watchers = [asyncio.create_task(machine.watch()) for machine in machines]
-        await asyncio.sleep(2.0)
-        statuses = await send_waves(entries, record, at_once=has_trouble)
+        watcher = asyncio.create_task(requesters.watch_entries())
+        await asyncio.sleep(1.0)
+        await requesters.send(12.0, USUAL_PER_S)
+        if has_trouble:
+            record.line("all entries are killed; the three seeds do not come back")
+            await asyncio.gather(*(entry.kill() for entry in entries))
+            await asyncio.sleep(1.0)
+            for entry in entries[3:]:
+                await entry.start(bootstrap=False)
+            for entry in entries[3:]:
+                await entry.wait_until_ready()
+        await requesters.send(12.0, USUAL_PER_S)
+        record.line(f"the tenant sends {HOT} times its usual")
+        await requesters.send(HOT_S, USUAL_PER_S * HOT)
+        await requesters.send(4.0, USUAL_PER_S)
+        await requesters.finish()
     finally:
-        for watcher in watchers:
+        if watcher is not None:
             watcher.cancel()
-        await asyncio.gather(*watchers, return_exceptions=True)
+            with contextlib.suppress(asyncio.CancelledError):
+                await watcher
         for entry in entries:
             await entry.kill()
-    kills = [machine.kills for machine in machines]
-    peaks = [round(machine.peak_mb) for machine in machines]
+    arrivals = [(at, rid) for engine in engines for at, rid, _ in engine.arrivals]
+    at, tokens = worst_window(arrivals, requesters.sent_at)
+    record.line(f"answers by status: {requesters.statuses}")
     text = (
-        f"Fault: processes killed over {MEMORY_MB} MB, by machine: {kills}; "
-        f"peaks {peaks} MB; answers by status (0: none): {dict(statuses)}"
+        f"QUOTA: at most {tokens} tokens were run in a window of 8 s (from {at:.1f} s); "
+        f"the rule allows {LIMIT:.0f}"
     )
     record.line(text)
     print(text)
-    return sum(count >= WAVES for count in kills) >= 2
+    return tokens > LIMIT
 
 
 if __name__ == "__main__":
