Log how recent the configuration is by which a request is refused

Cause: a refusal with 401 or 404 named the revision by which it was made, but not who told it, when, and up to when it was known to be the newest. The hypotheses on refusals by an older configuration could not be told apart.

Change: ConfigConfirmation keeps the configuration in force, its source, and up to when all changes are known, from the entry's own calls and from digests (a new field at their end). Refusals without a route or a valid key log it, a metric shows its age. A call that the platform held without a change counts until the end of its wait. No decision is changed.

--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -10,6 +10,7 @@
 from .. import clock
 from ..metrics import Metrics
 from .body_budget import BodyBudget
+from .config_confirmation import ConfigConfirmation
 from .connection_ends import ConnectionEnds
 from .crash_reporter import CrashReporter
 from .endpoints import EndpointTable
@@ -99,6 +100,7 @@
     streams: StreamVersions
     stalls: Stalls
     list_confirmation: ListConfirmation
+    configuration: ConfigConfirmation
     counters: Counters = field(default_factory=Counters)
     bodies: BodyBudget = field(default_factory=BodyBudget)
     outcomes: OutcomeCounter = field(default_factory=OutcomeCounter)
--- a/dockreach/direct/digest.py
+++ b/dockreach/direct/digest.py
@@ -57,6 +57,7 @@
             served, in whole seconds, while an entry has started recently; else 0.
         endpoints_complete_s: Time since the moment up to which the sender knows all changes
             of the endpoint list from the platform itself, in seconds.
+        configuration_known_s: The same for the configuration.
     """
 
     name: str
@@ -86,6 +87,7 @@
     endpoints_answered_s: int = 0
     versions_known_s: int = 0
     endpoints_complete_s: float = math.inf
+    configuration_known_s: float = math.inf
 
 
 class CrashUpdate(msgspec.Struct, array_like=True, tag=4):
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -21,6 +21,7 @@
 from ..rendezvous import choose
 from ..verdict import Refusal
 from .body_budget import BodyBudget
+from .config_confirmation import ConfigConfirmation
 from .connection_admission import ConnectionAdmission, IdleMeter
 from .connection_ends import CloseCause
 from .context import Context
@@ -105,7 +106,6 @@
         self._listener = listener
         self._acceptor: Any = None
         self.started_at = clock.now()
-        self.revision: ConfigRevision | None = None
         self.stopping_since: float | None = None
         self._has_endpoints = False
         self._adapter = adapter
@@ -211,6 +211,7 @@
             ),
             stalls=self.stalls,
             list_confirmation=self.list_confirmation,
+            configuration=ConfigConfirmation(self.feeds.configuration, self.peers),
         )
         if not settings.has_predecessor:
             self.endpoints.software_versions.coverage.extend(
@@ -282,6 +283,11 @@
         self.ctx.retry_budget.policy = settings.retry_policy
         log(Event.SETTINGS_IN_FORCE, seeds=len(settings.seeds))
 
+    @property
+    def revision(self) -> ConfigRevision | None:
+        """The configuration in force; ``None`` before the first."""
+        return self.ctx.configuration.revision
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
@@ -305,7 +311,7 @@
         """Apply a configuration if it is newer; return whether it was applied."""
         if self.revision is not None and revision.number <= self.revision.number:
             return False
-        self.revision = revision
+        self.ctx.configuration.apply(revision, source, clock.now())
         self.send_guard.apply_services(revision.services)
         self.ctx.liveness.apply_services(revision.services)
         self.dispatcher.apply_organisations(revision.organisations)
@@ -575,6 +581,7 @@
             endpoints_answered_s=self.feeds.endpoints.answered_s,
             versions_known_s=self.ctx.streams.versions_known_s() if is_needed else 0,
             endpoints_complete_s=now - self.feeds.endpoints.complete_at,
+            configuration_known_s=now - self.ctx.configuration.own_known_at,
         )
 
     def may_skip_poll(self, feed: Feed) -> bool:
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -48,7 +48,6 @@
 
     settings: EntrySettings
     started_at: float
-    revision: ConfigRevision | None
     ctx: Context
     feeds: Feeds
     stalls: Stalls
@@ -63,6 +62,10 @@
     send_guard: SendGuard
     evacuated: EvacuatedHalls
 
+    @property
+    def revision(self) -> ConfigRevision | None:
+        """The configuration in force; ``None`` before the first."""
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
@@ -138,6 +141,7 @@
         yield from entry.stalls.samples()
         yield from entry.loop_guard.samples()
         yield from entry.list_confirmation.samples(now)
+        yield from entry.ctx.configuration.samples(now)
         gauges = {
             "peers": len(entry.peers),
             "endpoints": len(entry.endpoints),
--- a/dockreach/direct/feeds.py
+++ b/dockreach/direct/feeds.py
@@ -133,6 +133,8 @@
         complete_at: Monotonic time up to which all changes have been applied, in seconds;
             minus infinity before the first list. It is when a call was sent: the response
             may have been on its way, or unread, for any part of the time until it was read.
+        known_at: The same, but a call that brought no change also tells that none was made
+            while the platform held it.
         follows_outage: Whether changes are still being read that were made in an outage.
         missed_changes: Changes that a response had left out and a later one returned.
         stalls: When this process stood still.
@@ -150,6 +152,7 @@
     unanswered_since: float | None = None
     called_at: float = -math.inf
     complete_at: float = -math.inf
+    known_at: float = -math.inf
     follows_outage: bool = False
     stalls: Stalls = field(default_factory=lambda: Stalls(clock.now))
     contact: PlatformContact = field(default_factory=PlatformContact)
@@ -202,9 +205,14 @@
         answered_s = max(int(self.last_response_at - self.answered_since), 0)
         return min(answered_s, MAX_REPORTED_ANSWERED_S)
 
-    def mark_caught_up(self) -> None:
-        """Record that all changes were applied that were made before the last call."""
+    def mark_caught_up(self, held_s: float = 0.0) -> None:
+        """Record that all changes were applied that were made before the last call.
+
+        Args:
+            held_s: For how long the platform held the call without a change, in seconds.
+        """
         self.complete_at = self.called_at
+        self.known_at = self.called_at + held_s
         self.consecutive_failures = 0
         self.unanswered_since = None
         self.follows_outage = False
--- a/dockreach/direct/message_checks.py
+++ b/dockreach/direct/message_checks.py
@@ -123,6 +123,7 @@
         and digest.configuration_age_s >= 0.0
         and digest.endpoints_age_s >= 0.0
         and digest.endpoints_complete_s >= 0.0
+        and digest.configuration_known_s >= 0.0
         and _are_within(digest.in_flight.values(), 0, MAX_TOKENS)
         and all(
             _are_within(buckets, -MAX_USED_TOKENS, MAX_USED_TOKENS)
--- a/dockreach/direct/request_summary.py
+++ b/dockreach/direct/request_summary.py
@@ -90,6 +90,7 @@
             peers=self._ctx.entry_count - 1,
             **self._plan_fields(),
             **self._placement_fields(),
+            **self._configuration_fields(),
         )
 
     def _ended_by(self, outcome: Outcome) -> Party:
@@ -142,6 +143,12 @@
             "tried_ms": round((self._req.arrived_at - plan.first_attempt_at) * 1000),
         }
 
+    def _configuration_fields(self) -> dict[str, Any]:
+        """Return how recent the configuration is if it does not allow the request."""
+        if self._plan is not None:
+            return {}
+        return self._ctx.configuration.log_fields(self._ctx.now())
+
     def _placement_fields(self) -> dict[str, Any]:
         """Return the log fields for the response and the last placement."""
         forwarder = self._forwarder
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -51,10 +51,13 @@
 class ServingEntry(Protocol):
     """The attributes of an entry that are needed to serve callers."""
 
-    revision: ConfigRevision | None
     stopping_since: float | None
     ctx: Context
 
+    @property
+    def revision(self) -> ConfigRevision | None:
+        """The configuration in force; ``None`` before the first."""
+
 
 def accept_all(
     listener: socket.socket,
