Ask the platform before a route or a key is denied by an old configuration

Callers saw 404 and 401 for routes and keys that had been acknowledged seconds before.

Cause: a request was denied as soon as the configuration in force lacked its route or key, whatever the age of that configuration. What is not there is evidence only if what was read is known to be the newest: a conclusion from absence without regard to freshness. The same held for an entry that had just taken a peer's configuration, and for one that could not use the newest.

Change: such a request is denied at once if all changes are known up to the time before it within which a change must be applied, from own calls or a peer's. Otherwise one call reads the newest configuration for all that wait, for half of that time at most and a third of the caller's; without an answer they get 503, not run, with a time to return. No call is made while the feed's own calls fail, and none within 0.6 s after a failed one.

--- a/dockreach/direct/config_confirmation.py
+++ b/dockreach/direct/config_confirmation.py
@@ -2,21 +2,28 @@
 
 The platform confirms the configuration with each response, and so do peers that the
 platform has answered. What the configuration lacks, a route or an API key, may have been
-added since the last confirmation.
+added since the last confirmation. It counts as unknown for good only if the configuration
+is current; otherwise the platform is asked first, with one call for all that wait.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
+from .. import clock
 from ..metrics import Sample
-from .feeds import Feed
+from .feeds import MAX_RETRY_DELAY_S, Feed
 from .peers import PeerTable
 from .routing_config import ConfigRevision
+from .single_flight import SingleFlight
 from .version_coverage import PLATFORM, Confirmation
 
+MAX_WAIT_FRACTION = 0.5
+"""Longest time for which a request waits for the platform's answer, as a fraction of the
+time within which a change must be applied: enough to connect anew and read a response."""
+
 
 class ConfigConfirmation:
     """The configuration in force, where it came from, and how recent it is known to be.
@@ -24,6 +31,7 @@
     Args:
         feed: This entry's own calls for the configuration.
         peers: The other entries.
+        max_age_s: Returns the time within which a change must be applied, in seconds.
 
     Attributes:
         revision: The configuration in force; ``None`` before the first.
@@ -32,9 +40,14 @@
         is_newest_invalid: Whether the platform has a newer one that cannot be used.
     """
 
-    def __init__(self, feed: Feed, peers: PeerTable) -> None:
+    def __init__(
+        self, feed: Feed, peers: PeerTable, max_age_s: Callable[[], float]
+    ) -> None:
         self._feed = feed
         self._peers = peers
+        self._max_age_s = max_age_s
+        self._read: SingleFlight | None = None
+        self._read_at = -math.inf
         self.revision: ConfigRevision | None = None
         self.source = ""
         self.applied_at = -math.inf
@@ -58,7 +71,9 @@
 
         It is minus infinity if it has not, or cannot use what it read.
         """
-        return -math.inf if self.is_newest_invalid else self._feed.known_at
+        if self.is_newest_invalid:
+            return -math.inf
+        return max(self._feed.known_at, self._read_at)
 
     def last(self, now: float) -> Confirmation:
         """Return up to when all changes are known, and who read them.
@@ -78,6 +93,53 @@
         )
         return max([own, *relayed], key=lambda confirmation: confirmation.at)
 
+    def set_read(self, read: Callable[[], None]) -> None:
+        """Set how the newest configuration is read for a request that needs it.
+
+        Without it, the configuration always counts as current.
+
+        Args:
+            read: Reads and applies the newest configuration, and calls `record_read`;
+                raises `PlatformError`.
+        """
+        self._read = SingleFlight(read, clock.now, retry_pause_s=MAX_RETRY_DELAY_S)
+
+    def record_read(self, called_at: float) -> None:
+        """Record that the newest configuration was read.
+
+        Args:
+            called_at: Monotonic time at which the call was sent, in seconds.
+        """
+        self._read_at = max(self._read_at, called_at)
+
+    def is_current(self, now: float) -> bool:
+        """Return whether all changes are known that must be in force by now.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        return self._read is None or self.last(now).at >= now - self._max_age_s()
+
+    def confirm(self, asked_at: float, max_wait_s: float) -> bool:
+        """Read the newest configuration unless this one is current.
+
+        No call is made while the feed's own calls fail: these are repeated anyway.
+
+        Args:
+            asked_at: Monotonic time at which the request came that needs it, in seconds.
+            max_wait_s: How long its caller can wait, in seconds.
+
+        Returns:
+            Whether the configuration that is in force now was current at that time.
+        """
+        if self._read is None or self.is_current(asked_at):
+            return True
+        if not self._feed.consecutive_failures:
+            max_age_s = self._max_age_s()
+            timeout_s = min(max_wait_s, MAX_WAIT_FRACTION * max_age_s)
+            self._read.wait(asked_at - max_age_s, timeout_s)
+        return self.is_current(asked_at)
+
     def log_fields(self, now: float) -> dict[str, Any]:
         """Return the log fields of a request that the configuration does not allow.
 
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -211,7 +211,11 @@
             ),
             stalls=self.stalls,
             list_confirmation=self.list_confirmation,
-            configuration=ConfigConfirmation(self.feeds.configuration, self.peers),
+            configuration=ConfigConfirmation(
+                self.feeds.configuration,
+                self.peers,
+                lambda: self.settings.apply_deadline_s,
+            ),
         )
         if not settings.has_predecessor:
             self.endpoints.software_versions.coverage.extend(
--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -15,7 +15,7 @@
 from .forwarder import Forwarder
 from .jobs import DEFAULT_RETRY_AFTER_S, Job
 from .outcomes import Outcome, classify_response
-from .patience import honoured_retry_after_s, max_retry_after_s
+from .patience import HONOURED_FRACTION, honoured_retry_after_s, max_retry_after_s
 from .pool import idle_share
 from .quarantine import SERIALIZED_REFUSAL, Admission
 from .request_plan import RequestPlan
@@ -24,6 +24,13 @@
 from .response_sink import ResponseSink
 from .routing_config import ConfigRevision, Organisation, Route
 
+_OUTDATED_REFUSAL = Refusal(
+    Verdict.NOT_RUN,
+    Reason.OUTDATED,
+    "the configuration is not known to be the newest",
+    retry_after_s=DEFAULT_RETRY_AFTER_S,
+)
+
 
 class RequestHandler:
     """Handles one request from its arrival to its final response.
@@ -100,12 +107,15 @@
     def _respond(self) -> Refusal | None:
         """Send the response to the caller; return a refusal if there is none."""
         req = self._req
+        denial = self._denial()
+        if denial is not None:
+            is_current = self._confirm_configuration()
+            denial = self._denial()
+            if denial is not None:
+                return denial if is_current else _OUTDATED_REFUSAL
         route = self._revision.match(req.host, req.path)
-        if route is None:
-            return Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_SERVICE)
+        assert route is not None
         organisation = self._revision.organisation_of(req.key)
-        if organisation is None and self._revision.organisations and not route.is_public:
-            return Refusal(Verdict.NOT_RUN, Reason.BAD_KEY)
         if not req.rid:
             return Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "no request id")
         plan = self._make_plan(route, organisation)
@@ -130,6 +140,26 @@
             return refusal
         return self._forward(plan, self._job, is_probe=admission is Admission.PROBE)
 
+    def _denial(self) -> Refusal | None:
+        """Return the refusal if the configuration lacks the request's route or its key."""
+        route = self._revision.match(self._req.host, self._req.path)
+        if route is None:
+            return Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_SERVICE)
+        needs_key = self._revision.organisations and not route.is_public
+        if needs_key and self._revision.organisation_of(self._req.key) is None:
+            return Refusal(Verdict.NOT_RUN, Reason.BAD_KEY)
+        return None
+
+    def _confirm_configuration(self) -> bool:
+        """Go on with the newest configuration; return whether it is known to be that."""
+        req = self._req
+        left_s = math.inf if req.deadline_s is None else req.deadline_s
+        is_current = self._ctx.configuration.confirm(
+            req.arrived_at, HONOURED_FRACTION * left_s
+        )
+        self._revision = self._ctx.configuration.revision or self._revision
+        return is_current
+
     def _make_plan(self, route: Route, organisation: Organisation | None) -> RequestPlan:
         """Return how the request is to be handled under the configuration."""
         req = self._req
--- a/dockreach/direct/single_flight.py
+++ b/dockreach/direct/single_flight.py
@@ -23,11 +23,19 @@
     Args:
         call: The call; it may raise `PlatformError`.
         clock: Returns the monotonic time, in seconds.
+        retry_pause_s: Time after a failed call in which none is made, in seconds.
     """
 
-    def __init__(self, call: Callable[[], None], clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        call: Callable[[], None],
+        clock: Callable[[], float],
+        *,
+        retry_pause_s: float = RETRY_PAUSE_S,
+    ) -> None:
         self._call = call
         self._clock = clock
+        self._retry_pause_s = retry_pause_s
         self._running: Any = None
         self._succeeded_from = -math.inf
         self._failed_at = -math.inf
@@ -50,7 +58,7 @@
             self._running.wait()
 
     def _has_just_failed(self) -> bool:
-        return self._clock() - self._failed_at < RETRY_PAUSE_S
+        return self._clock() - self._failed_at < self._retry_pause_s
 
     def _run(self, ended: Any) -> None:  # noqa: ANN401
         begun_at = self._clock()
--- a/dockreach/verdict.py
+++ b/dockreach/verdict.py
@@ -52,6 +52,10 @@
     """No region is allowed to run it."""
 
     NOT_READY = "not_ready"
+    OUTDATED = "outdated"
+    """Its route or key is not known, and may have been added since the configuration was
+    read."""
+
     STOPPING = "stopping"
     CALLER_GONE = "caller_gone"
     CALLER_STALLED = "caller_stalled"
@@ -133,6 +137,7 @@
     Reason.SOFTWARE_VERSION: 503,
     Reason.CRASHES_ENGINES: 503,
     Reason.NOT_READY: 503,
+    Reason.OUTDATED: 503,
     Reason.STOPPING: 503,
     Reason.CALLER_STALLED: 408,
     Reason.OPERATOR: 409,
--- a/tests/direct/test_config_confirmation.py
+++ b/tests/direct/test_config_confirmation.py
@@ -17,6 +17,7 @@
 from .standins import Caller, fetch_page, revision, start_entry
 
 REQUEST_REFUSED = 701
+MAX_AGE_S = 2.0
 
 
 class Known:
@@ -25,7 +26,7 @@
     def __init__(self, number: int = 3) -> None:
         self.feed = Feed()
         self.peers = peers()
-        self.configuration = ConfigConfirmation(self.feed, self.peers)
+        self.configuration = ConfigConfirmation(self.feed, self.peers, lambda: MAX_AGE_S)
         self.configuration.apply(revision(number), "store", 90.0)
 
     def read(self, called_at: float, held_s: float = 0.0) -> None:
