Refuse a request over limits that may have been raised as not run, not with 413

A sibling of denying by an old configuration: max_body_bytes and max_header_bytes belong to the configuration too, and a request over them was denied for good (413, 431) by limits that a newer version may have raised.

Change: while the configuration is not known to be current, such a request gets 503 with a time to return; it was never whole, so it has not run. In calm it is denied as before.

--- a/dockreach/direct/request_handler.py
+++ b/dockreach/direct/request_handler.py
@@ -24,12 +24,13 @@
 from .response_sink import ResponseSink
 from .routing_config import ConfigRevision, Organisation, Route
 
-_OUTDATED_REFUSAL = Refusal(
+OUTDATED_REFUSAL = Refusal(
     Verdict.NOT_RUN,
     Reason.OUTDATED,
     "the configuration is not known to be the newest",
     retry_after_s=DEFAULT_RETRY_AFTER_S,
 )
+"""Refusal of a request that a newer configuration may allow."""
 
 
 class RequestHandler:
@@ -112,7 +113,7 @@
             is_current = self._confirm_configuration()
             denial = self._denial()
             if denial is not None:
-                return denial if is_current else _OUTDATED_REFUSAL
+                return denial if is_current else OUTDATED_REFUSAL
         route = self._revision.match(req.host, req.path)
         assert route is not None
         organisation = self._revision.organisation_of(req.key)
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -22,7 +22,7 @@
 from .evidence import refusal_of
 from .http1 import BadRequestError, RawHead, RawRequest, reset
 from .patience import honoured_retry_after_s, max_retry_after_s
-from .request_handler import RequestHandler, refusal_after_fault
+from .request_handler import OUTDATED_REFUSAL, RequestHandler, refusal_after_fault
 from .request_summary import Party
 from .requests import Header
 from .routing_config import CallerLimits, ConfigRevision
@@ -44,6 +44,9 @@
 EXIT_MARGIN_S = 0.7
 """Requests are ended this long before the process would be killed, in seconds."""
 
+LIMIT_STATUSES = frozenset({413, 431})
+"""Statuses of requests that are larger than the configuration allows."""
+
 LAST_DELIVERY_S = 0.2
 """Time in which callers may read the refusals of these requests, in seconds."""
 
@@ -305,13 +308,21 @@
             return
         conn.is_closing = True
         adapter = self._entry.ctx.adapter
+        proposed: Refusal | None = None
         if adapter.promises_not_run(exc.status):
-            stalled = Refusal(Verdict.NOT_RUN, Reason.CALLER_STALLED)
-            refusal = refusal_of(stalled, may_have_run=conn.received_at is not None)
+            proposed = Refusal(Verdict.NOT_RUN, Reason.CALLER_STALLED)
+        elif exc.status in LIMIT_STATUSES and not self._has_current_limits():
+            proposed = OUTDATED_REFUSAL
+        if proposed is not None:
+            refusal = refusal_of(proposed, may_have_run=conn.received_at is not None)
             conn.send_response(*adapter.refusal(refusal, self._rid(conn)))
             return
         conn.send_response(RawHead(exc.status, b"Bad Request", []), b"")
 
+    def _has_current_limits(self) -> bool:
+        """Return whether the limits in force are those that callers may rely on."""
+        return self._entry.ctx.configuration.is_current(clock.now())
+
     def drain(
         self,
         since: float,
--- a/tests/platform/test_unknown_routes_and_keys.py
+++ b/tests/platform/test_unknown_routes_and_keys.py
@@ -184,3 +184,22 @@
     assert statuses == {503}
     # Those of the two feeds that are open anyway, and some of the same second.
     assert len(store.calls) - before < 10
+
+
+@pytest.mark.parametrize("added", ["body", "head"])
+def test_a_request_over_limits_that_may_have_been_raised_is_not_denied_for_good(
+    store: StoreStandIn, added: str
+) -> None:
+    entry = start_ready_entry(store)
+    store.failure_mode = 503
+    store.cut_open_connections()
+    eventlet.sleep(OUTDATED_S)
+    caller = Caller(entry)
+    extra = {"body": f"Content-Length: {5 << 20}", "head": "X: " + 20_000 * "x"}[added]
+    caller.send("/old/x", method="PUT", extra=f"{extra}\r\n")
+    assert status_of(caller.read_response()) == 503
+    store.failure_mode = ""
+    wait_until(lambda: not entry.feeds.configuration.consecutive_failures, 3.0)
+    caller = Caller(entry)
+    caller.send("/old/x", method="PUT", extra=f"{extra}\r\n")
+    assert status_of(caller.read_response()) in (413, 431)
