Count all that callers make an entry hold, and end those that stopped sending

Callers that do not behave ended a process: 300 connections with 1 MiB pipelined behind an open request took 373 MB of 150, and 900 header lines of four bytes take 170 KB each. Other callers waited behind those that held all room and sent nothing.

Cause: only bodies over 64 KiB were counted. Connections, heads, small bodies and pipelined bytes were not; in thousands they are larger than the memory. Whoever held room kept it until the header timeout. Connections could take all descriptors.

Change: - memory_plan divides the memory: program, a copy of one body, large bodies, all other input. A chunked body begins as a small one. - 64 KiB are read behind an open request, none while room is short; the rest stays in the socket. - While others wait for memory, requests of which nothing came for 1 s, or which will not be whole in time at their pace, get 408: not run. In calm nobody is ended. - Callers may have three quarters of the descriptors that the entry does not need itself. Beyond that a new connection takes the place of the silent one that is missed least, a rested one last.

The search behind an open request is tested with 1 MiB as before, by its own setting.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -11,8 +11,8 @@
 from eventlet.green import socket
 
 from .. import clock
-from ..errors import CallerGoneError
-from .body_budget import BodyBudgetError, Reservation
+from ..errors import CallerGoneError, ConnectionEvictedError
+from .caller_memory import SMALL_BODY_BYTES, CallerMemory
 from .http1 import (
     RECV_BYTES,
     SLOW_READER_TIMEOUT_MS,
@@ -25,12 +25,20 @@
     set_reset_on_close,
     set_socket_options,
 )
+from .memory_plan import CONNECTION_BYTES, HEADER_LINE_BYTES, REQUEST_BYTES
+from .memory_room import NoRoomError, Reservation
 from .message_parser import MessageParser
+from .patience import HONOURED_FRACTION
 from .requests import Header
 from .routing_config import CallerLimits
+from .stalled_callers import Activity, Progress
 
-MAX_PIPELINED_BYTES = 1 << 20
-"""Bytes that are buffered of what a caller pipelines; the rest stays in the socket."""
+MAX_PIPELINED_BYTES = SMALL_BODY_BYTES
+"""Bytes that are buffered of what a caller pipelines; the rest stays in the socket. A small
+request behind the current one is whole with them, so that a stop can wait for it."""
+
+MESSAGE_BYTES = REQUEST_BYTES + RECV_BYTES
+"""Room that a request needs until its head has been read."""
 
 MAX_TURN_BYTES = 1 << 17
 """Bytes that are read from one caller before the event loop is given back. More than from
@@ -59,6 +67,44 @@
     del size, headers
 
 
+class _MessageGate:
+    """Lets the first bytes of a request be read once there is room for its head.
+
+    Args:
+        memory: The rooms for what callers send; ``None`` if they are not bounded.
+        max_wait_s: Longest wait for room, in seconds.
+        progress: Of the connection.
+    """
+
+    def __init__(
+        self, memory: CallerMemory | None, max_wait_s: float, progress: Progress
+    ) -> None:
+        self._memory = memory
+        self._max_wait_s = max_wait_s
+        self._progress = progress
+        self.reservation: Reservation | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the request may be read now."""
+        if self._memory is None or self.reservation is not None:
+            return True
+        return self._memory.input.may_reserve(MESSAGE_BYTES)
+
+    def wait(self) -> None:
+        """Wait until there is room.
+
+        Raises:
+            NoRoomError: There was none in time.
+        """
+        if self._memory is None:
+            return
+        idle_activity = self._progress.activity
+        self._progress.begin(Activity.WAITING, clock.now())
+        self.reservation = self._memory.input.reserve(MESSAGE_BYTES, self._max_wait_s)
+        self._progress.begin(idle_activity, clock.now())
+
+
 class CallerConnection:
     """The server side of a connection.
 
@@ -67,7 +113,12 @@
         limits: Returns the size and time limits in force. Each request has those of
             its first byte.
         reserve_body: Reserves room for a body, by its largest size in bytes and the
-            headers of its request; may wait, and raise `BodyBudgetError`.
+            headers of its request; may wait, and raise `NoRoomError`.
+        memory: The rooms in which everything else is counted; ``None`` if they are not
+            bounded.
+
+    Attributes:
+        progress: How the connection gets on.
     """
 
     def __init__(
@@ -76,10 +127,14 @@
         limits: Callable[[], CallerLimits],
         *,
         reserve_body: Callable[[int, list[Header]], Reservation | None] = _reserve_nothing,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._sock = sock
         self._reserve_body = reserve_body
         self._reservation: Reservation | None = None
+        self._memory = memory
+        self._held = memory.open_connection() if memory else None
+        self.progress = Progress(Activity.NEW, clock.now(), clock.now())
         self._find_limits = limits
         self._limits = limits()
         self._parser = _new_parser(self._limits)
@@ -88,6 +143,7 @@
         """Bytes that were received behind the current request."""
         self._method = b""
         self._late_bytes = 0
+        self._head_bytes = 0
         self.is_idle = True
         self.is_closing = False
         """Whether the next response announces that the connection will be closed."""
@@ -123,10 +179,13 @@
 
         Raises:
             BadRequestError: The request is malformed, too large or too slow.
-            BodyBudgetError: There is no room for its body, of which nothing was read.
+            NoRoomError: There is no room for its head or its body.
         """
         self.release_body()
         self.is_idle = True
+        if self.progress.activity is not Activity.NEW:
+            self.progress.begin(Activity.RESTED, clock.now())
+        self._count_held(self._parser.pending_bytes)
         self.head_sent = False
         self.is_complete = False
         self.sent_bytes = 0
@@ -148,15 +207,41 @@
         except OSError:
             return None
 
+    def _count_held(self, size: int) -> None:
+        """Count the bytes that the connection holds, beside its body and itself."""
+        if self._held is not None:
+            self._held.resize(CONNECTION_BYTES + size)
+
+    def _check_room(self) -> None:
+        """Give up a request that is read although the room is far exceeded.
+
+        Raises:
+            NoRoomError: It is.
+        """
+        if self._memory is not None and self._memory.input.is_overdrawn:
+            raise self._memory.input.refuse(MESSAGE_BYTES)
+
     def _await_first_byte(self) -> bool:
         if self._parser.has_remainder:
             return True
+        limits = self._find_limits()
+        gate = _MessageGate(
+            self._memory, HONOURED_FRACTION * limits.header_timeout_s, self.progress
+        )
+        try:
+            return self._await_byte(gate)
+        finally:
+            if gate.reservation is not None:
+                self._count_held(MESSAGE_BYTES)
+                gate.reservation.release()
+
+    def _await_byte(self, gate: _MessageGate) -> bool:
         idle_since = clock.now()
         # The idle timeout may be raised meanwhile.
         while not self.has_idled:
             left_s = idle_since + self._find_limits().idle_timeout_s - clock.now()
             try:
-                data = receive(self._sock, max(left_s, 0.0), share=self._share)
+                data = receive(self._sock, max(left_s, 0.0), share=self._share, gate=gate)
             except TimeoutError:
                 self.has_idled = left_s <= 0
             except OSError:
@@ -186,6 +271,16 @@
 
     def _read_message(self) -> RawRequest | None:
         deadline = clock.now() + self._limits.header_timeout_s
+        self.progress = Progress(
+            Activity.READING,
+            clock.now(),
+            clock.now(),
+            received=self._parser.pending_bytes,
+            expected=self._limits.header_bytes,
+            deadline=deadline,
+        )
+        self._count_held(REQUEST_BYTES + self._parser.pending_bytes)
+        self._check_room()
         head: h11.Request | None = None
         body = bytearray()
         while True:
@@ -194,30 +289,69 @@
             if event is h11.NEED_DATA:
                 if not self._receive(deadline):
                     return None
+                if head is None:
+                    self._count_held(REQUEST_BYTES + self._parser.pending_bytes)
+                    self._check_room()
             elif isinstance(event, h11.Request):
                 head = event
-                self._method = head.method
-                self.headers = head.headers.raw_items()
-                self._check_framing(head)
-                if head.method == b"CONNECT":
-                    raise BadRequestError(501, "CONNECT is not supported")
-                # The time in which nothing is read does not count for the caller.
-                deadline += self._reserve_room(self._max_body_bytes(head))
+                deadline = self._begin_body(head, deadline)
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise BadRequestError(413, "body too large")
+                deadline = self._check_body(len(body), deadline)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                self.received_at = clock.now()
-                self.pipelined_bytes = len(self._parser.remainder)
-                if self._reservation is not None:
-                    self._reservation.shrink(len(body))
+                self._end_message(len(body))
                 return _raw_request(head, bytes(body))
             else:
                 return None
 
-    def _max_body_bytes(self, head: h11.Request) -> int:
-        """Return the largest size that the body of a request can have.
+    def _begin_body(self, head: h11.Request, deadline: float) -> float:
+        """Check the head, and reserve room for the body that it announces.
+
+        Args:
+            head: The head.
+            deadline: Monotonic time until which the request must be whole, in seconds.
+
+        Returns:
+            The deadline without the time in which nothing was read.
+        """
+        self._method = head.method
+        self.headers = head.headers.raw_items()
+        self._check_framing(head)
+        if head.method == b"CONNECT":
+            raise BadRequestError(501, "CONNECT is not supported")
+        self._head_bytes = REQUEST_BYTES + _held_by(self.headers)
+        self._count_held(self._head_bytes + RECV_BYTES)
+        self._check_room()
+        size = self._first_body_bytes(head)
+        return self._reserve_room(size, self._parser.pending_bytes, deadline)
+
+    def _check_body(self, received: int, deadline: float) -> float:
+        """Check the size of a body that is read; reserve more room if it needs that.
+
+        Args:
+            received: Bytes of the body that were received.
+            deadline: Monotonic time until which it must be whole, in seconds.
+
+        Returns:
+            The deadline without the time in which nothing was read.
+        """
+        if received > self._limits.body_bytes:
+            raise BadRequestError(413, "body too large")
+        if self._reservation is None or received <= self._reservation.size:
+            return deadline
+        return self._reserve_room(self._limits.body_bytes, received, deadline)
+
+    def _end_message(self, body_bytes: int) -> None:
+        """Count what is held of a request that is whole."""
+        self.received_at = clock.now()
+        self.progress.begin(Activity.SERVED, self.received_at)
+        self.pipelined_bytes = self._parser.pending_bytes
+        self._count_held(self._head_bytes + self.pipelined_bytes)
+        if self._reservation is not None:
+            self._reservation.shrink(body_bytes)
+
+    def _first_body_bytes(self, head: h11.Request) -> int:
+        """Return the room that a body needs when it begins: its length, if that is known.
 
         Raises:
             BadRequestError: Its length is over the limit.
@@ -228,23 +362,51 @@
                     raise BadRequestError(413, "body too large")
                 return int(value)
             if name == b"transfer-encoding":
-                return self._limits.body_bytes
+                return min(self._limits.body_bytes, SMALL_BODY_BYTES)
         return 0
 
-    def _reserve_room(self, size: int) -> float:
-        """Reserve room for a body; return how long that took, in seconds.
+    def _reserve_room(self, size: int, received: int, deadline: float) -> float:
+        """Reserve room for a body, in place of less that is reserved already.
+
+        Args:
+            size: Its size, or the largest that it can have, in bytes.
+            received: Bytes of it that were received already.
+            deadline: Monotonic time until which it must be whole, in seconds.
+
+        Returns:
+            The deadline without the time in which nothing was read.
 
         Raises:
-            BodyBudgetError: There was no room in time.
+            NoRoomError: There was no room in time.
         """
+        if not size:
+            return deadline
         asked_at = clock.now()
+        self.progress = Progress(Activity.WAITING, asked_at, asked_at)
         try:
-            self._reservation = self._reserve_body(size, self.headers)
-        except BodyBudgetError:
+            reservation = self._reserve_body(size, self.headers)
+        except NoRoomError:
             # The caller reads the refusal once it has sent its whole body.
             self.linger_s = max(LINGER_S, self._limits.header_timeout_s)
             raise
-        return clock.now() - asked_at
+        self.release_body()
+        self._reservation = reservation
+        now = clock.now()
+        deadline += now - asked_at
+        self.progress = Progress(
+            Activity.READING,
+            now,
+            now,
+            received=received,
+            expected=size,
+            deadline=deadline,
+        )
+        return deadline
+
+    @property
+    def holds_large_body(self) -> bool:
+        """Whether there is room for a large body that the current request may have."""
+        return self._reservation is not None and self._reservation.size > SMALL_BODY_BYTES
 
     def release_body(self) -> None:
         """Give back the room for the body of the last request, which must not be used."""
@@ -262,6 +424,7 @@
         data = receive(self._sock, max(left_s, 0.0), share=self._share)
         if left_s <= 0:
             self._late_bytes += len(data)
+        self.progress.hear(len(data), clock.now())
         self._parser.receive_data(data)
         return bool(data)
 
@@ -276,7 +439,7 @@
     def wait_for_disconnect(self) -> None:
         """Read until the caller closes the connection; buffer pipelined data."""
         while True:
-            if self.pipelined_bytes >= MAX_PIPELINED_BYTES:
+            if not self._may_pipeline:
                 if self._has_hung_up():
                     return
                 eventlet.sleep(HANG_UP_POLL_INTERVAL_S)
@@ -292,7 +455,7 @@
     def has_disconnected(self) -> bool:
         """Return whether the caller has closed the connection; buffer pipelined data."""
         raw_sock = self._sock.fd
-        while self.pipelined_bytes < MAX_PIPELINED_BYTES:
+        while self._may_pipeline:
             try:
                 data = raw_sock.recv(RECV_BYTES)
             except BlockingIOError:
@@ -310,9 +473,17 @@
         poll.register(self._sock.fileno(), _HANG_UP_EVENTS)
         return bool(poll.poll(0))
 
+    @property
+    def _may_pipeline(self) -> bool:
+        """Whether more is read behind the current request; the rest stays in the socket."""
+        if self._memory is not None and self._memory.input.is_short:
+            return False
+        return self.pipelined_bytes < MAX_PIPELINED_BYTES
+
     def _buffer_pipelined(self, data: bytes) -> None:
         self.pipelined_bytes += len(data)
         self._parser.receive_data(data)
+        self._count_held(self._head_bytes + self.pipelined_bytes)
 
     def send_head(self, head: RawHead) -> None:
         """Send the head of the response.
@@ -417,11 +588,18 @@
         before the caller has read it (RFC 9112, section 9.6).
         """
         self.release_body()
-        if self.is_complete:
-            self._linger()
-        elif self.head_sent:
-            self.abort()
-        self._sock.close()
+        self._parser = _new_parser(self._limits)
+        self._count_held(0)
+        self.progress.begin(Activity.CLOSING, clock.now())
+        try:
+            if self.is_complete:
+                self._linger()
+            elif self.head_sent:
+                self.abort()
+        finally:
+            self._sock.close()
+            if self._held is not None:
+                self._held.release()
 
     def _linger(self) -> None:
         """Shut down the sending side, and drop what arrives until the caller closes too."""
@@ -434,7 +612,7 @@
                 if not data:
                     return
                 dropped += len(data)
-        except OSError:
+        except (OSError, ConnectionEvictedError):
             # The caller has closed the connection, or did not do so in time.
             return
 
@@ -443,6 +621,11 @@
     return MessageParser(h11.SERVER, limits.header_bytes)
 
 
+def _held_by(headers: list[Header]) -> int:
+    """Return what the headers of a request take, in bytes."""
+    return sum(HEADER_LINE_BYTES + len(name) + len(value) for name, value in headers)
+
+
 def _raw_request(head: h11.Request, body: bytes) -> RawRequest:
     names = [name for name, _ in head.headers]
     has_body = b"content-length" in names or b"transfer-encoding" in names
--- a/dockreach/direct/connection_ends.py
+++ b/dockreach/direct/connection_ends.py
@@ -26,7 +26,13 @@
     """After the refusal of a malformed request."""
 
     NO_ROOM = "no_room"
-    """After the refusal of a request for whose body there was no memory."""
+    """After the refusal of a request for whose head or body there was no memory."""
+
+    STALLED = "stalled"
+    """Its caller had stopped sending a request, and others waited for the memory."""
+
+    EVICTED = "evicted"
+    """It was silent, and callers had too many connections."""
 
     IDLE = "idle"
     """No request came in the idle timeout."""
--- a/dockreach/direct/context.py
+++ b/dockreach/direct/context.py
@@ -9,7 +9,7 @@
 
 from .. import clock
 from ..metrics import Metrics
-from .body_budget import BodyBudget
+from .caller_memory import CallerMemory
 from .config_confirmation import ConfigConfirmation
 from .connection_ends import ConnectionEnds
 from .crash_reporter import CrashReporter
@@ -102,7 +102,7 @@
     list_confirmation: ListConfirmation
     configuration: ConfigConfirmation
     counters: Counters = field(default_factory=Counters)
-    bodies: BodyBudget = field(default_factory=BodyBudget)
+    memory: CallerMemory = field(default_factory=CallerMemory.unbounded)
     outcomes: OutcomeCounter = field(default_factory=OutcomeCounter)
     ends: ConnectionEnds = field(default_factory=ConnectionEnds)
     first_attempts: FirstAttemptEstimator = field(default_factory=FirstAttemptEstimator)
--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -20,7 +20,7 @@
 from ..metrics import Metrics
 from ..rendezvous import choose
 from ..verdict import Refusal
-from .body_budget import BodyBudget
+from .caller_memory import CallerMemory
 from .config_confirmation import ConfigConfirmation
 from .connection_admission import ConnectionAdmission, IdleMeter
 from .connection_ends import CloseCause
@@ -43,6 +43,7 @@
 from .listening import listen
 from .loop_guard import LoopGuard
 from .loops import run_forever
+from .memory_plan import MemoryPlan, memory_plan
 from .message_checks import is_valid, without_invalid_parts
 from .notice_tracker import NoticeTracker
 from .peers import MAX_DATAGRAM_DELAY_S, RECENT_START_S, PeerTable
@@ -170,7 +171,7 @@
             adapter=adapter,
             endpoints=self.endpoints,
             scheduler=scheduler,
-            bodies=BodyBudget(settings.memory_mb),
+            memory=CallerMemory(_memory_plan(settings)),
             quotas=QuotaTable(
                 self.peers,
                 settings.quota_tolerance,
@@ -259,7 +260,7 @@
 
     def _admit(self) -> bool:
         """Return whether to take a new connection; count those that are closed unread."""
-        is_admitted = self.admission.admit()
+        is_admitted = self.admission.admit() and self.callers.make_way(clock.now())
         if not is_admitted:
             self.ctx.ends.closed[CloseCause.UNREAD] += 1
         return is_admitted
@@ -276,8 +277,9 @@
             cold_tolerance=settings.cold_tolerance,
             heartbeat_s=settings.heartbeat_s,
             memory_mb=settings.memory_mb,
+            max_descriptors=settings.max_descriptors,
         )
-        self.ctx.bodies.set_memory(settings.memory_mb)
+        self.ctx.memory.apply(_memory_plan(self.settings))
         for feed in (self.feeds.configuration, self.feeds.endpoints):
             feed.max_gap_s = _record_margin_s(settings)
         self.callers.change_grace(settings.grace_s)
@@ -756,6 +758,7 @@
 
     def _run_maintenance(self) -> None:
         eventlet.sleep(MAINTENANCE_INTERVAL_S)
+        self.callers.end_stalled(clock.now())
         now = clock.now()
         expired = self.peers.expire(now)
         self.ctx.quotas.keep_ended_peers(expired)
@@ -804,6 +807,10 @@
     return arrival.waited_s > LEASE_S
 
 
+def _memory_plan(settings: EntrySettings) -> MemoryPlan:
+    return memory_plan(settings.memory_mb, settings.max_descriptors)
+
+
 def _record_margin_s(settings: EntrySettings) -> float:
     """Return for how long an outage lasts at least before a record expires, in seconds.
 
--- a/dockreach/direct/entry_pages.py
+++ b/dockreach/direct/entry_pages.py
@@ -135,7 +135,7 @@
         )
         yield from entry.ctx.outcomes.samples()
         yield from entry.ctx.ends.samples()
-        yield from entry.ctx.bodies.samples()
+        yield from entry.ctx.memory.samples()
         now = clock.now()
         yield from entry.feeds.samples(now, entry.started_at)
         yield from entry.stalls.samples()
--- a/dockreach/direct/entry_settings.py
+++ b/dockreach/direct/entry_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -13,6 +14,15 @@
 DEFAULT_MEMORY_MB = 512.0
 """Memory of a process whose settings do not tell it, in MB: half of a small VM."""
 
+MAX_DESCRIPTORS = 1 << 20
+"""Most descriptors that are counted on where the system sets no limit."""
+
+
+def own_descriptor_limit() -> int:
+    """Return how many descriptors the system lets this process open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if soft == resource.RLIM_INFINITY else soft
+
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
@@ -38,6 +48,7 @@
         region_of_hall: The region of each data hall.
         heartbeat_s: Interval at which endpoints renew their records, in seconds.
         memory_mb: Memory that the process may use, in MB.
+        max_descriptors: Descriptors that it may have open.
     """
 
     name: str
@@ -59,3 +70,4 @@
     region_of_hall: Mapping[str, str] = field(default_factory=dict)
     heartbeat_s: float = 1.2
     memory_mb: float = DEFAULT_MEMORY_MB
+    max_descriptors: int = field(default_factory=own_descriptor_limit)
--- a/dockreach/direct/http1.py
+++ b/dockreach/direct/http1.py
@@ -9,7 +9,7 @@
 import errno
 import re
 import struct
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import eventlet
 from eventlet.green import socket
@@ -202,11 +202,23 @@
         self._steps = 0
 
 
+class ReadGate(Protocol):
+    """Says whether data may be read that has arrived."""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it may be read now."""
+
+    def wait(self) -> None:
+        """Wait until it may be read; raise an error if that takes too long."""
+
+
 def receive(
     sock: Any,  # noqa: ANN401
     timeout_s: float | None = None,
     *,
     share: LoopShare | None = None,
+    gate: ReadGate | None = None,
 ) -> bytes:
     """Read the available data; empty if the peer closed the connection in order.
 
@@ -217,6 +229,7 @@
         sock: The socket.
         timeout_s: How long to wait for data, in seconds; that of the socket if omitted.
         share: Gives the event loop back when data is always there.
+        gate: Passed once there is something to read, and before it is read.
 
     Raises:
         OSError: The connection was reset.
@@ -229,20 +242,25 @@
     share.begin_step()
     has_timed_out = False
     while True:
-        try:
-            data: bytes = raw_sock.recv(min(RECV_BYTES, share.bytes_left))
-        except BlockingIOError:
-            if has_timed_out:
-                raise TimeoutError(f"no data for {timeout_s:.1f} s") from None
-        else:
-            share.add_bytes(len(data))
-            return data
+        if gate is None or gate.is_open:
+            try:
+                data: bytes = raw_sock.recv(min(RECV_BYTES, share.bytes_left))
+            except BlockingIOError:
+                if has_timed_out:
+                    raise TimeoutError(f"no data for {timeout_s:.1f} s") from None
+            else:
+                share.add_bytes(len(data))
+                return data
         try:
             trampoline(raw_sock, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
         except TimeoutError:
             # Reads once more: data may have come while the event loop was busy.
             has_timed_out = True
         share.renew()
+        if gate is not None and not gate.is_open:
+            if has_timed_out:
+                raise TimeoutError(f"no data for {timeout_s:.1f} s")
+            gate.wait()
 
 
 def reset(sock: Any) -> None:  # noqa: ANN401
--- a/dockreach/direct/message_parser.py
+++ b/dockreach/direct/message_parser.py
@@ -59,6 +59,11 @@
         """Received bytes behind the last event."""
         return self.http.trailing_data[0] + bytes(self._pending)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of received bytes that were not parsed yet."""
+        return len(self._pending) + len(self.http.trailing_data[0])
+
     @property
     def has_remainder(self) -> bool:
         """Whether bytes were received behind the last event."""
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -12,20 +12,21 @@
 from eventlet.greenio import GreenSocket
 
 from .. import clock
-from ..errors import CallerGoneError, EntryStoppingError
+from ..errors import CallerGoneError, ConnectionEvictedError, EntryStoppingError
 from ..events import Event, log
 from ..verdict import Reason, Refusal, Verdict
-from .body_budget import SMALL_BODY_BYTES, BodyBudgetError, Reservation
 from .caller_connection import CallerConnection
 from .connection_ends import AbandonCause, CloseCause
 from .context import Context
 from .evidence import refusal_of
 from .http1 import BadRequestError, RawHead, RawRequest, reset
+from .memory_room import NoRoomError, Reservation
 from .patience import honoured_retry_after_s, max_retry_after_s
 from .request_handler import OUTDATED_REFUSAL, RequestHandler, refusal_after_fault
 from .request_summary import Party
 from .requests import Header
 from .routing_config import CallerLimits, ConfigRevision
+from .stalled_callers import Evictor, is_stalled, stalled
 
 ACCEPT_RETRY_DELAY_S = 0.1
 """Delay before the next accept after a failed one, in seconds."""
@@ -51,6 +52,13 @@
 """Time in which callers may read the refusals of these requests, in seconds."""
 
 
+class CallerStalledError(BadRequestError):
+    """A caller has stopped sending its request, and others wait for the memory."""
+
+    def __init__(self) -> None:
+        super().__init__(408, "stopped sending while others wait for memory")
+
+
 class ServingEntry(Protocol):
     """The attributes of an entry that are needed to serve callers."""
 
@@ -100,7 +108,9 @@
         self._connections: dict[CallerConnection, Any] = {}
         self._servers: dict[CallerConnection, Any] = {}
         self._is_exiting = False
-        self._lingering = 0
+        self._lingering: dict[CallerConnection, Any] = {}
+        self._arriving = 0
+        self._evictor: Evictor[CallerConnection] = Evictor()
         self._draining_since: float | None = None
 
     def __len__(self) -> int:
@@ -108,9 +118,13 @@
 
     def serve(self, sock: Any) -> None:  # noqa: ANN401
         """Serve one connection until it ends."""
+        self._arriving = max(self._arriving - 1, 0)
         try:
             conn = CallerConnection(
-                sock, self._caller_limits, reserve_body=self._reserve_body
+                sock,
+                self._caller_limits,
+                reserve_body=self._reserve_body,
+                memory=self._entry.ctx.memory,
             )
         except OSError:
             # The caller reset the connection before it was served.
@@ -126,6 +140,8 @@
                 self._log_abandoned(conn, AbandonCause.LEFT_UNSERVED, Party.CALLER)
         except EntryStoppingError:
             cause = CloseCause.STOPPING
+        except ConnectionEvictedError:
+            cause = CloseCause.EVICTED
         except Exception as exc:  # noqa: BLE001
             # An unexpected error ends one connection and not the entry.
             cause = CloseCause.INTERNAL_ERROR
@@ -136,11 +152,11 @@
             self._close(conn)
 
     def _close(self, conn: CallerConnection) -> None:
-        self._lingering += 1
+        self._lingering[conn] = eventlet.getcurrent()
         try:
             conn.close()
         finally:
-            self._lingering -= 1
+            del self._lingering[conn]
 
     def _end_after_fault(self, conn: CallerConnection, exc: Exception) -> None:
         """Refuse the request after an unexpected error; reset a partial response."""
@@ -192,11 +208,14 @@
             try:
                 if not self._serve_next(conn):
                     return CloseCause.IDLE if conn.has_idled else CloseCause.CALLER
+            except CallerStalledError as exc:
+                self._refuse_malformed(conn, exc)
+                return CloseCause.STALLED
             except BadRequestError as exc:
                 self._refuse_malformed(conn, exc)
                 return CloseCause.BAD_REQUEST
-            except BodyBudgetError as exc:
-                self._refuse_body(conn, exc)
+            except NoRoomError as exc:
+                self._refuse_for_room(conn, exc)
                 return CloseCause.NO_ROOM
             conn.release_body()
             if not conn.prepare_next_request():
@@ -211,27 +230,27 @@
         self._serve_watched(conn, raw)
         return True
 
-    def _reserve_body(self, size: int, headers: list[Header]) -> Reservation | None:
+    def _reserve_body(self, size: int, headers: list[Header]) -> Reservation:
         """Reserve room for a body, and wait for it for a part of the caller's time.
 
         Raises:
-            BodyBudgetError: There was no room in time.
+            NoRoomError: There was no room in time.
             BadRequestError: The caller's deadline is not valid.
         """
-        if size <= SMALL_BODY_BYTES:
-            return None
         ctx = self._entry.ctx
+        if ctx.memory.may_reserve_body(size):
+            return ctx.memory.reserve_body(size, 0.0)
         left_s = ctx.adapter.time_left_s(headers)
         if left_s is None:
             left_s = self._caller_limits().header_timeout_s
         wait_s = max_retry_after_s(left_s, 0.0)
         try:
-            return ctx.bodies.reserve(size, wait_s)
-        except BodyBudgetError as exc:
+            return ctx.memory.reserve_body(size, wait_s)
+        except NoRoomError as exc:
             exc.retry_after_s = honoured_retry_after_s(exc.retry_after_s, left_s, wait_s)
             raise
 
-    def _refuse_body(self, conn: CallerConnection, exc: BodyBudgetError) -> None:
+    def _refuse_for_room(self, conn: CallerConnection, exc: NoRoomError) -> None:
         conn.is_accounted = True
         conn.is_closing = True
         rid = self._rid(conn)
@@ -241,6 +260,41 @@
         )
         conn.send_response(*self._entry.ctx.adapter.refusal(refusal, rid))
 
+    def end_stalled(self, now: float) -> None:
+        """Refuse callers that have stopped sending, while others wait for memory.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        memory = self._entry.ctx.memory
+        if not memory.is_short:
+            return
+        for conn in stalled(list(self._connections), now):
+            rooms = [memory.input, *([memory.bodies] if conn.holds_large_body else [])]
+            # Others may have gone on while one was ended.
+            if is_stalled(conn.progress, now) and any(
+                room.missing_bytes > 0 for room in rooms
+            ):
+                eventlet.kill(self._connections[conn], CallerStalledError())
+
+    def make_way(self, now: float) -> bool:
+        """Close a silent connection if callers have as many as they may have.
+
+        Args:
+            now: Monotonic time, in seconds.
+
+        Returns:
+            Whether there is a place for a new connection.
+        """
+        count = len(self._lingering) + len(self._connections) + self._arriving
+        if count >= self._entry.ctx.memory.max_connections:
+            greenlets = {**self._lingering, **self._connections}
+            if not self._evictor.evict(greenlets, now):
+                return False
+        # It is not among the connections until its greenlet runs.
+        self._arriving += 1
+        return True
+
     def _serve_watched(self, conn: CallerConnection, raw: RawRequest) -> None:
         """Serve a request; stop at once when the caller closes its connection.
 
--- a/dockreach/errors.py
+++ b/dockreach/errors.py
@@ -46,6 +46,10 @@
     """The caller closed its connection before its response was complete."""
 
 
+class ConnectionEvictedError(DockreachError):
+    """A connection is closed, as callers have too many."""
+
+
 class EntryStoppingError(DockreachError):
     """The entry stops, and ends a connection or a request."""
 
--- a/tests/direct/test_caller_connection.py
+++ b/tests/direct/test_caller_connection.py
@@ -13,6 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dockreach.direct import caller_connection
 from dockreach.direct.caller_connection import (
     MAX_LATE_BYTES,
     MAX_TURN_BYTES,
@@ -211,7 +212,10 @@
     assert counter.turns >= 2
 
 
-def test_a_search_for_a_pipelined_request_does_not_hold_up_other_greenlets() -> None:
+def test_a_search_for_a_pipelined_request_does_not_hold_up_other_greenlets(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_connection, "MAX_PIPELINED_BYTES", 1 << 20)
     # Two of these chunks are too long to be joined.
     chunk = b"1;" + b"e" * (MAX_JOINED_BYTES // 2 - 5) + b"\r\nx\r\n"
     pipelined = CHUNKED_HEAD + chunk * 2000
