Bound what connections to pages hold, and let a check in beside a crowd

Cause: the ports for readiness, views and metrics read requests with the limits of callers and no bound on their number: bodies of 4 MiB, heads for 10 s, as many connections as there are descriptors.

Change: a request for a page has no body and a head of 8 KiB, read within 2 s. A page has 64 connections; beyond that a new one takes the place of one that was silent for 0.2 s. They are counted in the room for callers' input.

--- a/dockreach/direct/entry.py
+++ b/dockreach/direct/entry.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
-from functools import partial, singledispatchmethod
+from functools import singledispatchmethod
 from operator import attrgetter
 from typing import Any
 
@@ -62,7 +62,7 @@
 from .slot_messages import SlotReply, SlotState
 from .slot_server import LEASE_S, SlotServer
 from .stalls import BEAT_INTERVAL_S, Arrival, Stalls
-from .status_pages import serve_page
+from .status_pages import Page, PageServer
 from .stream_messages import StreamQuestion, StreamReport
 from .stream_versions import StreamVersions
 from .token_quota import QuotaTable
@@ -237,19 +237,19 @@
         pages = EntryPages(self)
         self._listener = self._listener or listen(settings.callers_address)
         self._acceptor = eventlet.spawn(self._accept_callers, self._listener)
-        self._listen(settings.health_address, partial(serve_page, page=pages.health))
-        self._listen(settings.gossip_address, partial(serve_page, page=pages.view))
+        self._serve_page(settings.health_address, pages.health)
+        self._serve_page(settings.gossip_address, pages.view)
         if settings.metrics_address is not None:
-            self._listen(settings.metrics_address, partial(serve_page, page=pages.metrics))
+            self._serve_page(settings.metrics_address, pages.metrics)
         self._view_sync.start()
         eventlet.spawn(run_forever, self._beat)
         eventlet.spawn(run_forever, self._run_maintenance)
         eventlet.spawn(run_forever, self.admission.measure)
         log(Event.STARTED, daemon_hall=settings.hall, has_past=settings.has_predecessor)
 
-    @staticmethod
-    def _listen(address: Address, serve: Callable[[Any], None]) -> None:
-        eventlet.spawn(accept_all, listen(address), serve)
+    def _serve_page(self, address: Address, page: Callable[[bytes], Page]) -> None:
+        server = PageServer(page, self.ctx.memory)
+        eventlet.spawn(accept_all, listen(address), server.serve, server.admit)
 
     def _accept_callers(self, listener: socket.socket) -> None:
         """Accept callers once the entry can serve them, or refuse them after a timeout."""
