Close silent connections while others wait for the memory that they take

Callers that open connections and send nothing locked others out of an entry whose memory holds fewer connections than its descriptors allow (1,180 at 88 MB, 2,925 descriptors): only requests that had stopped were ended, and connections without a request kept their part until the idle timeout.

Change: after stalled requests, silent connections are closed while others wait, in the order in which they give way to new ones; rested ones last.

--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -276,6 +276,15 @@
                 room.missing_bytes > 0 for room in rooms
             ):
                 eventlet.kill(self._connections[conn], CallerStalledError())
+        self._close_silent(now)
+
+    def _close_silent(self, now: float) -> None:
+        """Close connections that send nothing while others wait for what they take."""
+        memory = self._entry.ctx.memory
+        while memory.input.missing_bytes > 0:
+            greenlets = {**self._lingering, **self._connections}
+            if not self._evictor.evict(greenlets, now):
+                return
 
     def make_way(self, now: float) -> bool:
         """Close a silent connection if callers have as many as they may have.
--- a/tests/direct/test_stalled_callers.py
+++ b/tests/direct/test_stalled_callers.py
@@ -11,6 +11,7 @@
 from dockreach.direct.caller_memory import CallerMemory
 from dockreach.direct.entry import Entry
 from dockreach.direct.memory_plan import CONNECTION_BYTES, MemoryPlan
+from dockreach.direct.routing_config import CallerLimits
 from dockreach.direct.stalled_callers import (
     Activity,
     Progress,
@@ -25,6 +26,7 @@
     EndpointStandIn,
     header_of,
     respond_fine,
+    revision,
     start_entry,
     status_of,
 )
@@ -102,7 +104,8 @@
 
 def start_small_entry(*, body_bytes: float = MB, input_bytes: float = MB) -> Entry:
     """Start an entry with little room; it serves 20 connections."""
-    entry = start_entry(EndpointStandIn(respond_fine))
+    limits = CallerLimits(idle_timeout_s=600.0)
+    entry = start_entry(EndpointStandIn(respond_fine), config=revision(limits=limits))
     entry.ctx.memory.apply(MemoryPlan(body_bytes, input_bytes, 20))
     return entry
 
@@ -171,6 +174,14 @@
     assert len(silent) == 20
 
 
+def test_silent_connections_that_take_all_memory_make_way_for_requests() -> None:
+    entry = start_small_entry(input_bytes=10 * CONNECTION_BYTES)
+    silent = [Caller(entry) for _ in range(15)]
+    eventlet.sleep(0.2)
+    assert status_of(ask(entry, 100)) == 200
+    assert len(silent) == 15
+
+
 def test_a_connection_that_serves_a_request_is_not_closed_for_new_ones() -> None:
     entry = start_entry(EndpointStandIn(respond_late))
     entry.ctx.memory.apply(MemoryPlan(MB, MB, 3))
