Soak: crowds that send most of a request and stay

Bursts also draw 50 to 400 connections to one entry that send nothing, an unfinished head, 900 header lines, a small, large or chunked body without its last byte, or such a body behind a whole request, and stay for up to 3 s. The invariants are those of bursts: memory, readiness, and all that is promised.

--- a/tests/soak/burst_callers.py
+++ b/tests/soak/burst_callers.py
@@ -32,6 +32,12 @@
 
 BODY_PIECE_INTERVAL_S = 0.05
 
+MAX_STOPPED_S = 3.0
+"""Longest time for which callers that have stopped sending keep their connections, in
+seconds."""
+
+SMALL_BODY_BYTES = 60_000
+
 
 def send_bodies(callers: Callers, count: int, max_bytes: int) -> None:
     """Send requests with large bodies to one entry at the same time.
@@ -74,6 +80,65 @@
     )
 
 
+def stop_short(callers: Callers, count: int, max_bytes: int) -> None:
+    """Send most of a request on each of many connections to one entry, and stay.
+
+    Args:
+        callers: Draw the entry, the requests, and how long the connections stay.
+        count: Number of connections.
+        max_bytes: Size of the largest body, in bytes.
+    """
+    rng = callers.rng
+    _, address = rng.choice(callers.addresses())
+    stay_s = rng.uniform(0.5, MAX_STOPPED_S)
+    drawn = [
+        _unfinished(rng.choice(_SHAPES), callers.make_rid("once"), max_bytes)
+        for _ in range(count)
+    ]
+    _wait_for_all(eventlet.spawn(_send_and_stay, address, data, stay_s) for data in drawn)
+
+
+_SHAPES = ("silent", "head", "lines", "small", "large", "chunks", "pipelined")
+"""What is sent before the stop."""
+
+
+def _unfinished(shape: str, rid: str, max_bytes: int) -> bytes:
+    """Return most of a request."""
+    head = (
+        f"POST /once/x HTTP/1.1\r\nHost: tools.example\r\nRequest-Id: {rid}\r\n"
+        f"Request-Deadline-Ms: 3500\r\nX-Api-Key: {KEY}\r\nToken-Counts: 16,4\r\n"
+    ).encode()
+
+    def body(size: int) -> bytes:
+        return head + b"Content-Length: %d\r\n\r\n" % size + b"u" * (size - 1)
+
+    sent = {
+        "silent": b"",
+        "head": head + b"Padding: " + b"x" * 12_000,
+        "lines": head + b"a:\r\n" * 900 + b"Content-Length: 9\r\n\r\nu",
+        "small": body(SMALL_BODY_BYTES),
+        "large": body(max_bytes),
+        "chunks": head
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + b"4000\r\n%s\r\n" % (b"u" * 0x4000) * (max_bytes // 0x4000 - 1),
+        "pipelined": b"GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n" + body(max_bytes),
+    }
+    return sent[shape]
+
+
+def _send_and_stay(address: str, data: bytes, stay_s: float) -> None:
+    """Send bytes, and keep the connection open; give up when the entry closes it."""
+    ip, _, port = address.rpartition(":")
+    with (
+        eventlet.Timeout(stay_s, False),
+        contextlib.suppress(OSError),
+        socket.create_connection((ip, int(port))) as sock,
+    ):
+        sock.sendall(data)
+        while sock.recv(65536):
+            pass
+
+
 def take_up_at_once(callers: Callers, count: int) -> None:
     """Leave a stream, and take it up several times at the same time.
 
--- a/tests/soak/test_burst_callers.py
+++ b/tests/soak/test_burst_callers.py
@@ -6,7 +6,12 @@
 
 from tests.direct.standins import Dialog, EndpointStandIn, header_of, respond_fine
 
-from .burst_callers import send_bodies, send_unfinished_bodies, take_up_at_once
+from .burst_callers import (
+    send_bodies,
+    send_unfinished_bodies,
+    stop_short,
+    take_up_at_once,
+)
 from .test_callers import callers_of
 from .workers import stream_event
 
@@ -54,3 +59,14 @@
     assert len(entry.dialogs) == 10
     assert entry.requests == []
     assert callers.outcomes == []
+
+
+def test_callers_that_stop_short_send_no_whole_request() -> None:
+    entry = EndpointStandIn(respond_fine)
+    callers = callers_of(entry)
+    stop_short(callers, 20, MAX_BYTES)
+    assert len(entry.dialogs) == 20
+    # The stand-in takes the head of a chunked request for a whole one.
+    whole = [request for request in entry.requests if b"chunked" not in request]
+    assert all(request.startswith(b"GET /unknown") for request in whole)
+    assert callers.outcomes == []
