Refuse requests that hold large heads while they wait for room for their bodies

500 requests with 900 header lines each, whose bodies do not come, locked an ordinary request out for more than 10 s, though they kept within the memory.

Cause: a request that waits for room for its body holds its head, counts as waiting and not as stalled, and some heads take more than a body of 64 KiB: such requests waited for one another.

Change: those that have waited for 1 s get 503 while others wait for the room that heads take, the one that has waited for longest first. A body of up to 8 KiB does not wait: the room for its head covers it.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -381,8 +381,12 @@
         """
         if not size:
             return deadline
+        if size <= RECV_BYTES and self._memory is not None:
+            # The room for the head includes that of one read.
+            self._reservation = self._memory.input.hold(size)
+            return deadline
         asked_at = clock.now()
-        self.progress = Progress(Activity.WAITING, asked_at, asked_at)
+        self.progress = Progress(Activity.WAITING, asked_at, asked_at, expected=size)
         try:
             reservation = self._reserve_body(size, self.headers)
         except NoRoomError:
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -26,7 +26,7 @@
 from .request_summary import Party
 from .requests import Header
 from .routing_config import CallerLimits, ConfigRevision
-from .stalled_callers import Evictor, is_stalled, stalled
+from .stalled_callers import Evictor, is_stalled, is_waiting, stalled, waiting
 
 ACCEPT_RETRY_DELAY_S = 0.1
 """Delay before the next accept after a failed one, in seconds."""
@@ -277,6 +277,7 @@
             ):
                 eventlet.kill(self._connections[conn], CallerStalledError())
         self._close_silent(now)
+        self._refuse_waiting(now)
 
     def _close_silent(self, now: float) -> None:
         """Close connections that send nothing while others wait for what they take."""
@@ -286,6 +287,16 @@
             if not self._evictor.evict(greenlets, now):
                 return
 
+    def _refuse_waiting(self, now: float) -> None:
+        """Refuse requests that hold their heads while they wait for room themselves."""
+        memory = self._entry.ctx.memory
+        for conn in waiting(list(self._connections), now):
+            if memory.input.missing_bytes <= 0:
+                return
+            if is_waiting(conn.progress, now):
+                exc = memory.input.refuse(conn.progress.expected)
+                eventlet.kill(self._connections[conn], exc)
+
     def make_way(self, now: float) -> bool:
         """Close a silent connection if callers have as many as they may have.
 
--- a/dockreach/direct/stalled_callers.py
+++ b/dockreach/direct/stalled_callers.py
@@ -127,6 +127,32 @@
     return found
 
 
+def is_waiting(progress: Progress, now: float) -> bool:
+    """Return whether a request has waited for room while it holds a head.
+
+    Args:
+        progress: How its connection gets on.
+        now: Monotonic time, in seconds.
+    """
+    is_held = progress.activity is Activity.WAITING and progress.expected > 0
+    return is_held and now - progress.since >= SILENCE_S
+
+
+def waiting(connections: Iterable[_Watched], now: float) -> list[_Watched]:
+    """Return the connections whose requests hold a head and wait for room for a body.
+
+    Args:
+        connections: Callers' connections.
+        now: Monotonic time, in seconds.
+
+    Returns:
+        Those that have waited for a while, the longest first.
+    """
+    found = [conn for conn in connections if is_waiting(conn.progress, now)]
+    found.sort(key=lambda conn: conn.progress.since)
+    return found
+
+
 _DISPENSABLE = (Activity.CLOSING, Activity.READING, Activity.NEW, Activity.RESTED)
 """What connections do that may be closed for new ones, the first to be closed first."""
 
--- a/tests/direct/test_stalled_callers.py
+++ b/tests/direct/test_stalled_callers.py
@@ -8,6 +8,7 @@
 import eventlet
 import pytest
 
+from dockreach import clock
 from dockreach.direct.caller_memory import CallerMemory
 from dockreach.direct.entry import Entry
 from dockreach.direct.memory_plan import CONNECTION_BYTES, MemoryPlan
@@ -182,6 +183,22 @@
     assert len(silent) == 15
 
 
+def test_heads_that_wait_for_room_for_their_bodies_make_way() -> None:
+    """Guards against requests that wait for one another until they are refused."""
+    entry = start_small_entry(input_bytes=600_000)
+    held = entry.ctx.memory.bodies.reserve(MB, 0.0)
+    waiting = [Caller(entry) for _ in range(3)]
+    for caller in waiting:
+        lines = b"a:\r\n" * 900
+        head = HEAD.replace(b"Host", lines + b"Host").replace(b"6000", b"60000")
+        caller.sock.sendall(head + b"300000\r\n\r\n")
+    eventlet.sleep(0.2)
+    asked_at = clock.now()
+    assert status_of(ask(entry, 100)) == 200
+    assert clock.now() - asked_at < 15.0
+    held.release()
+
+
 def test_a_connection_that_serves_a_request_is_not_closed_for_new_ones() -> None:
     entry = start_entry(EndpointStandIn(respond_late))
     entry.ctx.memory.apply(MemoryPlan(MB, MB, 3))
