--- a/tests/platform/test_allowed_configurations.py
+++ b/tests/platform/test_allowed_configurations.py
@@ -20,9 +20,16 @@
     lambda parts: "".join(f"/{part}" for part in parts) + "/"
 )
 _SMALL_WHOLES = st.integers(0, 10_000)
-_WHOLES = _SMALL_WHOLES | st.integers(0, MAX_FIGURE)
+
+
+def _wholes(values: st.SearchStrategy[int]) -> st.SearchStrategy[int | float]:
+    """Return whole numbers, also as JSON numbers with a fraction of zero."""
+    return values | values.filter(lambda value: value < 2**53).map(float)
+
+
+_WHOLES = _wholes(_SMALL_WHOLES | st.integers(0, MAX_FIGURE))
 _FIGURES = _WHOLES | st.floats(0, MAX_FIGURE)
-_VERSIONS = _SMALL_WHOLES | st.integers(0, MAX_REVISION)
+_VERSIONS = _wholes(_SMALL_WHOLES | st.integers(0, MAX_REVISION))
 _UNKNOWN = st.recursive(
     st.none()
     | st.booleans()
