Count unparsed bytes without a copy, and close connections without a new parser

Cause: the count of what a connection holds copied h11's buffer at each step of a request, and each close made a parser.

Change: before its body a request has all unparsed bytes in one buffer, whose length is enough; a closed connection drops the buffer. No decision is changed.

Result: 121 tests of connections pass.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -275,11 +275,11 @@
             Activity.READING,
             clock.now(),
             clock.now(),
-            received=self._parser.pending_bytes,
+            received=self._parser.unparsed_head_bytes,
             expected=self._limits.header_bytes,
             deadline=deadline,
         )
-        self._count_held(REQUEST_BYTES + self._parser.pending_bytes)
+        self._count_held(REQUEST_BYTES + self._parser.unparsed_head_bytes)
         self._check_room()
         head: h11.Request | None = None
         body = bytearray()
@@ -290,7 +290,7 @@
                 if not self._receive(deadline):
                     return None
                 if head is None:
-                    self._count_held(REQUEST_BYTES + self._parser.pending_bytes)
+                    self._count_held(REQUEST_BYTES + self._parser.unparsed_head_bytes)
                     self._check_room()
             elif isinstance(event, h11.Request):
                 head = event
@@ -323,7 +323,7 @@
         self._count_held(self._head_bytes + RECV_BYTES)
         self._check_room()
         size = self._first_body_bytes(head)
-        return self._reserve_room(size, self._parser.pending_bytes, deadline)
+        return self._reserve_room(size, self._parser.unparsed_head_bytes, deadline)
 
     def _check_body(self, received: int, deadline: float) -> float:
         """Check the size of a body that is read; reserve more room if it needs that.
@@ -592,7 +592,7 @@
         before the caller has read it (RFC 9112, section 9.6).
         """
         self.release_body()
-        self._parser = _new_parser(self._limits)
+        self._parser.discard()
         self._count_held(0)
         self.progress.begin(Activity.CLOSING, clock.now())
         try:
--- a/dockreach/direct/message_parser.py
+++ b/dockreach/direct/message_parser.py
@@ -59,11 +59,20 @@
         """Received bytes behind the last event."""
         return self.http.trailing_data[0] + bytes(self._pending)
 
+    @property
+    def unparsed_head_bytes(self) -> int:
+        """Number of received bytes of a head that is not complete, and behind it."""
+        return len(self._pending)
+
     @property
     def pending_bytes(self) -> int:
-        """Number of received bytes that were not parsed yet."""
+        """Number of received bytes behind the last event."""
         return len(self._pending) + len(self.http.trailing_data[0])
 
+    def discard(self) -> None:
+        """Forget what was received and not parsed; nothing is parsed any more."""
+        self._pending = bytearray()
+
     @property
     def has_remainder(self) -> bool:
         """Whether bytes were received behind the last event."""
