Keep a newest configuration that is not valid in mind when an older one is read late

Found by review: the follower's calls and those for unknown routes use two connections. A list that was sent before the invalid configuration was written, and read after it, cleared the mark, so that unknown routes were denied again.

Change: the mark names the platform's revision, and only a later one clears it.

Result: the test of the mark has the order of events, and passes.

--- a/dockreach/direct/config_confirmation.py
+++ b/dockreach/direct/config_confirmation.py
@@ -37,7 +37,6 @@
         revision: The configuration in force; ``None`` before the first.
         source: Who told it: `PLATFORM`, or the name of an entry.
         applied_at: Monotonic time from which it is in force, in seconds.
-        is_newest_invalid: Whether the platform has a newer one that cannot be used.
     """
 
     def __init__(
@@ -51,7 +50,7 @@
         self.revision: ConfigRevision | None = None
         self.source = ""
         self.applied_at = -math.inf
-        self.is_newest_invalid = False
+        self._invalid_item = 0
 
     def apply(self, revision: ConfigRevision, source: str, now: float) -> None:
         """Put a configuration in force.
@@ -65,6 +64,24 @@
         self.source = source
         self.applied_at = now
 
+    def record_item(self, revision: int, *, is_valid: bool) -> None:
+        """Record whether a configuration that was read can be used.
+
+        Args:
+            revision: The platform's revision at which it was written. One that is read late
+                may be older than one that cannot be used.
+            is_valid: Whether it can.
+        """
+        if not is_valid:
+            self._invalid_item = max(self._invalid_item, revision)
+        elif revision > self._invalid_item:
+            self._invalid_item = 0
+
+    @property
+    def is_newest_invalid(self) -> bool:
+        """Whether the platform has a newer configuration that cannot be used."""
+        return self._invalid_item > 0
+
     @property
     def own_known_at(self) -> float:
         """Monotonic time up to which this entry itself has read all changes, in seconds.
--- a/tests/direct/test_config_confirmation.py
+++ b/tests/direct/test_config_confirmation.py
@@ -61,8 +61,12 @@
 def test_nothing_is_known_while_the_newest_configuration_is_not_valid() -> None:
     known = Known()
     known.read(98.0)
-    known.configuration.is_newest_invalid = True
+    known.configuration.record_item(7, is_valid=False)
     assert known.at() == -math.inf
+    known.configuration.record_item(6, is_valid=True)
+    assert known.at() == -math.inf
+    known.configuration.record_item(8, is_valid=True)
+    assert known.at() == 98.0
 
 
 def test_a_peer_with_the_same_or_an_older_configuration_confirms_it() -> None:
