Let waiting callers, pages and rested connections give way as they should

Now the oldest that gets no page does, and connections that were accepted and not yet served are counted. - A third of a deadline that a caller names was waited for, however long: 1,000 heads with an hour locked large bodies out. The header timeout bounds it now. - Requests that waited took all places; they give theirs up after 1 s. A caller that left while it waited was kept until the wait was over, and a stop waited for it. - Rested connections were closed for memory. A connection whose set-up fails holds nothing. - Limits of requests (413, 431) ask for the newest configuration, as unknown routes do.

--- a/dockreach/direct/caller_connection.py
+++ b/dockreach/direct/caller_connection.py
@@ -133,7 +133,6 @@
         self._reserve_body = reserve_body
         self._reservation: Reservation | None = None
         self._memory = memory
-        self._held = memory.open_connection() if memory else None
         self.progress = Progress(Activity.NEW, clock.now(), clock.now())
         self._find_limits = limits
         self._limits = limits()
@@ -165,6 +164,7 @@
         self.has_idled = False
         """Whether no request came in the idle timeout."""
         set_socket_options(sock, send_timeout_ms=SLOW_READER_TIMEOUT_MS)
+        self._held = memory.open_connection() if memory else None
 
     @property
     def _http(self) -> h11.Connection:
@@ -184,7 +184,7 @@
         self.release_body()
         self.is_idle = True
         if self.progress.activity is not Activity.NEW:
-            self.progress.begin(Activity.RESTED, clock.now())
+            self.progress = Progress(Activity.RESTED, clock.now(), clock.now())
         self._count_held(self._parser.pending_bytes)
         self.head_sent = False
         self.is_complete = False
@@ -381,18 +381,12 @@
         """
         if not size:
             return deadline
+        asked_at = clock.now()
         if size <= RECV_BYTES and self._memory is not None:
             # The room for the head includes that of one read.
-            self._reservation = self._memory.input.hold(size)
-            return deadline
-        asked_at = clock.now()
-        self.progress = Progress(Activity.WAITING, asked_at, asked_at, expected=size)
-        try:
-            reservation = self._reserve_body(size, self.headers)
-        except NoRoomError:
-            # The caller reads the refusal once it has sent its whole body.
-            self.linger_s = max(LINGER_S, self._limits.header_timeout_s)
-            raise
+            reservation: Reservation | None = self._memory.input.hold(size)
+        else:
+            reservation = self._wait_for_room(size)
         self.release_body()
         self._reservation = reservation
         now = clock.now()
@@ -407,6 +401,15 @@
         )
         return deadline
 
+    def _wait_for_room(self, size: int) -> Reservation | None:
+        self.progress = Progress(Activity.WAITING, clock.now(), clock.now(), expected=size)
+        try:
+            return self._reserve_body(size, self.headers)
+        except NoRoomError:
+            # The caller reads the refusal once it has sent its whole body.
+            self.linger_s = max(LINGER_S, self._limits.header_timeout_s)
+            raise
+
     @property
     def holds_large_body(self) -> bool:
         """Whether there is room for a large body that the current request may have."""
@@ -444,7 +447,7 @@
         """Read until the caller closes the connection; buffer pipelined data."""
         while True:
             if not self._may_pipeline:
-                if self._has_hung_up():
+                if self.has_hung_up():
                     return
                 eventlet.sleep(HANG_UP_POLL_INTERVAL_S)
                 continue
@@ -469,9 +472,9 @@
             if not data:
                 return True
             self._buffer_pipelined(data)
-        return self._has_hung_up()
+        return self.has_hung_up()
 
-    def _has_hung_up(self) -> bool:
+    def has_hung_up(self) -> bool:
         """Return whether the connection has ended, without reading from it."""
         poll = _select.poll()
         poll.register(self._sock.fileno(), _HANG_UP_EVENTS)
@@ -615,6 +618,7 @@
                 data = receive(self._sock, left_s, share=self._share)
                 if not data:
                     return
+                self.progress.hear(len(data), clock.now())
                 dropped += len(data)
         except (OSError, ConnectionEvictedError):
             # The caller has closed the connection, or did not do so in time.
--- a/dockreach/direct/memory_plan.py
+++ b/dockreach/direct/memory_plan.py
@@ -36,6 +36,10 @@
 OWN_DESCRIPTORS = 200
 """Descriptors for files, listeners, and connections to the platform and to peers."""
 
+CONNECTION_FRACTION = 0.5
+"""Part of the room for input that connections themselves may take, so that those that rest
+leave room for requests."""
+
 CALLER_DESCRIPTOR_FRACTION = 0.75
 """Part of the other descriptors for callers; the rest is for connections to endpoints."""
 
@@ -65,9 +69,10 @@
     total = memory_mb * 1e6
     free = max(total - PROGRAM_BYTES - COPY_BYTES, MIN_FREE_FRACTION * total)
     input_bytes = INPUT_FRACTION * free
+    by_memory = CONNECTION_FRACTION * input_bytes / CONNECTION_BYTES
     for_callers = CALLER_DESCRIPTOR_FRACTION * (max_descriptors - OWN_DESCRIPTORS)
     return MemoryPlan(
         body_bytes=BODY_FRACTION * free,
         input_bytes=input_bytes,
-        max_connections=max(int(for_callers), 1),
+        max_connections=max(int(min(for_callers, by_memory)), 1),
     )
--- a/dockreach/direct/memory_room.py
+++ b/dockreach/direct/memory_room.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -43,11 +42,13 @@
     Attributes:
         size: Its size, in bytes.
         since: Monotonic time from which it is held, in seconds.
+        is_timed: Whether the time for which it is held tells when there is room again.
     """
 
     size: int
     since: float
     _room: MemoryRoom
+    is_timed: bool = True
     _is_released: bool = False
 
     def shrink(self, size: int) -> None:
@@ -65,7 +66,8 @@
         """Give the room back; does nothing the second time."""
         if not self._is_released:
             self._is_released = True
-            self._room.record_hold(clock.now() - self.since)
+            if self.is_timed:
+                self._room.record_hold(clock.now() - self.since)
             self._room.add(-self.size)
 
 
@@ -92,7 +94,8 @@
         self.max_bytes = max_bytes
         self.held_bytes = 0
         self.refused = 0
-        self._waiting: deque[_Waiting] = deque()
+        self._waiting: dict[_Waiting, None] = {}
+        self._wanted_bytes = 0
         self._hold_s = 0.1
 
     def set_max_bytes(self, max_bytes: float) -> None:
@@ -113,8 +116,7 @@
     @property
     def missing_bytes(self) -> float:
         """Bytes to be given back so that nobody waits; negative for room to spare."""
-        wanted = sum(item.size for item in self._waiting)
-        return self.held_bytes + wanted - self.max_bytes
+        return self.held_bytes + self._wanted_bytes - self.max_bytes
 
     def may_reserve(self, size: int) -> bool:
         """Return whether room is there at once."""
@@ -127,7 +129,7 @@
             size: Its size, in bytes.
         """
         self.add(size)
-        return Reservation(size, clock.now(), self)
+        return Reservation(size, clock.now(), self, is_timed=False)
 
     def reserve(self, size: int, max_wait_s: float) -> Reservation:
         """Reserve room, and wait for it if there is none.
@@ -148,7 +150,8 @@
     def _wait(self, size: int, max_wait_s: float) -> None:
         """Wait until the room is held."""
         waiting = _Waiting(size)
-        self._waiting.append(waiting)
+        self._waiting[waiting] = None
+        self._wanted_bytes += size
         try:
             with eventlet.Timeout(max(max_wait_s, 0.0), False):
                 waiting.granted.wait()
@@ -177,9 +180,13 @@
         return NoRoomError(size, retry_after_s)
 
     def _leave(self, waiting: _Waiting) -> None:
-        self._waiting.remove(waiting)
+        self._remove(waiting)
         self._grant()
 
+    def _remove(self, waiting: _Waiting) -> None:
+        del self._waiting[waiting]
+        self._wanted_bytes -= waiting.size
+
     def _has_room(self, size: int) -> bool:
         """Return whether something may be held; what is larger than all room is alone."""
         return not self.held_bytes or self.held_bytes + size <= self.max_bytes
@@ -191,8 +198,8 @@
             self._grant()
 
     def _grant(self) -> None:
-        while self._waiting and self._has_room(self._waiting[0].size):
-            waiting = self._waiting.popleft()
+        while self._waiting and self._has_room((waiting := next(iter(self._waiting))).size):
+            self._remove(waiting)
             self.held_bytes += waiting.size
             waiting.granted.send(None)
 
@@ -202,8 +209,7 @@
 
     def _expected_wait_s(self) -> float:
         """Return after which time what is held and what waits will have been served."""
-        ahead = self.held_bytes + sum(item.size for item in self._waiting)
-        return self._hold_s * ahead / self.max_bytes
+        return self._hold_s * (self.held_bytes + self._wanted_bytes) / self.max_bytes
 
     def samples(self, name: str, content: str) -> Iterator[Sample]:
         """Return the metrics of the room.
--- a/dockreach/direct/serving.py
+++ b/dockreach/direct/serving.py
@@ -26,7 +26,7 @@
 from .request_summary import Party
 from .requests import Header
 from .routing_config import CallerLimits, ConfigRevision
-from .stalled_callers import Evictor, is_stalled, is_waiting, stalled, waiting
+from .stalled_callers import Activity, Evictor, is_stalled, is_waiting, stalled, waiting
 
 ACCEPT_RETRY_DELAY_S = 0.1
 """Delay before the next accept after a failed one, in seconds."""
@@ -111,6 +111,10 @@
         self._lingering: dict[CallerConnection, Any] = {}
         self._arriving = 0
         self._evictor: Evictor[CallerConnection] = Evictor()
+        # Rested ones take a part of the room for which the plan allows.
+        self._memory_evictor: Evictor[CallerConnection] = Evictor(
+            kept=(Activity.RESTED, Activity.WAITING)
+        )
         self._draining_since: float | None = None
 
     def __len__(self) -> int:
@@ -240,9 +244,7 @@
         ctx = self._entry.ctx
         if ctx.memory.may_reserve_body(size):
             return ctx.memory.reserve_body(size, 0.0)
-        left_s = ctx.adapter.time_left_s(headers)
-        if left_s is None:
-            left_s = self._caller_limits().header_timeout_s
+        left_s = self._time_to_read_s(headers)
         wait_s = max_retry_after_s(left_s, 0.0)
         try:
             return ctx.memory.reserve_body(size, wait_s)
@@ -250,14 +252,22 @@
             exc.retry_after_s = honoured_retry_after_s(exc.retry_after_s, left_s, wait_s)
             raise
 
+    def _time_to_read_s(self, headers: list[Header]) -> float:
+        """Return in which time a request must be read, in seconds."""
+        timeout_s = self._caller_limits().header_timeout_s
+        left_s = self._entry.ctx.adapter.time_left_s(headers)
+        return timeout_s if left_s is None else min(left_s, timeout_s)
+
     def _refuse_for_room(self, conn: CallerConnection, exc: NoRoomError) -> None:
         conn.is_accounted = True
         conn.is_closing = True
+        conn.progress.begin(Activity.CLOSING, clock.now())
         rid = self._rid(conn)
         log(Event.REQUEST_REFUSED, str(exc), rid=rid, reason=Reason.MEMORY.value)
-        refusal = Refusal(
-            Verdict.NOT_RUN, Reason.MEMORY, str(exc), retry_after_s=exc.retry_after_s
+        after_s = honoured_retry_after_s(
+            exc.retry_after_s, self._time_to_read_s(conn.headers), 0.0
         )
+        refusal = Refusal(Verdict.NOT_RUN, Reason.MEMORY, str(exc), retry_after_s=after_s)
         conn.send_response(*self._entry.ctx.adapter.refusal(refusal, rid))
 
     def end_stalled(self, now: float) -> None:
@@ -269,22 +279,27 @@
         memory = self._entry.ctx.memory
         if not memory.is_short:
             return
+        self._end_those_that_left()
         for conn in stalled(list(self._connections), now):
             rooms = [memory.input, *([memory.bodies] if conn.holds_large_body else [])]
-            # Others may have gone on while one was ended.
-            if is_stalled(conn.progress, now) and any(
-                room.missing_bytes > 0 for room in rooms
-            ):
+            is_short = any(room.missing_bytes > 0 for room in rooms)
+            # Others may have gone on while one was ended, or this process stood still.
+            if is_short and is_stalled(conn.progress, now) and not conn.has_input:
                 eventlet.kill(self._connections[conn], CallerStalledError())
         self._close_silent(now)
         self._refuse_waiting(now)
 
+    def _end_those_that_left(self) -> None:
+        """End requests that wait for room and whose callers have closed the connection."""
+        for conn, greenlet in list(self._connections.items()):
+            if conn.progress.activity is Activity.WAITING and conn.has_hung_up():
+                eventlet.kill(greenlet, CallerGoneError("caller left while it waited"))
+
     def _close_silent(self, now: float) -> None:
         """Close connections that send nothing while others wait for what they take."""
         memory = self._entry.ctx.memory
         while memory.input.missing_bytes > 0:
-            greenlets = {**self._lingering, **self._connections}
-            if not self._evictor.evict(greenlets, now):
+            if not self._memory_evictor.evict(self._greenlets, now):
                 return
 
     def _refuse_waiting(self, now: float) -> None:
@@ -297,6 +312,10 @@
                 exc = memory.input.refuse(conn.progress.expected)
                 eventlet.kill(self._connections[conn], exc)
 
+    def _greenlets(self) -> dict[CallerConnection, Any]:
+        """Return the greenlets that serve or close connections."""
+        return {**self._lingering, **self._connections}
+
     def make_way(self, now: float) -> bool:
         """Close a silent connection if callers have as many as they may have.
 
@@ -307,10 +326,9 @@
             Whether there is a place for a new connection.
         """
         count = len(self._lingering) + len(self._connections) + self._arriving
-        if count >= self._entry.ctx.memory.max_connections:
-            greenlets = {**self._lingering, **self._connections}
-            if not self._evictor.evict(greenlets, now):
-                return False
+        is_full = count >= self._entry.ctx.memory.max_connections
+        if is_full and not self._evictor.evict(self._greenlets, now):
+            return False
         # It is not among the connections until its greenlet runs.
         self._arriving += 1
         return True
@@ -377,6 +395,7 @@
 
     def _refuse_malformed(self, conn: CallerConnection, exc: BadRequestError) -> None:
         conn.is_accounted = True
+        conn.progress.begin(Activity.CLOSING, clock.now())
         log(Event.BAD_REQUEST, str(exc), status=exc.status, rid=self._rid(conn))
         if conn.head_sent:
             return
@@ -395,7 +414,8 @@
 
     def _has_current_limits(self) -> bool:
         """Return whether the limits in force are those that callers may rely on."""
-        return self._entry.ctx.configuration.is_current(clock.now())
+        max_wait_s = max_retry_after_s(self._caller_limits().header_timeout_s, 0.0)
+        return self._entry.ctx.configuration.confirm(clock.now(), max_wait_s)
 
     def drain(
         self,
--- a/dockreach/direct/stalled_callers.py
+++ b/dockreach/direct/stalled_callers.py
@@ -11,7 +11,7 @@
 import enum
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -24,7 +24,7 @@
 longer than TCP takes to repeat a lost packet."""
 
 LIST_INTERVAL_S = 0.1
-"""Shortest time between two searches for connections that may be closed, in seconds."""
+"""Shortest time between two searches among all callers' connections, in seconds."""
 
 
 class Activity(enum.Enum):
@@ -153,27 +153,44 @@
     return found
 
 
-_DISPENSABLE = (Activity.CLOSING, Activity.READING, Activity.NEW, Activity.RESTED)
+_DISPENSABLE = (
+    Activity.CLOSING,
+    Activity.READING,
+    Activity.WAITING,
+    Activity.NEW,
+    Activity.RESTED,
+)
 """What connections do that may be closed for new ones, the first to be closed first."""
 
 
-class Evictor(Generic[_Watched]):
+class Evictable(Watched, Protocol):
+    """A connection that may be closed for a new one."""
+
+    @property
+    def has_input(self) -> bool:
+        """Whether its caller has sent what was not read yet, or has disconnected."""
+
+
+_Evictable = TypeVar("_Evictable", bound=Evictable)
+
+
+class Evictor(Generic[_Evictable]):
     """Closes connections for new ones when there are too many.
 
     Args:
-        min_silence_s: Time without a byte after which one may be closed, in seconds.
+        kept: What those do that are not closed.
     """
 
-    def __init__(self, min_silence_s: float = SILENCE_S) -> None:
-        self._min_silence_s = min_silence_s
-        self._candidates: deque[_Watched] = deque()
+    def __init__(self, *, kept: Container[Activity] = ()) -> None:
+        self._kept = kept
+        self._candidates: deque[tuple[_Evictable, Any]] = deque()
         self._listed_at = -math.inf
 
-    def evict(self, greenlets: Mapping[_Watched, Any], now: float) -> bool:
+    def evict(self, find: Callable[[], Mapping[_Evictable, Any]], now: float) -> bool:
         """Close the connection that is missed least.
 
         Args:
-            greenlets: The greenlet that serves each connection.
+            find: Returns all connections, with the greenlet that serves each.
             now: Monotonic time, in seconds.
 
         Returns:
@@ -181,45 +198,47 @@
         """
         if not self._candidates and now - self._listed_at >= LIST_INTERVAL_S:
             self._listed_at = now
-            found = dispensable(greenlets, now, self._min_silence_s)
-            self._candidates.extend(found)
+            greenlets = find()
+            found = dispensable(greenlets, now)
+            self._candidates.extend((conn, greenlets[conn]) for conn in found)
         while self._candidates:
-            conn = self._candidates.popleft()
-            if conn in greenlets and is_dispensable(
-                conn.progress, now, self._min_silence_s
-            ):
-                eventlet.kill(greenlets[conn], ConnectionEvictedError("too many"))
+            conn, greenlet = self._candidates.popleft()
+            if not greenlet.dead and self._may_close(conn, now):
+                eventlet.kill(greenlet, ConnectionEvictedError("too many connections"))
                 return True
         return False
 
+    def _may_close(self, conn: _Evictable, now: float) -> bool:
+        """Return whether a connection is still silent, and no request waits to be read."""
+        activity = conn.progress.activity
+        if activity in self._kept or not is_dispensable(conn.progress, now):
+            return False
+        # A caller is not silent if this process has not read what it sent.
+        is_read = activity not in (Activity.CLOSING, Activity.WAITING)
+        return not (is_read and conn.has_input)
+
 
-def is_dispensable(progress: Progress, now: float, min_silence_s: float) -> bool:
+def is_dispensable(progress: Progress, now: float) -> bool:
     """Return whether a connection may be closed for a new one.
 
     Args:
         progress: How the connection gets on.
         now: Monotonic time, in seconds.
-        min_silence_s: Time without a byte after which it may be closed, in seconds.
     """
-    return progress.activity in _DISPENSABLE and progress.silent_s(now) >= min_silence_s
+    return progress.activity in _DISPENSABLE and progress.silent_s(now) >= SILENCE_S
 
 
-def dispensable(
-    connections: Iterable[_Watched], now: float, min_silence_s: float
-) -> list[_Watched]:
+def dispensable(connections: Iterable[_Watched], now: float) -> list[_Watched]:
     """Return the connections that may be closed for new ones.
 
     Args:
         connections: Callers' connections.
         now: Monotonic time, in seconds.
-        min_silence_s: Time without a byte after which one may be closed, in seconds.
 
     Returns:
         Those that are silent, the first to be closed first: rested ones last.
     """
-    found = [
-        conn for conn in connections if is_dispensable(conn.progress, now, min_silence_s)
-    ]
+    found = [conn for conn in connections if is_dispensable(conn.progress, now)]
     found.sort(
         key=lambda conn: (
             _DISPENSABLE.index(conn.progress.activity),
--- a/dockreach/direct/status_pages.py
+++ b/dockreach/direct/status_pages.py
@@ -7,7 +7,6 @@
 
 import eventlet
 
-from .. import clock
 from ..errors import CallerGoneError, ConnectionEvictedError
 from ..events import Event, log
 from .caller_connection import CallerConnection
@@ -15,7 +14,7 @@
 from .http1 import BadRequestError, RawHead
 from .memory_room import NoRoomError
 from .routing_config import CallerLimits
-from .stalled_callers import Evictor
+from .stalled_callers import Activity
 
 Page = tuple[RawHead, bytes]
 
@@ -30,10 +29,6 @@
 """Connections to one page at one time. A load balancer and a collector have one each; half
 of the entries of a large data hall may fetch a view at once."""
 
-PAGE_SILENCE_S = 0.2
-"""Time without a byte after which a connection to a page is closed for a new one, in
-seconds: a request for a page follows its connection at once."""
-
 
 class PageServer:
     """Serves one page on a port of its own.
@@ -47,13 +42,28 @@
         self._page = page
         self._memory = memory
         self._connections: dict[CallerConnection, Any] = {}
-        self._evictor: Evictor[CallerConnection] = Evictor(PAGE_SILENCE_S)
+        self._arriving = 0
 
     def admit(self) -> bool:
-        """Return whether to serve a new connection, if need be in place of a silent one."""
-        if len(self._connections) < MAX_PAGE_CONNECTIONS:
-            return True
-        return self._evictor.evict(dict(self._connections), clock.now())
+        """Return whether to serve a new connection, if need be in place of another one."""
+        count = len(self._connections) + self._arriving
+        if count >= MAX_PAGE_CONNECTIONS and not self._close_oldest():
+            return False
+        # It is not among the connections until its greenlet runs.
+        self._arriving += 1
+        return True
+
+    def _close_oldest(self) -> bool:
+        """Close the oldest connection that gets no page just now; return if there was one.
+
+        A request for a page is short and follows its connection at once, so that whoever
+        waits for one has connected last.
+        """
+        for conn, greenlet in self._connections.items():
+            if conn.progress.activity is not Activity.SERVED:
+                eventlet.kill(greenlet, ConnectionEvictedError("too many connections"))
+                return True
+        return False
 
     def serve(self, sock: Any) -> None:  # noqa: ANN401
         """Respond to all requests on one connection.
@@ -61,6 +71,7 @@
         Args:
             sock: The accepted socket.
         """
+        self._arriving = max(self._arriving - 1, 0)
         try:
             conn = CallerConnection(sock, lambda: PAGE_LIMITS)
         except OSError:
